--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,1 @@
+//! Limits over all daemons: concurrency, token budgets, priorities, bounded queues.
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,1 @@
+//! Leases, and the orders given under them.
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,3 @@
+//! What the daemons decide together: membership, the exchange of facts, addresses.
+
+pub mod board;
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,4 @@
+//! HTTP on both sides, over `hyper`, with no repetition of requests behind the caller's back.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,239 @@
+//! Sends HTTP/1.1 requests, each exactly once.
+//!
+//! `hyper-util`'s pooled client repeats some requests by itself, which would break at-most-once
+//! execution. This one tells instead whether a request may have reached the other side:
+//! [`Error::Connect`] means that no byte of it was sent, [`Error::Lost`] that it may have been.
+
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time};
+
+use crate::{Error, Result, collections::Map};
+
+/// The time in which a connection must open.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Idle connections kept for each address.
+const IDLE_PER_ADDRESS: usize = 32;
+
+/// Bytes of a whole answer that are read.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bytes of a body that are quoted in an error.
+const MAX_QUOTE_BYTES: usize = 512;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Connections to other processes.
+#[derive(Default)]
+pub struct Client {
+    idle: Mutex<Map<SocketAddr, Vec<Sender>>>,
+}
+
+/// An answer whose body is still to be read.
+pub struct Answer {
+    /// Status, headers and body.
+    pub response: Response<Incoming>,
+    address: SocketAddr,
+    sender: Sender,
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new() -> Client {
+        Client::default()
+    }
+
+    /// Sends a request on an idle connection or a new one and waits for the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if nothing was sent, [`Error::Lost`] if the request may have arrived.
+    pub async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer> {
+        let mut sender = match self.take(address) {
+            Some(sender) => sender,
+            None => connect(address).await?,
+        };
+        let lost = |error: hyper::Error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        };
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => match error.take_message() {
+                // The idle connection was closed before the request was written to it.
+                Some(request) => {
+                    sender = connect(address).await?;
+                    sender.send_request(request).await.map_err(lost)?
+                }
+                None => return Err(lost(error.into_error())),
+            },
+        };
+        Ok(Answer {
+            response,
+            address,
+            sender,
+        })
+    }
+
+    /// Sends a request and reads the whole answer, which must have a status of 2xx.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`]; [`Error::Status`] for any other status.
+    pub async fn fetch(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Bytes> {
+        let answer = self.send(address, request).await?;
+        let status = answer.response.status();
+        let body = self.finish(answer).await?;
+        if status.is_success() {
+            return Ok(body);
+        }
+        let quote = &body[..body.len().min(MAX_QUOTE_BYTES)];
+        let body = String::from_utf8_lossy(quote).into_owned();
+        Err(Error::Status {
+            address,
+            status: status.as_u16(),
+            body,
+        })
+    }
+
+    /// Sends `GET path` and decodes the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::fetch`]; [`Error::Malformed`] for an answer of another shape.
+    pub async fn get<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T> {
+        let request = request("GET", address, path, Bytes::new())?;
+        decode(&self.fetch(address, request).await?)
+    }
+
+    /// Sends `POST path` with a JSON body and decodes the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get`].
+    pub async fn post<B: Serialize + ?Sized, T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+    ) -> Result<T> {
+        let body = serde_json::to_vec(body).map_err(|error| malformed(&error))?;
+        let request = request("POST", address, path, Bytes::from(body))?;
+        decode(&self.fetch(address, request).await?)
+    }
+
+    /// Reads the rest of an answer and keeps the connection for later requests.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Lost`] if the answer broke off.
+    pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
+        let Answer {
+            response,
+            address,
+            sender,
+        } = answer;
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let collected = body.collect().await.map_err(|error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        })?;
+        self.keep(address, sender);
+        Ok(collected.to_bytes())
+    }
+
+    /// Keeps the connection of an answer whose body was read to its end elsewhere.
+    pub fn release(&self, answer: Answer) {
+        self.keep(answer.address, answer.sender);
+    }
+
+    /// Closes the idle connections to an address, for instance after one went silent.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle().remove(&address);
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle();
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        idle.remove(&address);
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < IDLE_PER_ADDRESS {
+            senders.push(sender);
+        }
+    }
+
+    fn idle(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, Vec<Sender>>> {
+        self.idle.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+/// Builds a request with a `Host` header and, if there is a body, JSON as its type.
+///
+/// # Errors
+///
+/// [`Error::Malformed`] if `path` is no valid path.
+pub fn request(
+    method: &str,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string());
+    if !body.is_empty() {
+        builder = builder.header("content-type", "application/json");
+    }
+    builder
+        .body(Full::new(body))
+        .map_err(|error| Error::Malformed {
+            what: "request",
+            reason: error.to_string(),
+        })
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender> {
+    let refused = |source| Error::Connect { address, source };
+    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|elapsed| refused(elapsed.into()))?
+        .map_err(refused)?;
+    stream.set_nodelay(true).map_err(refused)?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| refused(std::io::Error::other(error)))?;
+    // The error, if any, reaches the sender of the request.
+    tokio::spawn(async move { drop(connection.await) });
+    Ok(sender)
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body).map_err(|error| malformed(&error))
+}
+
+fn malformed(error: &serde_json::Error) -> Error {
+    Error::Malformed {
+        what: "JSON body",
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/operate.rs
@@ -0,0 +1,1 @@
+//! The operator's verbs.
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,1 @@
+//! The life of one request: attempts, streams, idempotency, suspects.
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,4 @@
+//! The engines, plain services and KV stores behind the router.
+
+pub mod directory;
+pub mod wire;
