Add the configuration path, its operator pages and the address page

Change: rows per item, a log by revision and a head row in the table; one transaction per change that checks the head's version and the change's name (catalog/edit.rs, free of I/O); a poll of the log with one call when nothing changed; GET /v1/catalog, POST /v1/catalog/changes, GET /v1/addresses; the daemons from the VM list until the exchange is there.

Ruled out: the whole catalog in one row (a write of the whole for each edit), and a marker row that voids a lost change: sending the same transaction again settles it without one.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -1,5 +1,15 @@
 //! The configuration that operators edit: templates, and their instances per workspace.
 
+pub mod change;
+pub mod edit;
+pub mod keeper;
+pub mod page;
+pub mod poll;
+pub mod shared;
+pub mod store;
+pub mod sync;
+pub mod validate;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -13,8 +13,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    catalog::Snapshot,
-    fleet::board::Board,
+    catalog::{Snapshot, shared::Shared},
+    fleet::{board::Board, member::Members},
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
@@ -58,10 +58,14 @@
     pub vms: Arc<dyn List>,
     /// The configuration in force. Swapped only towards a higher revision.
     pub catalog: ArcSwap<Snapshot>,
+    /// The same as the operators see it, with its latest changes.
+    pub configuration: Shared,
     /// What is known of the upstreams.
     pub directory: ArcSwap<Directory>,
     /// What the daemons tell each other.
     pub board: Arc<Board>,
+    /// The daemons of the fleet.
+    pub members: Members,
     /// The choice of upstreams.
     pub policy: Arc<dyn Policy>,
     /// Set when a planned stop begins: the daemon leaves the address lists, and goes on serving.
@@ -122,8 +126,10 @@
             table: setup.table,
             vms: setup.vms,
             catalog: ArcSwap::default(),
+            configuration: Shared::default(),
             directory: ArcSwap::default(),
             board: Arc::new(Board::default()),
+            members: Members::default(),
             policy: setup.policy,
             leaving: CancellationToken::new(),
             ready: AtomicBool::new(false),
