Add membership and the exchange between daemons

Change: a pure core (fleet/core.rs, roster.rs, budget.rs, board.rs, fact.rs) with runs, beats and facts that only grow, two messages a second within a budget of bytes, urgent facts at once to six daemons that pass them on; tarpc over an h2 stream with bincode at the edge (service.rs, stream.rs, link.rs, exchange.rs). A newer revision is fetched as the changes after one's own. A daemon that neither the table nor a peer confirms for 15 s takes no new work (contact.rs). Address lists by zone, load and workspace (address.rs). serve.rs waits until all live daemons know that it leaves, at most 5 s, before the lifetime of the lists begins.

Ruled out: mailing whole state (grows with the fleet), and heartbeats that only count direct contact (a one-way cut would look like a death).

--- a/src/catalog/keeper.rs
+++ b/src/catalog/keeper.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     catalog::{
         Catalog, Instance,
@@ -21,7 +23,7 @@
 }
 
 /// What a peer needs to come up to date.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Update {
     /// The changes after its revision, oldest first.
     Entries(Vec<Entry>),
--- a/src/catalog/poll.rs
+++ b/src/catalog/poll.rs
@@ -1,9 +1,6 @@
 //! Keeps the configuration in force up to date with the table.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use metrics::{counter, gauge};
@@ -17,6 +14,7 @@
         keeper::{Keeper, Update},
         sync::{Step, Sync},
     },
+    fleet::contact,
     kernel::{
         context::Context,
         part::{Part, Registration},
@@ -49,7 +47,7 @@
                 counter!("tealturn_catalog_poll_failures_total").increment(1);
                 tracing::debug!(%failure, "the configuration could not be polled");
             }
-            let fleet = context.members.len();
+            let fleet = context.members.count();
             let wait = interval(fleet, rand::rng().random_range(0.0..1.0));
             tokio::select! {
                 () = time::sleep(wait) => {}
@@ -82,15 +80,17 @@
             }
             Step::Entries(entries) => {
                 install(context, &Update::Entries(entries));
-                return Ok(());
+                break;
             }
             Step::Whole(catalog) => {
                 install(context, &Update::Whole(Arc::new(catalog)));
-                return Ok(());
+                break;
             }
             Step::Failed(failure) => return Err(failure),
         }
     }
+    contact::confirmed(context);
+    Ok(())
 }
 
 /// Puts a confirmed configuration in force if it is newer.
@@ -104,7 +104,6 @@
     let event = Subject::Revision(revision.0);
     context.ring.record(event, "configuration_in_force", "");
     tracing::info!(%revision, "configuration in force");
-    context.ready.store(true, Ordering::Release);
 }
 
 fn swap(context: &Context, catalog: &Catalog) {
--- a/src/error.rs
+++ b/src/error.rs
@@ -37,6 +37,14 @@
         /// The body, cut to a bounded length.
         body: String,
     },
+    /// The other side did not take a message.
+    #[error("{address} refused: {reason}")]
+    Refused {
+        /// The address that was asked.
+        address: SocketAddr,
+        /// Why.
+        reason: String,
+    },
     /// A message could not be decoded.
     #[error("malformed {what}: {reason}")]
     Malformed {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -2,5 +2,15 @@
 
 pub mod address;
 pub mod board;
+pub mod budget;
+pub mod contact;
+pub mod core;
+pub mod exchange;
+pub mod fact;
+pub mod link;
 pub mod member;
-pub mod watch;
+pub mod message;
+pub mod page;
+pub mod roster;
+pub mod service;
+pub mod stream;
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -1,167 +1,317 @@
 //! The facts that daemons tell each other.
 //!
-//! Parts publish facts here and read those of other daemons; the exchange carries them. A fact
-//! only grows: of two facts with one key, the merge keeps the one that says more, whatever the
-//! order in which they arrive.
+//! Parts publish facts here and read those of other daemons; the exchange carries them.
 
-use std::sync::Mutex;
+use std::{
+    cmp::Reverse,
+    collections::BTreeMap,
+    ops::Bound,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
 
-use serde::{Deserialize, Serialize};
+use metrics::counter;
+use tokio::sync::{Notify, broadcast};
 
+pub use super::fact::{Fact, Key, Post, Value};
 use crate::{
     collections::Map,
-    kernel::id::{Daemon, Incarnation, Upstream, Workspace},
+    fleet::fact::{CLASSES, KINDS, URGENT},
+    kernel::clock::Time,
 };
 
-/// What a fact is about.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Key {
-    /// The newest run of an upstream, and whether that run is leaving.
-    Upstream(Upstream),
-    /// A request that was running on an upstream that crashed, by its fingerprint.
-    Suspect(u64),
-    /// What a daemon uses of a workspace's limits.
-    Demand(Daemon, Workspace),
+/// News that a subscriber may be behind.
+pub const NEWS_FACTS: usize = 1_024;
+
+/// Messages that carry a fact first of all, after each change of it.
+const RUMOUR_SENDS: u32 = 8;
+
+/// Facts looked at to fill one message in turn.
+const MAX_IN_TURN: usize = 64;
+
+/// The most facts of each kind: upstreams, suspects, demand.
+const MAX_FACTS: [usize; KINDS] = [4_096, 1_024, 4_096];
+
+/// The facts that this daemon knows, in bounded memory. Its time is that of the last
+/// [`Board::advance`].
+pub struct Board {
+    inner: Mutex<Inner>,
+    news: broadcast::Sender<Fact>,
+    urgent: Notify,
 }
 
-/// What is known. Variants match those of [`Key`].
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Value {
-    /// See [`Key::Upstream`]. A higher run wins; within one, leaving wins.
-    Upstream {
-        /// The run.
-        incarnation: Incarnation,
-        /// Whether it is leaving.
-        leaving: bool,
-    },
-    /// See [`Key::Suspect`]. The later mark wins; with equal marks, more crashes.
-    Suspect {
-        /// Upstreams that crashed while they ran it.
-        crashes: u8,
-        /// It may not run again.
-        barred: bool,
-        /// Counts the operator's lifts of this suspicion: a higher one clears the rest.
-        lifts: u32,
-    },
-    /// See [`Key::Demand`]. The later report wins.
-    Demand {
-        /// Counts the daemon's reports, with its incarnation in the upper half.
-        report: u128,
-        /// Requests running or queued.
-        requests: u32,
-        /// Tokens a second.
-        tokens_per_second: u64,
-    },
+#[derive(Default)]
+struct Inner {
+    now: Time,
+    change: u64,
+    slots: Map<Key, Slot>,
+    /// Keys by the change that set their value last.
+    order: BTreeMap<u64, Key>,
+    /// Of these, the keys of facts that are still carried first of all, by class.
+    fresh: BTreeMap<(usize, Reverse<u64>), Key>,
+    counts: [usize; KINDS],
+    cursor: u64,
 }
 
-/// A key with its value.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Fact {
-    /// What it is about.
-    pub key: Key,
-    /// What is known.
-    pub value: Value,
+struct Slot {
+    value: Value,
+    origin: Time,
+    change: u64,
+    sends: u32,
 }
 
-/// The facts that this daemon knows.
-#[derive(Default)]
-pub struct Board {
-    facts: Mutex<Map<Key, Value>>,
+impl Default for Board {
+    fn default() -> Board {
+        Board {
+            inner: Mutex::default(),
+            news: broadcast::Sender::new(NEWS_FACTS),
+            urgent: Notify::new(),
+        }
+    }
 }
 
 impl Board {
-    /// Merges a fact, and tells whether it was news.
+    /// Merges a fact that this daemon found out, and tells whether it was news.
     pub fn publish(&self, fact: &Fact) -> bool {
-        let mut facts = self.facts.lock().unwrap_or_else(|it| it.into_inner());
-        let old = facts.get(&fact.key);
-        let new = old.map_or(fact.value, |old| old.merge(&fact.value));
-        if old == Some(&new) {
-            return false;
-        }
-        facts.insert(fact.key.clone(), new);
-        true
+        let merged = self.lock().merge(fact, Duration::ZERO);
+        self.tell(merged)
+    }
+
+    /// Merges a fact that another daemon passed on, and tells whether it was news.
+    pub fn receive(&self, post: &Post) -> bool {
+        let age = Duration::from_secs(u64::from(post.age_s));
+        let merged = self.lock().merge(&post.fact, age);
+        self.tell(merged)
     }
 
     /// What is known of `key`.
     pub fn get(&self, key: &Key) -> Option<Value> {
-        let facts = self.facts.lock().unwrap_or_else(|it| it.into_inner());
-        facts.get(key).copied()
+        self.lock().slots.get(key).map(|it| it.value)
     }
 
     /// All facts whose keys `wanted` accepts, in no order.
     pub fn facts(&self, wanted: impl Fn(&Key) -> bool) -> Vec<Fact> {
-        let facts = self.facts.lock().unwrap_or_else(|it| it.into_inner());
-        let wanted = facts.iter().filter(|(key, _)| wanted(key));
-        wanted
-            .map(|(key, value)| Fact {
-                key: key.clone(),
-                value: *value,
-            })
-            .collect()
+        let inner = self.lock();
+        let wanted = inner.slots.iter().filter(|(key, _)| wanted(key));
+        wanted.map(|(key, slot)| slot.fact(key)).collect()
+    }
+
+    /// Tells of each fact that is news, whoever published it. A receiver that falls behind by
+    /// more than [`NEWS_FACTS`] is told so and should read [`Board::facts`].
+    pub fn subscribe(&self) -> broadcast::Receiver<Fact> {
+        self.news.subscribe()
+    }
+
+    /// Waits until there are urgent facts that were sent to nobody yet.
+    pub async fn urgent(&self) {
+        self.urgent.notified().await;
+    }
+
+    /// Sets the time, and removes the facts that have ended.
+    pub fn advance(&self, now: Time) {
+        let mut inner = self.lock();
+        inner.now = inner.now.max(now);
+        inner.expire();
+    }
+
+    /// Facts for one message of at most `bytes` for them: urgent ones that were sent to few
+    /// daemons first, newest first; then others that were sent to few; then, in turn, all that
+    /// last, so that a lost message only delays them.
+    pub fn outgoing(&self, bytes: usize, size: impl Fn(&Post) -> usize) -> Vec<Post> {
+        self.lock().outgoing(bytes, false, size)
+    }
+
+    /// Urgent facts only, as [`Board::outgoing`].
+    pub fn outgoing_urgent(&self, bytes: usize, size: impl Fn(&Post) -> usize) -> Vec<Post> {
+        self.lock().outgoing(bytes, true, size)
+    }
+
+    fn tell(&self, merged: Option<Fact>) -> bool {
+        let Some(fact) = merged else { return false };
+        if fact.is_urgent() {
+            self.urgent.notify_one();
+        }
+        // Nobody may be listening.
+        let _ = self.news.send(fact);
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
 
-impl Value {
-    /// The value that says more. Commutative, associative and idempotent for one key.
-    pub fn merge(&self, other: &Value) -> Value {
-        match (self, other) {
-            (
-                Value::Upstream {
-                    incarnation: a,
-                    leaving: x,
-                },
-                Value::Upstream {
-                    incarnation: b,
-                    leaving: y,
-                },
-            ) => (*a, *x).max((*b, *y)).into_upstream(),
-            (
-                Value::Suspect {
-                    crashes: a,
-                    barred: x,
-                    lifts: l,
-                },
-                Value::Suspect {
-                    crashes: b,
-                    barred: y,
-                    lifts: m,
-                },
-            ) if l == m => Value::Suspect {
-                crashes: *a.max(b),
-                barred: *x || *y,
-                lifts: *l,
-            },
-            (Value::Suspect { lifts: l, .. }, Value::Suspect { lifts: m, .. }) => {
-                if l > m {
-                    *self
-                } else {
-                    *other
+impl Inner {
+    /// Merges a fact; returns what is known now if that is news.
+    fn merge(&mut self, fact: &Fact, age: Duration) -> Option<Fact> {
+        if !fact.is_consistent() || age >= fact.lifetime() {
+            return None;
+        }
+        let origin = self.now - age;
+        let (value, origin) = match self.slots.get_mut(&fact.key) {
+            None => (fact.value, origin),
+            Some(slot) => {
+                let value = slot.value.merge(&fact.value);
+                if value == slot.value {
+                    if fact.value == value {
+                        slot.origin = slot.origin.min(origin);
+                    }
+                    return None;
                 }
+                (value, slot.origin.max(origin))
             }
-            (Value::Demand { report: a, .. }, Value::Demand { report: b, .. }) => {
-                if a >= b {
-                    *self
-                } else {
-                    *other
-                }
+        };
+        self.change += 1;
+        let slot = Slot {
+            value,
+            origin,
+            change: self.change,
+            sends: 0,
+        };
+        let news = slot.fact(&fact.key);
+        self.remove(&fact.key);
+        self.insert(fact.key.clone(), slot);
+        self.evict(fact.key.kind());
+        Some(news)
+    }
+
+    /// Removes the oldest fact of a kind of which there are too many.
+    fn evict(&mut self, kind: usize) {
+        if self.counts[kind] <= MAX_FACTS[kind] {
+            return;
+        }
+        let mut oldest = self.order.values().filter(|it| it.kind() == kind);
+        if let Some(key) = oldest.next().cloned() {
+            counter!("tealturn_board_evictions_total").increment(1);
+            self.remove(&key);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = self.now;
+        let ended = |key: &Key, slot: &Slot| now.since(slot.origin) >= slot.fact(key).lifetime();
+        let slots = self.slots.iter();
+        let ended: Vec<_> = slots.filter(|(key, slot)| ended(key, slot)).collect();
+        let ended: Vec<_> = ended.into_iter().map(|(key, _)| key.clone()).collect();
+        for key in ended {
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &Key) {
+        let Some(slot) = self.slots.remove(key) else {
+            return;
+        };
+        self.order.remove(&slot.change);
+        self.fresh.remove(&slot.place());
+        self.counts[key.kind()] -= 1;
+    }
+
+    fn insert(&mut self, key: Key, slot: Slot) {
+        self.order.insert(slot.change, key.clone());
+        self.fresh.insert(slot.place(), key.clone());
+        self.counts[key.kind()] += 1;
+        self.slots.insert(key, slot);
+    }
+
+    fn outgoing(&mut self, bytes: usize, urgent: bool, size: impl Fn(&Post) -> usize) -> Vec<Post> {
+        let mut left = bytes;
+        let mut posts = Vec::new();
+        let mut chosen = Vec::new();
+        let classes = if urgent { URGENT + 1 } else { CLASSES };
+        for ((class, change), key) in &self.fresh {
+            let Some(slot) = self.slots.get(key) else {
+                continue;
+            };
+            let fits =
+                *class < classes && take(&mut left, &mut posts, slot.post(key, self.now), &size);
+            if !fits {
+                break;
+            }
+            chosen.push(change.0);
+        }
+        if !urgent {
+            self.in_turn(&mut left, &mut posts, &chosen, &size);
+        }
+        for change in chosen {
+            self.sent(change);
+        }
+        posts
+    }
+
+    fn sent(&mut self, change: u64) {
+        let Some(key) = self.order.get(&change) else {
+            return;
+        };
+        let Some(slot) = self.slots.get_mut(key) else {
+            return;
+        };
+        slot.sends += 1;
+        if slot.sends >= RUMOUR_SENDS {
+            self.fresh.remove(&slot.place());
+        }
+    }
+
+    /// Fills a message with facts that last, in turn.
+    fn in_turn(
+        &mut self,
+        left: &mut usize,
+        posts: &mut Vec<Post>,
+        chosen: &[u64],
+        size: &impl Fn(&Post) -> usize,
+    ) {
+        let after = (Bound::Excluded(self.cursor), Bound::Unbounded);
+        let later = self.order.range(after);
+        let earlier = self.order.range(..=self.cursor);
+        for (change, key) in later.chain(earlier).take(MAX_IN_TURN) {
+            let Some(slot) = self.slots.get(key) else {
+                continue;
+            };
+            self.cursor = *change;
+            if slot.value.class() != URGENT || chosen.contains(change) {
+                continue;
+            }
+            if !take(left, posts, slot.post(key, self.now), size) {
+                return;
             }
-            // Values of another kind than their key's come from a faulty peer.
-            _ => *self,
         }
     }
 }
 
-trait IntoUpstream {
-    fn into_upstream(self) -> Value;
+/// Adds a post if there is room for it.
+fn take(
+    left: &mut usize,
+    posts: &mut Vec<Post>,
+    post: Post,
+    size: &impl Fn(&Post) -> usize,
+) -> bool {
+    let bytes = size(&post);
+    if bytes > *left {
+        return false;
+    }
+    *left -= bytes;
+    posts.push(post);
+    true
 }
 
-impl IntoUpstream for (Incarnation, bool) {
-    fn into_upstream(self) -> Value {
-        Value::Upstream {
-            incarnation: self.0,
-            leaving: self.1,
+impl Slot {
+    fn fact(&self, key: &Key) -> Fact {
+        Fact {
+            key: key.clone(),
+            value: self.value,
         }
     }
+
+    fn post(&self, key: &Key, now: Time) -> Post {
+        let age = now.since(self.origin).as_secs();
+        Post {
+            fact: self.fact(key),
+            age_s: u32::try_from(age).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Its place among the fresh facts.
+    fn place(&self) -> (usize, Reverse<u64>) {
+        (self.value.class(), Reverse(self.change))
+    }
 }
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     catalog::{Snapshot, shared::Shared},
-    fleet::{board::Board, member::Members},
+    fleet::{board::Board, contact::Contact, member::Members},
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
@@ -66,6 +66,8 @@
     pub board: Arc<Board>,
     /// The daemons of the fleet.
     pub members: Members,
+    /// When the configuration was confirmed last.
+    pub contact: Contact,
     /// The choice of upstreams.
     pub policy: Arc<dyn Policy>,
     /// Set when a planned stop begins: the daemon leaves the address lists, and goes on serving.
@@ -130,6 +132,7 @@
             directory: ArcSwap::default(),
             board: Arc::new(Board::default()),
             members: Members::default(),
+            contact: Contact::default(),
             policy: setup.policy,
             leaving: CancellationToken::new(),
             ready: AtomicBool::new(false),
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Error, Result,
+    fleet::roster,
     http::{client::Client, server},
     kernel::{
         clock::{Clock, System},
@@ -102,6 +103,9 @@
         stop.cancelled().await;
         context.ring.record(Subject::Process, "leaving", "");
         context.leaving.cancel();
+        // Until it knows better, another daemon may still put this one into a list.
+        let left = context.members.left().cancelled();
+        drop(time::timeout(roster::MAX_LEAVE, left).await);
         time::sleep(Duration::from_secs(context.settings.address_lifetime_s)).await;
         closing.cancel();
         drop(callers.await);
