Serve completions and plain services from end to end

Cause: the thin whole path needs the caller's pages and a directory of upstreams. The pages POST /v1/completions and /s/SERVICE/... resolve credential, workspace and grant, place by the policy, and stream back through a sans-I/O assembler and attempt machine. Ruled out: hyper-util's pooled client, which repeats requests by itself; probing at the request path, which would blame an upstream for one silent connection.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -81,6 +81,29 @@
         })
     }
 
+    /// Sends a request over a new connection, since an idle one may have gone silent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer> {
+        let mut sender = connect(address).await?;
+        let sent = sender.send_request(request).await;
+        let response = sent.map_err(|error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        })?;
+        Ok(Answer {
+            response,
+            address,
+            sender,
+        })
+    }
+
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
     ///
     /// # Errors
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,1 +1,5 @@
 //! The life of one request: attempts, streams, idempotency, suspects.
+
+pub mod assembler;
+pub mod attempt;
+pub mod refusal;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,11 @@
 //! The daemon's controller: binds its listeners, starts its parts, and stops them in order.
 
+pub mod answer;
+pub mod caller;
+pub mod completion;
 pub mod dispatch;
+pub mod drive;
+pub mod service;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
--- /dev/null
+++ b/src/serve/caller.rs
@@ -0,0 +1,115 @@
+//! What all pages for callers need: who asks, the body, and refusals as answers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Response, body::Incoming, header};
+use metrics::counter;
+use tokio::time;
+
+use crate::{
+    catalog::Snapshot,
+    http::server::{self, Body},
+    kernel::id::{Request, Workspace},
+    request::refusal::{Kind, Refusal},
+};
+
+/// Bytes that the body of a request may have.
+pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// The time in which a whole body must arrive.
+pub const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Names a request in answers and in the operators' pages.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Names what may run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Bytes that an idempotency key may have.
+const MAX_KEY_BYTES: usize = 128;
+
+/// The workspace that the request's credential stands for.
+///
+/// # Errors
+///
+/// [`Kind::Unauthorized`].
+pub fn workspace(headers: &HeaderMap, catalog: &Snapshot) -> Result<Workspace, Refusal> {
+    let unauthorized = |message| Refusal::not_run(Kind::Unauthorized, message);
+    let value = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|it| it.to_str().ok())
+        .ok_or_else(|| unauthorized("the authorization header is missing"))?;
+    let credential = value
+        .strip_prefix("Bearer ")
+        .ok_or_else(|| unauthorized("the authorization header is no bearer credential"))?;
+    let workspace = catalog.workspace(credential);
+    workspace
+        .cloned()
+        .ok_or_else(|| unauthorized("the credential is unknown"))
+}
+
+/// The request's idempotency key, if it has one.
+///
+/// # Errors
+///
+/// [`Kind::InvalidRequest`] for a key that is empty, too long or not of visible ASCII.
+pub fn key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let valid = |it: &&str| {
+        let length = 1..=MAX_KEY_BYTES;
+        length.contains(&it.len()) && it.bytes().all(|it| it.is_ascii_graphic())
+    };
+    let text = value.to_str().ok().filter(valid);
+    text.map(|it| Some(it.to_owned())).ok_or_else(|| {
+        let message =
+            format!("an idempotency key has 1 to {MAX_KEY_BYTES} visible ASCII characters");
+        Refusal::not_run(Kind::InvalidRequest, message)
+    })
+}
+
+/// Reads a whole body, in bounded time and memory.
+///
+/// # Errors
+///
+/// [`Kind::TooLarge`], [`Kind::SlowRequest`], or [`Kind::InvalidRequest`] if it was cut off.
+pub async fn body(body: Incoming) -> Result<Bytes, Refusal> {
+    let collect = Limited::new(body, MAX_BODY_BYTES).collect();
+    let collected = time::timeout(BODY_TIMEOUT, collect).await.map_err(|_| {
+        let message = format!("the body took longer than {} s", BODY_TIMEOUT.as_secs());
+        Refusal::not_run(Kind::SlowRequest, message)
+    })?;
+    let whole = collected.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
+            return Refusal::not_run(Kind::TooLarge, message);
+        }
+        Refusal::not_run(Kind::InvalidRequest, "the body was cut off")
+    })?;
+    Ok(whole.to_bytes())
+}
+
+/// The answer that consists of a refusal.
+pub fn refuse(refusal: &Refusal, request: Request) -> Response<Body> {
+    counter!("tealturn_refusals_total", "status" => refusal.kind.status().as_str().to_owned())
+        .increment(1);
+    let mut response = server::json(refusal.kind.status(), &refusal.document());
+    if let Some(wait) = refusal.retry_after {
+        let seconds = wait.as_millis().div_ceil(1_000) as u64;
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, seconds.into());
+    }
+    name(&mut response, request);
+    response
+}
+
+/// Adds the request's identifier to an answer.
+pub fn name(response: &mut Response<Body>, request: Request) {
+    if let Ok(value) = request.to_string().parse() {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+}
--- /dev/null
+++ b/src/serve/completion.rs
@@ -0,0 +1,252 @@
+//! `POST /v1/completions`: completions by a model.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header};
+use serde::Deserialize;
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    catalog::{Grant, Target},
+    http::server::{self, Body},
+    kernel::{
+        context::Context,
+        id::{self, Model},
+        part::{Audience, Page, Route},
+    },
+    prefix::{self, BLOCK_BYTES, Chain, Owner},
+    request::{
+        attempt::Rules,
+        refusal::{Execution, Kind, Refusal},
+    },
+    serve::{
+        answer::{Events, Form, HEARTBEAT, Part},
+        caller,
+        drive::Job,
+    },
+    upstream::wire::Completion,
+};
+
+/// The deadline of a request that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
+
+/// The longest deadline that a request may name.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
+/// Tokens that an answer may have.
+const MAX_TOKENS: u32 = 131_072;
+
+/// Levels that a request may name.
+const MAX_LEVELS: usize = 16;
+
+/// Parts of an answer that wait for a slow caller.
+const WAITING_PARTS: usize = 16;
+
+struct Completions;
+
+inventory::submit! {
+    Route {
+        audience: Audience::Caller,
+        method: Some(Method::POST),
+        path: "/v1/completions",
+        page: &Completions,
+    }
+}
+
+/// The body of a request.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Ask {
+    /// The model.
+    pub model: Model,
+    /// The prompt.
+    pub prompt: String,
+    /// The most tokens that the answer may have.
+    pub max_tokens: u32,
+    /// Whether the answer is sent as it arises.
+    #[serde(default)]
+    pub stream: bool,
+    /// Where the shared levels of the prompt end, in bytes.
+    #[serde(default)]
+    pub levels: Vec<usize>,
+    /// How long the caller waits, in milliseconds.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+}
+
+#[async_trait]
+impl Page for Completions {
+    async fn answer(&self, context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+        let id = context.next_request();
+        let (head, body) = request.into_parts();
+        match answer(&context, id, &head.headers, body).await {
+            Ok(response) => response,
+            Err(refusal) => caller::refuse(&refusal, id),
+        }
+    }
+}
+
+async fn answer(
+    context: &Arc<Context>,
+    id: id::Request,
+    headers: &HeaderMap,
+    body: Incoming,
+) -> Result<Response<Body>, Refusal> {
+    let workspace = caller::workspace(headers, &context.catalog.load())?;
+    let ask = Ask::parse(&caller::body(body).await?)?;
+    let grant = {
+        let catalog = context.catalog.load();
+        catalog.model(&workspace, &ask.model).cloned()
+    };
+    let grant = grant.ok_or_else(|| {
+        let message = format!("the workspace has no model {:?}", ask.model.as_str());
+        Refusal::not_run(Kind::UnknownModel, message)
+    })?;
+    let form = Form {
+        request: id,
+        model: ask.model.clone(),
+    };
+    let stream = ask.stream;
+    let job = job(context, id, &grant, ask)?;
+    let (sender, receiver) = mpsc::channel(WAITING_PARTS);
+    tokio::spawn(job.run(sender));
+    if stream {
+        streamed(form, receiver).await
+    } else {
+        whole(&form, receiver).await
+    }
+}
+
+fn job(context: &Arc<Context>, id: id::Request, grant: &Grant, ask: Ask) -> Result<Job, Refusal> {
+    let Target::Model {
+        model,
+        adapter,
+        version,
+        billable,
+    } = &grant.target
+    else {
+        let message = "the name stands for a service";
+        return Err(Refusal::not_run(Kind::UnknownModel, message));
+    };
+    let owner = Owner {
+        workspace: grant.workspace.clone(),
+        model: model.clone(),
+        adapter: adapter.clone(),
+        version: *version,
+    };
+    let salt = owner.salt();
+    let chain = Chain::new(&salt, ask.prompt.as_bytes());
+    let wait = ask
+        .deadline_ms
+        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    Ok(Job {
+        context: context.clone(),
+        levels: ask.blocks(chain.0.len()),
+        chain,
+        prompt_tokens: prefix::tokens(ask.prompt.len()) as u64,
+        completion: Completion {
+            request_id: id,
+            model: model.clone(),
+            adapter: adapter.clone(),
+            version: *version,
+            cache_salt: salt,
+            prompt: ask.prompt,
+            max_tokens: ask.max_tokens,
+            priority: grant.limits.priority,
+            stream: true,
+            skip_tokens: 0,
+        },
+        owner,
+        deadline: context.now() + wait,
+        rules: Rules {
+            idempotent: !billable,
+            max_tokens: ask.max_tokens,
+        },
+    })
+}
+
+impl Ask {
+    /// Decodes and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::InvalidRequest`].
+    pub fn parse(body: &Bytes) -> Result<Ask, Refusal> {
+        let invalid = |message: String| Refusal::not_run(Kind::InvalidRequest, message);
+        let ask: Ask = serde_json::from_slice(body).map_err(|it| invalid(it.to_string()))?;
+        if ask.max_tokens == 0 || ask.max_tokens > MAX_TOKENS {
+            return Err(invalid(format!(
+                "max_tokens: allowed are 1 to {MAX_TOKENS}"
+            )));
+        }
+        if ask.prompt.is_empty() {
+            return Err(invalid("prompt: it is empty".to_owned()));
+        }
+        if ask.levels.len() > MAX_LEVELS {
+            return Err(invalid(format!("levels: at most {MAX_LEVELS} are allowed")));
+        }
+        let max = MAX_DEADLINE.as_millis() as u64;
+        if ask.deadline_ms.is_some_and(|it| it == 0 || it > max) {
+            return Err(invalid(format!("deadline_ms: allowed are 1 to {max}")));
+        }
+        Ok(ask)
+    }
+
+    /// The levels in whole blocks, shortest first, within a chain of `blocks`.
+    fn blocks(&self, blocks: usize) -> Vec<usize> {
+        let ends = self.levels.iter().map(|it| it / BLOCK_BYTES);
+        let mut ends: Vec<_> = ends.filter(|it| (1..=blocks).contains(it)).collect();
+        ends.sort_unstable();
+        ends.dedup();
+        ends
+    }
+}
+
+/// A streamed answer. Its head waits for the first part, so that a refusal before that has its
+/// own status, but not longer than a caller may take for silence.
+async fn streamed(form: Form, mut parts: mpsc::Receiver<Part>) -> Result<Response<Body>, Refusal> {
+    let first = match time::timeout(HEARTBEAT, parts.recv()).await {
+        Ok(Some(Part::Refusal(refusal))) => return Err(refusal),
+        Ok(first) => first,
+        Err(_) => None,
+    };
+    let id = form.request;
+    let mut response = Response::new(Events::new(form, first, parts).boxed());
+    let headers = response.headers_mut();
+    for (name, value) in [
+        (header::CONTENT_TYPE, "text/event-stream"),
+        (header::CACHE_CONTROL, "no-store"),
+    ] {
+        headers.insert(name, header::HeaderValue::from_static(value));
+    }
+    caller::name(&mut response, id);
+    Ok(response)
+}
+
+/// An answer in one document.
+async fn whole(form: &Form, mut parts: mpsc::Receiver<Part>) -> Result<Response<Body>, Refusal> {
+    let mut text = String::new();
+    let mut end = None;
+    while let Some(part) = parts.recv().await {
+        match part {
+            Part::Refusal(refusal) => return Err(refusal),
+            Part::Piece(piece) => {
+                text.push_str(&piece.text);
+                end = piece.end;
+            }
+        }
+    }
+    if end.is_none() {
+        let refusal = Refusal::not_run(Kind::Incomplete, "the answer broke off");
+        return Err(Refusal {
+            run: Execution::Unknown,
+            ..refusal
+        });
+    }
+    let document = form.document(0, &text, end);
+    let mut response = server::answer(StatusCode::OK, "application/json", document);
+    caller::name(&mut response, form.request);
+    Ok(response)
+}
