Run each idempotency key at most once

Cause: bookings, filings and billable requests may not run twice, whatever is lost. Change: request::once, free of I/O: a row is inserted before the first byte; a lost answer is settled by reading back and comparing the token; rows without result are never taken over; a second row orders rows by age for bounded pruning. Against the starting design: with the table down the refusal says 'unknown', not 'not run'.

--- a/src/request.rs
+++ b/src/request.rs
@@ -2,4 +2,5 @@
 
 pub mod assembler;
 pub mod attempt;
+pub mod once;
 pub mod refusal;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -39,6 +39,8 @@
     KeyReused,
     /// A request with this idempotency key was sent before, and how it ended is not known.
     Unsettled,
+    /// A request with this idempotency key was run, and its answer was not kept.
+    AlreadyRun,
     /// No upstream may take the request now.
     NoUpstream,
     /// The workspace or the upstreams have no room for the request.
@@ -107,6 +109,19 @@
         }
     }
 
+    /// The refusal of a request with an idempotency key, when the key's row was not looked at:
+    /// the same request may have been run before, unless its form rules that out.
+    pub fn keyed(self) -> Refusal {
+        let form = matches!(self.kind, Kind::InvalidRequest | Kind::TooLarge);
+        if form || self.run != Execution::NotRun {
+            return self;
+        }
+        Refusal {
+            run: Execution::Unknown,
+            ..self
+        }
+    }
+
     /// The JSON form.
     pub fn document(&self) -> Document {
         let wait = self.retry_after.map(|it| it.as_millis() as u64);
@@ -131,7 +146,7 @@
             Kind::Unauthorized => StatusCode::UNAUTHORIZED,
             Kind::UnknownModel | Kind::UnknownService => StatusCode::NOT_FOUND,
             Kind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Kind::Unsettled => StatusCode::CONFLICT,
+            Kind::AlreadyRun | Kind::Unsettled => StatusCode::CONFLICT,
             Kind::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Kind::NoUpstream | Kind::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
             Kind::Deadline => StatusCode::GATEWAY_TIMEOUT,
