--- a/src/request.rs
+++ b/src/request.rs
@@ -1,1 +1,3 @@
 //! The life of one request: attempts, streams, idempotency, suspects.
+
+pub mod suspect;
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,5 +1,9 @@
 //! The choice of an upstream for a request.
 
+pub mod baseline;
+pub mod pool;
+pub mod prefix;
+
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
@@ -8,7 +12,10 @@
         id::{Incarnation, Request, Upstream, Zone},
     },
     prefix::{Chain, Owner},
-    upstream::{directory::Directory, wire::Events},
+    upstream::{
+        directory::{self, Directory},
+        wire::Events,
+    },
 };
 
 /// What has to be placed.
@@ -30,6 +37,14 @@
     pub zone: &'a Zone,
 }
 
+impl Query<'_> {
+    /// Whether an upstream that has the owner's weights may be chosen.
+    pub fn allows(&self, upstream: &directory::Upstream) -> bool {
+        let leaving = upstream.load.as_ref().is_some_and(|it| it.leaving);
+        upstream.is_open() && !leaving && !self.avoid.contains(&upstream.name)
+    }
+}
+
 /// A chosen upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Choice {
--- /dev/null
+++ b/src/route/pool.rs
@@ -0,0 +1,191 @@
+//! The engines that serve the same weights, arranged for rendezvous hashing.
+//!
+//! Each prefix has an order of homes over the pool that is the same in every daemon. A small
+//! pool is ordered by the highest random weight. In a large one each home is drawn from a tree
+//! over the hashes of the names, in a time that grows with the logarithm of the pool's size.
+//! Either way a home that closes or opens moves few prefixes but its own.
+
+use std::sync::Arc;
+
+use crate::{
+    collections::Map,
+    kernel::id::{Adapter, Model, Version},
+    prefix::Owner,
+    upstream::{directory::Upstream, wire::Role},
+};
+
+/// The largest pool that is ordered by the weight of each member.
+const ORDERED_MEMBERS: usize = 64;
+
+/// Draws for one home before its place counts as closed.
+const DRAWS: u64 = 8;
+
+/// Whose weights an engine has loaded.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Weights {
+    model: Model,
+    adapter: Option<Adapter>,
+    version: Version,
+}
+
+/// The pools of a directory, by weights.
+#[derive(Debug, Default)]
+pub struct Pools {
+    pools: Map<Weights, Pool>,
+}
+
+/// The engines that have the same weights ready.
+#[derive(Debug, Default)]
+pub struct Pool {
+    members: Vec<Member>,
+    busy: f64,
+}
+
+/// An engine of a pool.
+#[derive(Clone, Debug)]
+pub struct Member {
+    hash: u64,
+    /// What is known of it.
+    pub upstream: Arc<Upstream>,
+}
+
+impl Pools {
+    /// Arranges the engines by what their last reports say they have loaded.
+    pub fn new(upstreams: &[Arc<Upstream>]) -> Pools {
+        let mut pools = Pools::default();
+        for upstream in upstreams {
+            let Some(load) = &upstream.load else { continue };
+            if load.state.role != Role::Serve || load.incarnation != upstream.incarnation {
+                continue;
+            }
+            for loaded in &load.state.loaded {
+                let adapters = loaded.adapters.iter().cloned().map(Some);
+                for adapter in adapters.chain([None]) {
+                    let weights = Weights {
+                        model: loaded.model.clone(),
+                        adapter,
+                        version: loaded.version,
+                    };
+                    pools.pools.entry(weights).or_default().add(upstream);
+                }
+            }
+        }
+        for pool in pools.pools.values_mut() {
+            pool.members.sort_by_key(|it| it.hash);
+        }
+        pools
+    }
+
+    /// The engines that may answer the owner's requests.
+    pub fn get(&self, owner: &Owner) -> Option<&Pool> {
+        self.pools.get(&Weights {
+            model: owner.model.clone(),
+            adapter: owner.adapter.clone(),
+            version: owner.version,
+        })
+    }
+}
+
+impl Pool {
+    /// All members, open or not, ordered by the hash of their names.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// Engines' worth of work in progress, over all open members.
+    pub fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// The home of `key` at `place` in its order, among the members that `open` accepts. A
+    /// place after the last of a small pool has none.
+    pub fn home(
+        &self,
+        key: u64,
+        place: usize,
+        open: impl Fn(&Upstream) -> bool,
+    ) -> Option<&Member> {
+        if self.members.len() <= ORDERED_MEMBERS {
+            return self.ordered(key, place, open);
+        }
+        for draw in 0..DRAWS {
+            let member = self.draw(mix(key ^ mix((place as u64) << 8 | draw)));
+            if open(&member.upstream) {
+                return Some(member);
+            }
+        }
+        self.members.iter().find(|it| open(&it.upstream))
+    }
+
+    fn add(&mut self, upstream: &Arc<Upstream>) {
+        self.members.push(Member {
+            hash: name_hash(upstream.name.as_str()),
+            upstream: upstream.clone(),
+        });
+        if upstream.is_open() {
+            self.busy += busy(upstream);
+        }
+    }
+
+    fn ordered(&self, key: u64, place: usize, open: impl Fn(&Upstream) -> bool) -> Option<&Member> {
+        let mut weights = [(0, 0); ORDERED_MEMBERS];
+        let mut count = 0;
+        for (index, member) in self.members.iter().enumerate() {
+            if !open(&member.upstream) {
+                continue;
+            }
+            weights[count] = (mix(key ^ member.hash), index);
+            count += 1;
+        }
+        if place >= count {
+            return None;
+        }
+        let weights = &mut weights[..count];
+        let (_, chosen, _) = weights.select_nth_unstable_by(place, |a, b| b.cmp(a));
+        Some(&self.members[chosen.1])
+    }
+
+    /// Walks down the bits of the name hashes. At each branch the part of the keys that go to
+    /// either side is the part of the members there.
+    fn draw(&self, key: u64) -> &Member {
+        let mut members = &self.members[..];
+        for bit in (0..u64::BITS).rev() {
+            if members.len() == 1 {
+                break;
+            }
+            let split = members.partition_point(|it| it.hash >> bit & 1 == 0);
+            let (low, high) = members.split_at(split);
+            let random = u128::from(mix(key ^ u64::from(bit)));
+            let place = (random * members.len() as u128) >> u64::BITS;
+            members = if (place as usize) < split { low } else { high };
+        }
+        &members[0]
+    }
+}
+
+/// The part of an engine that its last report shows in use; above 1 requests wait.
+fn busy(upstream: &Upstream) -> f64 {
+    let Some(load) = &upstream.load else {
+        return 0.0;
+    };
+    let slots = f64::from(load.running + load.queued) / f64::from(load.batch.max(1));
+    let backlog = load.prefill_tokens as f64 / load.prefill_rate.max(1) as f64;
+    slots.max(backlog)
+}
+
+/// The hash of an upstream's name, the same in every daemon.
+fn name_hash(name: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in name.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    mix(hash)
+}
+
+/// Spreads the bits of a number (the finalizer of SplitMix64).
+pub fn mix(value: u64) -> u64 {
+    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let value = (value ^ value >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ value >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ value >> 31
+}
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -1,6 +1,9 @@
 //! What a daemon knows of the upstreams.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
 
 use crate::{
     collections::Map,
@@ -9,6 +12,8 @@
         id::{self, Adapter, Incarnation, Model, Version, Zone},
     },
     platform::vm::Role,
+    prefix::Owner,
+    route::pool::{Pool, Pools},
     upstream::wire::Load,
 };
 
@@ -59,6 +64,7 @@
 pub struct Directory {
     upstreams: Vec<Arc<Upstream>>,
     index: Map<id::Upstream, usize>,
+    pools: OnceLock<Arc<Pools>>,
 }
 
 impl Directory {
@@ -67,7 +73,11 @@
         upstreams.sort_by(|a, b| a.name.cmp(&b.name));
         let names = upstreams.iter().enumerate();
         let index = names.map(|(place, it)| (it.name.clone(), place)).collect();
-        Directory { upstreams, index }
+        Directory {
+            upstreams,
+            index,
+            pools: OnceLock::new(),
+        }
     }
 
     /// All upstreams, ordered by name.
@@ -79,4 +89,10 @@
     pub fn get(&self, name: &id::Upstream) -> Option<&Arc<Upstream>> {
         self.index.get(name).map(|place| &self.upstreams[*place])
     }
+
+    /// The engines that have the owner's weights ready. Arranged at the first call.
+    pub fn pool(&self, owner: &Owner) -> Option<&Pool> {
+        let pools = || Arc::new(Pools::new(&self.upstreams));
+        self.pools.get_or_init(pools).get(owner)
+    }
 }
