Place by prefix: nested homes, a bounded view, expected time to the first token

Homes of a level are some of the homes of the level before it, so a file meets its handbook; the first level's homes come from the rendezvous order. The number of homes follows the demand. Few candidates are compared by queue plus the cost of uncached tokens.

--- a/src/route.rs
+++ b/src/route.rs
@@ -1,8 +1,14 @@
 //! The choice of an upstream for a request.
 
 pub mod baseline;
+pub mod engine;
+pub mod homes;
+pub mod hot;
+pub mod level;
 pub mod pool;
 pub mod prefix;
+pub mod recent;
+pub mod search;
 
 use std::{net::SocketAddr, time::Duration};
 
--- /dev/null
+++ b/src/route/engine.rs
@@ -0,0 +1,252 @@
+//! What this daemon knows of an engine beside its reports: own sends, and how long its cache
+//! keeps a block.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use papaya::HashMap;
+
+use crate::{
+    collections::{Map, Set},
+    kernel::{
+        clock::Time,
+        id::{Incarnation, Request},
+    },
+    route::{
+        hot::{Evidence, Holder},
+        pool::name_hash,
+    },
+    upstream::directory::{Directory, Upstream},
+};
+
+/// How long a cache is taken to keep a block before answers tell more.
+const EVICTION_GUESS: Duration = Duration::from_secs(5);
+
+/// The bounds of the learnt time that a cache keeps a block.
+const EVICTION: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(120));
+
+/// The time for which a new run of an engine counts as empty.
+const EMPTY: Duration = Duration::from_secs(3);
+
+/// Own sends to an empty engine count this often, since other daemons send there too.
+const EMPTY_SENDS: f64 = 4.0;
+
+/// How far cache events are believed before answers tell more.
+const EVENT_TRUST: f64 = 0.5;
+
+/// How far cache events are believed after a gap, until answers confirm them.
+const GAP_TRUST: f64 = 0.2;
+
+/// Cache events that are believed less are left aside.
+const EVENT_TRUST_MIN: f64 = 0.4;
+
+/// The time that a request is taken to decode before any has ended.
+const DECODE_GUESS: Duration = Duration::from_millis(500);
+
+/// The weight of the newest value in a mean.
+const WEIGHT: f64 = 0.1;
+
+/// Engines remembered beyond twice those of the directory.
+const SPARE_ENGINES: usize = 64;
+
+/// All engines that were chosen or told of cache events, by the hash of their names.
+#[derive(Default)]
+pub struct Engines {
+    engines: HashMap<u64, Arc<Engine>>,
+}
+
+/// What is known of one engine.
+#[derive(Default)]
+pub struct Engine {
+    state: Mutex<State>,
+}
+
+/// The state of one run of an engine, as this daemon sees it.
+#[derive(Clone, Debug)]
+pub struct State {
+    incarnation: Incarnation,
+    /// When this run replaced one that was known, if it did.
+    restarted: Option<Time>,
+    /// Own requests that have no first token yet.
+    sent: Map<Request, Sent>,
+    /// How long its cache is expected to keep a block.
+    eviction: Duration,
+    /// The mean time from first token to end of a request.
+    decode: Duration,
+    /// What was known before this is void: the cache was emptied.
+    cleared: Time,
+    event_trust: f64,
+    event_seq: u64,
+}
+
+/// A request on its way.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    at: Time,
+    /// Prompt tokens that it is expected to prefill.
+    tokens: u64,
+}
+
+impl Engines {
+    /// One engine.
+    pub fn get(&self, engine: u64) -> Option<Arc<Engine>> {
+        self.engines.pin().get(&engine).cloned()
+    }
+
+    /// One engine, remembered from now on.
+    pub fn remember(&self, engine: u64) -> Arc<Engine> {
+        self.engines
+            .pin()
+            .get_or_insert_with(engine, Arc::default)
+            .clone()
+    }
+
+    /// Forgets engines that are not in the directory, when there are many of them.
+    pub fn prune(&self, directory: &Directory) {
+        let engines = self.engines.pin();
+        if engines.len() <= 2 * directory.upstreams().len() + SPARE_ENGINES {
+            return;
+        }
+        let names = directory.upstreams().iter().map(|it| it.name.as_str());
+        let known: Set<u64> = names.map(name_hash).collect();
+        engines.retain(|engine, _| known.contains(engine));
+    }
+}
+
+impl Engine {
+    /// Locks its state. The state of an earlier run than `incarnation` is emptied first.
+    pub fn run(&self, incarnation: Incarnation, now: Time) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().unwrap_or_else(|it| it.into_inner());
+        state.renew(incarnation, now);
+        state
+    }
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            incarnation: Incarnation(0),
+            restarted: None,
+            sent: Map::default(),
+            eviction: EVICTION_GUESS,
+            decode: DECODE_GUESS,
+            cleared: Time::default(),
+            event_trust: EVENT_TRUST,
+            event_seq: 0,
+        }
+    }
+}
+
+impl State {
+    /// The run that this is about.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// The time until a request that is sent now would be prefilled if it were all cached.
+    pub fn queue(&self, upstream: &Upstream, now: Time) -> Duration {
+        let Some(load) = &upstream.load else {
+            return Duration::ZERO;
+        };
+        let taken = upstream.reported - Duration::from_millis(load.age_ms);
+        let rate = load.prefill_rate.max(1) as f64;
+        let done = rate * now.since(taken).as_secs_f64();
+        let reported = (load.prefill_tokens as f64 - done).max(0.0);
+        let (mut tokens, mut requests) = (0, 0);
+        for sent in self.sent.values().filter(|it| it.at > taken) {
+            tokens += sent.tokens;
+            requests += 1;
+        }
+        let sends = if self.is_empty_run(now) {
+            EMPTY_SENDS
+        } else {
+            1.0
+        };
+        let prefill = (reported + tokens as f64 * sends) / rate;
+        let over = (load.running + load.queued + requests).saturating_sub(load.batch);
+        let slots = self.decode.as_secs_f64() * f64::from(over) / f64::from(load.batch.max(1));
+        Duration::from_secs_f64((prefill + slots).min(3_600.0))
+    }
+
+    /// How likely it is that the engine still holds a prefix, from 0 to 1.
+    pub fn credit(&self, holder: &Holder, now: Time) -> f64 {
+        if holder.incarnation != self.incarnation || holder.at < self.cleared {
+            return 0.0;
+        }
+        let age = now.since(holder.at).as_secs_f64() / self.eviction.as_secs_f64();
+        let fresh = (2.0 - 2.0 * age).clamp(0.0, 1.0);
+        match holder.evidence {
+            Evidence::Event if self.event_trust < EVENT_TRUST_MIN => 0.0,
+            Evidence::Event => fresh * self.event_trust,
+            Evidence::Sent | Evidence::Answer => fresh,
+        }
+    }
+
+    /// Whether this run started a short while ago, with an empty cache.
+    pub fn is_empty_run(&self, now: Time) -> bool {
+        self.restarted.is_some_and(|it| now.since(it) < EMPTY)
+    }
+
+    /// Takes note of an own send.
+    pub fn sent(&mut self, request: Request, tokens: u64, now: Time) {
+        self.sent.insert(request, Sent { at: now, tokens });
+    }
+
+    /// Takes note that a request was prefilled or given up.
+    pub fn prefilled(&mut self, request: Request) {
+        self.sent.remove(&request);
+    }
+
+    /// Takes note of the time from first token to end of a request.
+    pub fn decoded(&mut self, took: Duration) {
+        self.decode = self.decode.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT);
+    }
+
+    /// Takes note whether a prefix that was known as `holder` was still there `now`.
+    pub fn checked(&mut self, holder: &Holder, hit: bool, now: Time) {
+        if holder.evidence == Evidence::Event {
+            self.event_trust = if hit {
+                self.event_trust + WEIGHT * (1.0 - self.event_trust)
+            } else {
+                self.event_trust / 2.0
+            };
+            return;
+        }
+        let age = now.since(holder.at);
+        if hit == (age <= self.eviction) {
+            return;
+        }
+        // A hit beyond the expected time or a miss within it moves the expectation.
+        let eviction = (self.eviction + age) / 2;
+        self.eviction = eviction.clamp(EVICTION.0, EVICTION.1);
+    }
+
+    /// Takes note that the cache was emptied, at `at` or later.
+    pub fn cleared(&mut self, at: Time) {
+        self.cleared = self.cleared.max(at);
+    }
+
+    /// Takes note of the number of a cache event.
+    pub fn event(&mut self, seq: u64) {
+        if self.event_seq != 0 && seq > self.event_seq + 1 {
+            self.event_trust = self.event_trust.min(GAP_TRUST);
+        }
+        self.event_seq = self.event_seq.max(seq);
+    }
+
+    fn renew(&mut self, incarnation: Incarnation, now: Time) {
+        if incarnation <= self.incarnation {
+            return;
+        }
+        let known = self.incarnation != Incarnation(0);
+        *self = State {
+            incarnation,
+            restarted: known.then_some(now),
+            eviction: self.eviction,
+            decode: self.decode,
+            ..State::default()
+        };
+    }
+}
--- /dev/null
+++ b/src/route/hot.rs
@@ -0,0 +1,175 @@
+//! A bounded table of the prefixes that were asked for lately: how often, how many homes each
+//! has, and which engines are known to hold it.
+
+use std::{
+    array,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use crate::{
+    kernel::{clock::Time, id::Incarnation},
+    prefix::Hash,
+    route::{
+        homes::Homes,
+        recent::{Recent, lock},
+    },
+};
+
+/// Shards of the table, each under a lock of its own.
+const SHARDS: usize = 64;
+
+/// Prefixes in one generation of a shard.
+const SHARD_PREFIXES: usize = 256;
+
+/// Engines remembered for one prefix.
+pub const HOLDERS: usize = 4;
+
+/// The time over which demand is averaged.
+pub const DEMAND_WINDOW: Duration = Duration::from_secs(5);
+
+/// How an engine's holding of a prefix is known, in order of trust.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Evidence {
+    /// A cache event told so.
+    Event,
+    /// This daemon sent a request with the prefix there.
+    Sent,
+    /// An answer counted the prefix as cached, or computed it.
+    Answer,
+}
+
+/// An engine that is known to hold a prefix.
+#[derive(Clone, Copy, Debug)]
+pub struct Holder {
+    /// The hash of its name (see [`super::pool::Member::hash`]).
+    pub engine: u64,
+    /// The run that holds it.
+    pub incarnation: Incarnation,
+    /// When it was known last.
+    pub at: Time,
+    /// How it is known.
+    pub evidence: Evidence,
+}
+
+/// What is known of a prefix.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Entry {
+    count: f64,
+    counted: Time,
+    /// How many homes it has.
+    pub homes: Homes,
+    holders: [Option<Holder>; HOLDERS],
+}
+
+/// The table, shared by all threads.
+pub struct Table {
+    shards: [Mutex<Recent<Hash, Entry>>; SHARDS],
+}
+
+impl Default for Table {
+    fn default() -> Table {
+        Table {
+            shards: array::from_fn(|_| Mutex::new(Recent::new(SHARD_PREFIXES))),
+        }
+    }
+}
+
+impl Table {
+    /// A copy of what is known of a prefix, if anything is.
+    pub fn get(&self, hash: Hash) -> Option<Entry> {
+        self.shard(hash).get(&hash).copied()
+    }
+
+    /// Changes what is known of a prefix, and keeps it.
+    pub fn update<R>(&self, hash: Hash, change: impl FnOnce(&mut Entry) -> R) -> R {
+        change(self.shard(hash).touch(hash, Entry::default))
+    }
+
+    /// Changes what is known of a prefix, if anything is. It counts as no use of it.
+    pub fn amend(&self, hash: Hash, change: impl FnOnce(&mut Entry)) {
+        if let Some(entry) = self.shard(hash).get_mut(&hash) {
+            change(entry);
+        }
+    }
+
+    /// Prefixes in the table.
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|it| lock(it).len()).sum()
+    }
+
+    /// Whether it knows no prefix.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, hash: Hash) -> MutexGuard<'_, Recent<Hash, Entry>> {
+        lock(&self.shards[hash.0 as usize % SHARDS])
+    }
+}
+
+impl Entry {
+    /// Requests in the last [`DEMAND_WINDOW`], older ones fading out.
+    pub fn demand(&self, now: Time) -> f64 {
+        let age = now.since(self.counted).as_secs_f64();
+        self.count * (-age / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+
+    /// Counts a request.
+    pub fn count(&mut self, now: Time) {
+        self.count = self.demand(now) + 1.0;
+        self.counted = now;
+    }
+
+    /// The engines that are known to hold it.
+    pub fn holders(&self) -> impl Iterator<Item = &Holder> {
+        self.holders.iter().flatten()
+    }
+
+    /// What is known of one engine's holding it.
+    pub fn holder(&self, engine: u64, incarnation: Incarnation) -> Option<&Holder> {
+        self.holders()
+            .find(|it| it.engine == engine && it.incarnation == incarnation)
+    }
+
+    /// Takes note of a holder. An older run of the same engine is forgotten; with no room, the
+    /// holder that was known least lately is.
+    pub fn hold(&mut self, holder: Holder) {
+        let same = |it: &Holder| it.engine == holder.engine;
+        let place = self
+            .holders
+            .iter()
+            .position(|it| it.as_ref().is_some_and(same));
+        let place = place.unwrap_or_else(|| self.oldest());
+        if let Some(old) = &mut self.holders[place]
+            && same(old)
+        {
+            if old.incarnation > holder.incarnation {
+                return;
+            }
+            if old.incarnation == holder.incarnation && holder.evidence < old.evidence {
+                // Weaker evidence does not replace stronger, but shows later use.
+                if holder.evidence == Evidence::Sent {
+                    old.at = old.at.max(holder.at);
+                }
+                return;
+            }
+        }
+        self.holders[place] = Some(holder);
+    }
+
+    /// Forgets that an engine holds it, unless that was known after `before`.
+    pub fn release(&mut self, engine: u64, before: Time) {
+        for holder in &mut self.holders {
+            if holder.is_some_and(|it| it.engine == engine && it.at <= before) {
+                *holder = None;
+            }
+        }
+    }
+
+    fn oldest(&self) -> usize {
+        let places = self.holders.iter().enumerate();
+        let oldest = places.min_by_key(|(_, it)| it.map(|it| it.at));
+        oldest.map_or(0, |(place, _)| place)
+    }
+}
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -38,17 +38,41 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     members: Vec<Member>,
+    id: u64,
+    open: usize,
     busy: f64,
 }
 
 /// An engine of a pool.
 #[derive(Clone, Debug)]
 pub struct Member {
-    hash: u64,
+    /// The hash of its name, the same in every daemon.
+    pub hash: u64,
     /// What is known of it.
     pub upstream: Arc<Upstream>,
 }
 
+/// A number that stands for the owner's weights.
+pub fn weights_id(owner: &Owner) -> u64 {
+    Weights::new(owner).id()
+}
+
+impl Weights {
+    fn new(owner: &Owner) -> Weights {
+        Weights {
+            model: owner.model.clone(),
+            adapter: owner.adapter.clone(),
+            version: owner.version,
+        }
+    }
+
+    fn id(&self) -> u64 {
+        let adapter = self.adapter.as_ref().map_or("", Adapter::as_str);
+        let names = name_hash(self.model.as_str()) ^ mix(name_hash(adapter));
+        mix(names ^ self.version.0)
+    }
+}
+
 impl Pools {
     /// Arranges the engines by what their last reports say they have loaded.
     pub fn new(upstreams: &[Arc<Upstream>]) -> Pools {
@@ -70,7 +94,8 @@
                 }
             }
         }
-        for pool in pools.pools.values_mut() {
+        for (weights, pool) in &mut pools.pools {
+            pool.id = weights.id();
             pool.members.sort_by_key(|it| it.hash);
         }
         pools
@@ -78,11 +103,7 @@
 
     /// The engines that may answer the owner's requests.
     pub fn get(&self, owner: &Owner) -> Option<&Pool> {
-        self.pools.get(&Weights {
-            model: owner.model.clone(),
-            adapter: owner.adapter.clone(),
-            version: owner.version,
-        })
+        self.pools.get(&Weights::new(owner))
     }
 }
 
@@ -92,6 +113,22 @@
         &self.members
     }
 
+    /// A number that stands for the weights.
+    pub fn id(&self) -> u64 {
+        self.id
+    }
+
+    /// Members that get new work.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// The member whose name has this hash.
+    pub fn find(&self, hash: u64) -> Option<&Member> {
+        let place = self.members.binary_search_by_key(&hash, |it| it.hash);
+        place.ok().map(|it| &self.members[it])
+    }
+
     /// Engines' worth of work in progress, over all open members.
     pub fn busy(&self) -> f64 {
         self.busy
@@ -123,6 +160,7 @@
             upstream: upstream.clone(),
         });
         if upstream.is_open() {
+            self.open += 1;
             self.busy += busy(upstream);
         }
     }
@@ -173,8 +211,35 @@
     slots.max(backlog)
 }
 
+/// The place of rank `rank` among `count` places, in an order of its own for each `key`. One
+/// place more or less changes few ranks.
+pub fn ranked(key: u64, count: usize, rank: usize) -> usize {
+    if count > ORDERED_MEMBERS {
+        return jump(mix(key ^ rank as u64), count);
+    }
+    let mut weights = [(0, 0); ORDERED_MEMBERS];
+    for (place, weight) in weights[..count].iter_mut().enumerate() {
+        *weight = (mix(key ^ mix(place as u64)), place);
+    }
+    let weights = &mut weights[..count];
+    let (_, chosen, _) = weights.select_nth_unstable_by(rank % count, |a, b| b.cmp(a));
+    chosen.1
+}
+
+/// Jump consistent hashing (Lamping and Veach).
+fn jump(key: u64, count: usize) -> usize {
+    let (mut key, mut place, mut next) = (key, 0, 0_u64);
+    while next < count as u64 {
+        place = next;
+        key = key.wrapping_mul(2_862_933_555_777_941_757).wrapping_add(1);
+        let scale = (1_u64 << 31) as f64 / ((key >> 33) + 1) as f64;
+        next = ((place + 1) as f64 * scale) as u64;
+    }
+    place as usize
+}
+
 /// The hash of an upstream's name, the same in every daemon.
-fn name_hash(name: &str) -> u64 {
+pub fn name_hash(name: &str) -> u64 {
     let mut hash = 0xcbf2_9ce4_8422_2325_u64;
     for byte in name.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
--- a/src/route/prefix.rs
+++ b/src/route/prefix.rs
@@ -1,37 +1,307 @@
-//! The policy `prefix`: a request goes where its prompt's prefix is cached.
+//! The policy `prefix`: a request goes where its prompt's prefixes are cached, unless the wait
+//! there costs more than computing them elsewhere.
+//!
+//! It learns where prefixes are cached, in order of trust, from the cached tokens that answers
+//! count, from its own sends, and from cache events. The policy `rendezvous` does without.
 
-use std::time::Duration;
+use std::{
+    array,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
 
 use crate::{
-    kernel::clock::Time,
-    route::{Choice, Event, Policy, Query, Registration, pool::mix},
-    upstream::directory::Directory,
+    kernel::{
+        clock::Time,
+        id::{Incarnation, Request},
+    },
+    prefix::{BLOCK_TOKENS, Hash},
+    route::{
+        Choice, Event, Policy, Query, Registration,
+        engine::Engines,
+        hot::{Evidence, Holder, Table},
+        level::{LEVELS, Level, Levels, checkpoints},
+        pool::{name_hash, weights_id},
+        recent::{Recent, lock},
+        search::{Knowledge, Search},
+    },
+    upstream::{
+        directory::Directory,
+        wire::{Change, Events},
+    },
 };
 
+/// Shards of the requests in progress.
+const SHARDS: usize = 16;
+
+/// Requests in one generation of a shard, should their ends never be told.
+const SHARD_REQUESTS: usize = 4_096;
+
+/// A cache event does not contradict what was learnt within this time before it arrived.
+const EVENT_LAG: Duration = Duration::from_secs(2);
+
 inventory::submit!(Registration {
     name: "prefix",
-    make: || Box::new(Prefix),
+    make: || Box::new(Prefix::new(true)),
+});
+
+inventory::submit!(Registration {
+    name: "rendezvous",
+    make: || Box::new(Prefix::new(false)),
 });
 
-/// Chooses by the prefix of the prompt.
-struct Prefix;
+/// Chooses by the prefixes of the prompt.
+pub struct Prefix {
+    caches: bool,
+    table: Table,
+    engines: Engines,
+    pending: [Mutex<Recent<Request, Pending>>; SHARDS],
+}
+
+/// A request in progress.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    engine: u64,
+    incarnation: Incarnation,
+    sent: Time,
+    first: Option<Time>,
+    checked: bool,
+    prefixes: [Option<Sent>; LEVELS],
+}
+
+/// A prefix of a request in progress.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    level: Level,
+    /// What was known of the engine's holding it before the request was sent.
+    before: Option<Holder>,
+}
+
+impl Prefix {
+    /// A policy that knows nothing yet. It learns what the caches hold if `caches` is set.
+    pub fn new(caches: bool) -> Prefix {
+        Prefix {
+            caches,
+            table: Table::default(),
+            engines: Engines::default(),
+            pending: array::from_fn(|_| Mutex::new(Recent::new(SHARD_REQUESTS))),
+        }
+    }
+
+    /// Prefixes that it remembers.
+    pub fn prefixes(&self) -> usize {
+        self.table.len()
+    }
+
+    fn pending(&self, request: Request) -> MutexGuard<'_, Recent<Request, Pending>> {
+        lock(&self.pending[request.0 as usize % SHARDS])
+    }
+
+    fn sent(&self, query: &Query<'_>, choice: &Choice, now: Time) {
+        let engine = name_hash(choice.upstream.as_str());
+        let tokens = query.prompt_tokens.saturating_sub(choice.cached_tokens);
+        let state = self.engines.remember(engine);
+        state
+            .run(choice.incarnation, now)
+            .sent(query.request, tokens, now);
+        let levels = Levels::new(query, &self.table, now);
+        self.count(query, &levels, now);
+        let holder = Holder {
+            engine,
+            incarnation: choice.incarnation,
+            at: now,
+            evidence: Evidence::Sent,
+        };
+        let mut prefixes = [None; LEVELS];
+        for (prefix, level) in prefixes.iter_mut().zip(levels.iter()) {
+            let before = self.table.update(level.hash, |entry| {
+                let before = entry.holder(engine, choice.incarnation).copied();
+                entry.hold(holder);
+                before
+            });
+            *prefix = Some(Sent {
+                level: *level,
+                before,
+            });
+        }
+        let pending = Pending {
+            engine,
+            incarnation: choice.incarnation,
+            sent: now,
+            first: None,
+            checked: false,
+            prefixes,
+        };
+        *self.pending(query.request).touch(query.request, || pending) = pending;
+    }
+
+    /// Counts the demand for the pool and the prompt's prefixes.
+    fn count(&self, query: &Query<'_>, levels: &Levels, now: Time) {
+        let pool = Hash(weights_id(query.owner));
+        self.table.update(pool, |it| it.count(now));
+        if !query.levels.is_empty() {
+            for level in levels.iter() {
+                self.table.update(level.hash, |it| it.count(now));
+            }
+            return;
+        }
+        for blocks in checkpoints(query.chain.0.len()) {
+            self.table
+                .update(query.chain.0[blocks - 1], |it| it.count(now));
+        }
+    }
+
+    fn first(&self, request: Request, incarnation: Incarnation, cached: Option<u64>, now: Time) {
+        let mut pending = self.pending(request);
+        let Some(it) = pending.get_mut(&request) else {
+            return;
+        };
+        if it.first.is_some() {
+            return;
+        }
+        it.first = Some(now);
+        it.checked = cached.is_some();
+        let copy = *it;
+        drop(pending);
+        let engine = self.engines.remember(copy.engine);
+        engine.run(incarnation, now).prefilled(request);
+        if let Some(cached) = cached {
+            self.check(&copy, cached, now);
+        }
+    }
+
+    fn ended(&self, request: Request, cached: Option<u64>, now: Time) {
+        let Some(pending) = self.pending(request).remove(&request) else {
+            return;
+        };
+        let engine = self.engines.remember(pending.engine);
+        let mut state = engine.run(pending.incarnation, now);
+        state.prefilled(request);
+        if let Some(first) = pending.first {
+            state.decoded(now.since(first));
+        }
+        drop(state);
+        match cached {
+            Some(cached) if !pending.checked => self.check(&pending, cached, now),
+            None if pending.first.is_none() => self.forget(&pending),
+            _ => {}
+        }
+    }
+
+    /// Learns from an answer, which shows what was cached and that all is now.
+    fn check(&self, pending: &Pending, cached_tokens: u64, now: Time) {
+        let engine = self.engines.remember(pending.engine);
+        let holder = Holder {
+            engine: pending.engine,
+            incarnation: pending.incarnation,
+            at: pending.first.unwrap_or(now),
+            evidence: Evidence::Answer,
+        };
+        for sent in pending.prefixes.iter().flatten() {
+            let tokens = (sent.level.blocks * BLOCK_TOKENS) as u64;
+            if let Some(before) = &sent.before {
+                let mut state = engine.run(pending.incarnation, now);
+                state.checked(before, tokens <= cached_tokens, pending.sent);
+            }
+            self.table.amend(sent.level.hash, |it| it.hold(holder));
+        }
+    }
+
+    /// Takes back what a request that was never answered let expect.
+    fn forget(&self, pending: &Pending) {
+        for sent in pending.prefixes.iter().flatten() {
+            self.table.amend(sent.level.hash, |entry| {
+                entry.release(pending.engine, pending.sent);
+                if let Some(before) = sent.before {
+                    entry.hold(before);
+                }
+            });
+        }
+    }
+
+    fn cache(&self, engine: u64, events: &Events, now: Time) {
+        let Some(known) = self.engines.get(engine) else {
+            return;
+        };
+        let mut state = known.run(Incarnation(0), now);
+        if state.incarnation() != events.incarnation {
+            return;
+        }
+        for event in &events.events {
+            state.event(event.seq);
+            if matches!(event.change, Change::Cleared) {
+                state.cleared(now - EVENT_LAG);
+            }
+        }
+        drop(state);
+        for event in &events.events {
+            self.apply(engine, events.incarnation, &event.change, now);
+        }
+    }
+
+    fn apply(&self, engine: u64, incarnation: Incarnation, change: &Change, now: Time) {
+        match change {
+            Change::Stored(hashes) => {
+                let holder = Holder {
+                    engine,
+                    incarnation,
+                    at: now,
+                    evidence: Evidence::Event,
+                };
+                for hash in hashes {
+                    self.table.amend(*hash, |it| it.hold(holder));
+                }
+            }
+            Change::Removed(hashes) => {
+                for hash in hashes {
+                    self.table
+                        .amend(*hash, |it| it.release(engine, now - EVENT_LAG));
+                }
+            }
+            Change::Cleared => {}
+        }
+    }
+}
 
 impl Policy for Prefix {
-    fn choose(&self, query: &Query<'_>, directory: &Directory, _: Time, _: u64) -> Option<Choice> {
+    fn choose(
+        &self,
+        query: &Query<'_>,
+        directory: &Directory,
+        now: Time,
+        random: u64,
+    ) -> Option<Choice> {
         let pool = directory.pool(query.owner)?;
-        let level = query.levels.first().copied().unwrap_or(1);
-        let first = query.chain.0.get(level.wrapping_sub(1));
-        let key = first.map_or_else(|| mix(query.prompt_tokens), |it| it.0);
-        let member = pool.home(key, 0, |it| query.allows(it))?;
-        Some(Choice {
-            upstream: member.upstream.name.clone(),
-            address: member.upstream.address,
-            incarnation: member.upstream.incarnation,
-            cached_tokens: 0,
-            expected: Duration::ZERO,
-            reason: "home",
-        })
-    }
-
-    fn observe(&self, _: &Event<'_>, _: Time) {}
+        self.engines.prune(directory);
+        let knowledge = Knowledge {
+            table: &self.table,
+            engines: &self.engines,
+            caches: self.caches,
+        };
+        let choice = Search::new(query, pool, knowledge, now).best(random)?;
+        assert!(
+            !query.avoid.contains(&choice.upstream),
+            "chose {} that must be avoided",
+            choice.upstream
+        );
+        Some(choice)
+    }
+
+    fn observe(&self, event: &Event<'_>, now: Time) {
+        match event {
+            Event::Sent { query, choice } => self.sent(query, choice, now),
+            Event::First {
+                request,
+                incarnation,
+                cached_tokens,
+            } => self.first(*request, *incarnation, *cached_tokens, now),
+            Event::Ended {
+                request,
+                cached_tokens,
+            } => self.ended(*request, *cached_tokens, now),
+            Event::Cache { upstream, events } => {
+                self.cache(name_hash(upstream.as_str()), events, now);
+            }
+        }
+    }
 }
