Add tealturn-load: callers that check every answer

Callers ask a daemon for addresses, keep them their lifetime, connect themselves and repeat a call only where that is allowed. Its wire types stand apart from the router's, so that a change of the interface by mistake shows. Not yet run against a daemon.

--- a/src/load.rs
+++ b/src/load.rs
@@ -1,1 +1,9 @@
-//! Callers of both deployments, and the measures of what they see.
+//! Callers of both deployments, which check every answer and measure.
+
+pub mod caller;
+pub mod entry;
+pub mod protocol;
+pub mod reader;
+pub mod report;
+pub mod run;
+pub mod traffic;
