--- a/src/request.rs
+++ b/src/request.rs
@@ -1,3 +1,6 @@
 //! The life of one request: attempts, streams, idempotency, suspects.
 
+pub mod assembler;
+pub mod attempt;
+pub mod refusal;
 pub mod suspect;
