--- a/src/request.rs
+++ b/src/request.rs
@@ -4,3 +4,4 @@
 pub mod attempt;
 pub mod once;
 pub mod refusal;
+pub mod suspect;
