--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -23,7 +23,7 @@
     platform::{table::Table, vm::List},
     route::Policy,
     settings::Settings,
-    timeline::Ring,
+    timeline::{Ring, decision::Decisions},
     upstream::directory::Directory,
 };
 
@@ -50,6 +50,8 @@
     pub clock: Arc<dyn Clock>,
     /// The record of state changes.
     pub ring: Arc<Ring>,
+    /// The decisions taken for each request.
+    pub decisions: Decisions,
     /// Connections to upstreams and the platform.
     pub client: Arc<Client>,
     /// The platform's table service.
@@ -117,6 +119,7 @@
             bound: setup.bound,
             incarnation: setup.incarnation,
             clock: setup.clock,
+            decisions: Decisions::new(setup.ring.clone()),
             ring: setup.ring,
             client: Arc::new(Client::new()),
             table: setup.table,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operate;
 pub mod platform;
 pub mod prefix;
+pub mod report;
 pub mod request;
 pub mod route;
 pub mod serve;
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -1,5 +1,7 @@
 //! The time line: a bounded record of state changes in each process.
 
+pub mod decision;
+
 use std::{collections::VecDeque, sync::Mutex};
 
 use serde::{Deserialize, Serialize};
