Carry keys, limits and suspects along the path of a request

Cause: the cores of at most once, admission and suspects were not wired to the pages. Change: serve::state holds what requests share (in the context, one new field); limit admits, queues and gives every slot back by a guard; once carries claims to the table, writes results beside the answer and prunes; place takes suspects into account under one lock; a call or billable completion that holds a key runs to its end when its caller goes away. Ruled out: marking requests as suspects when a connection breaks; only a refused connection or a newer run shows that the upstream's process has ended.

--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -21,7 +21,9 @@
         id::{Incarnation, Request},
     },
     platform::{table::Table, vm::List},
+    request::once::Now,
     route::Policy,
+    serve::state::State,
     settings::Settings,
     timeline::Ring,
     upstream::directory::Directory,
@@ -68,6 +70,8 @@
     pub members: Members,
     /// The choice of upstreams.
     pub policy: Arc<dyn Policy>,
+    /// What the requests in progress share.
+    pub serving: State,
     /// Set when a planned stop begins: the daemon leaves the address lists, and goes on serving.
     pub leaving: CancellationToken,
     /// Set by the configuration part when the daemon may serve.
@@ -116,6 +120,11 @@
 impl Context {
     /// A context that knows nothing of configuration, upstreams and peers yet.
     pub fn new(setup: Setup) -> Context {
+        let received = Now {
+            time: setup.clock.now(),
+            wall_s: setup.clock.wall_micros() / 1_000_000,
+        };
+        let serving = State::new(setup.settings.daemon.clone(), setup.incarnation, received);
         Context {
             settings: setup.settings,
             bound: setup.bound,
@@ -131,6 +140,7 @@
             board: Arc::new(Board::default()),
             members: Members::default(),
             policy: setup.policy,
+            serving,
             leaving: CancellationToken::new(),
             ready: AtomicBool::new(false),
             peer_listener: Slot::default(),
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -64,6 +64,12 @@
     UpstreamGone,
     /// The request's deadline has passed.
     Expired,
+    /// It crashed upstreams and may not run now.
+    Barred(Duration),
+    /// The workspace has no retries left.
+    NoRetries,
+    /// The right to send it once has run out; an earlier row of its key may have been pruned.
+    TooLate,
 }
 
 /// What the edge does next.
@@ -179,9 +185,17 @@
             Event::Broken => self.broken(),
             Event::Silent => self.silent(),
             Event::Expired => self.fail(Kind::Deadline, "the deadline has passed"),
+            Event::NoRetries => self.fail(Kind::Incomplete, "too many attempts failed lately"),
+            Event::Barred(retry_after) => self.barred(retry_after),
+            Event::TooLate => self.too_late(),
         }
     }
 
+    /// Whether the next attempt is a retry of one that may have run.
+    pub fn is_retry(&self) -> bool {
+        self.runs > 0
+    }
+
     /// Whether the request was run, as far as is known.
     pub fn run(&self) -> Execution {
         if self.runs == 0 {
@@ -273,6 +287,21 @@
         self.fail(Kind::NoUpstream, "no upstream serves this now")
     }
 
+    fn too_late(&self) -> Step {
+        let message = "the request waited too long in this daemon";
+        let refusal = Refusal::not_run(Kind::Deadline, message);
+        Step::Fail(refusal.retry_after(RETRY_AFTER).keyed())
+    }
+
+    fn barred(&self, retry_after: Duration) -> Step {
+        Step::Fail(Refusal {
+            kind: Kind::Barred,
+            message: "it crashed upstreams, and may not run now".to_owned(),
+            run: self.run(),
+            retry_after: Some(retry_after),
+        })
+    }
+
     fn fail(&self, kind: Kind, message: &str) -> Step {
         Step::Fail(Refusal {
             kind,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,7 +5,12 @@
 pub mod completion;
 pub mod dispatch;
 pub mod drive;
+pub mod limit;
+pub mod once;
+pub mod place;
 pub mod service;
+pub mod state;
+pub mod suspects;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -21,11 +21,13 @@
     request::{
         attempt::Rules,
         refusal::{Execution, Kind, Refusal},
+        suspect::Fingerprint,
     },
     serve::{
         answer::{Events, Form, HEARTBEAT, Part},
-        caller,
+        caller::{self, IDEMPOTENCY_KEY},
         drive::Job,
+        place::Subject,
     },
     upstream::wire::Completion,
 };
@@ -81,20 +83,30 @@
     async fn answer(&self, context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
         let id = context.next_request();
         let (head, body) = request.into_parts();
-        match answer(&context, id, &head.headers, body).await {
-            Ok(response) => response,
-            Err(refusal) => caller::refuse(&refusal, id),
-        }
+        let answered = match prepare(&context, id, &head.headers, body).await {
+            Ok(prepared) => prepared.answer().await,
+            Err(refusal) if head.headers.contains_key(IDEMPOTENCY_KEY) => Err(refusal.keyed()),
+            Err(refusal) => Err(refusal),
+        };
+        answered.unwrap_or_else(|refusal| caller::refuse(&refusal, id))
     }
 }
 
-async fn answer(
+/// A request that was found to be valid.
+struct Prepared {
+    form: Form,
+    stream: bool,
+    job: Job,
+}
+
+async fn prepare(
     context: &Arc<Context>,
     id: id::Request,
     headers: &HeaderMap,
     body: Incoming,
-) -> Result<Response<Body>, Refusal> {
+) -> Result<Prepared, Refusal> {
     let workspace = caller::workspace(headers, &context.catalog.load())?;
+    let key = caller::key(headers)?;
     let ask = Ask::parse(&caller::body(body).await?)?;
     let grant = {
         let catalog = context.catalog.load();
@@ -109,13 +121,21 @@
         model: ask.model.clone(),
     };
     let stream = ask.stream;
-    let job = job(context, id, &grant, ask)?;
-    let (sender, receiver) = mpsc::channel(WAITING_PARTS);
-    tokio::spawn(job.run(sender));
-    if stream {
-        streamed(form, receiver).await
-    } else {
-        whole(&form, receiver).await
+    let mut job = job(context, id, &grant, ask)?;
+    job.key = key.filter(|_| !job.rules.idempotent);
+    Ok(Prepared { form, stream, job })
+}
+
+impl Prepared {
+    async fn answer(self) -> Result<Response<Body>, Refusal> {
+        let (sender, receiver) = mpsc::channel(WAITING_PARTS);
+        let context = self.job.context.clone();
+        context.serving.tasks.spawn(self.job.run(sender));
+        if self.stream {
+            streamed(self.form, receiver).await
+        } else {
+            whole(&self.form, receiver).await
+        }
     }
 }
 
@@ -141,11 +161,18 @@
     let wait = ask
         .deadline_ms
         .map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    Ok(Job {
-        context: context.clone(),
+    let subject = Subject {
+        fingerprint: Fingerprint::new(&grant.workspace, ask.prompt.as_bytes()),
         levels: ask.blocks(chain.0.len()),
-        chain,
         prompt_tokens: prefix::tokens(ask.prompt.len()) as u64,
+        owner,
+        chain,
+    };
+    Ok(Job {
+        context: context.clone(),
+        request: id,
+        limits: grant.limits,
+        subject,
         completion: Completion {
             request_id: id,
             model: model.clone(),
@@ -158,12 +185,12 @@
             stream: true,
             skip_tokens: 0,
         },
-        owner,
         deadline: context.now() + wait,
         rules: Rules {
             idempotent: !billable,
             max_tokens: ask.max_tokens,
         },
+        key: None,
     })
 }
 
--- a/src/serve/drive.rs
+++ b/src/serve/drive.rs
@@ -1,23 +1,26 @@
-//! Carries one completion from its first attempt to the end of its answer.
+//! Carries one completion from its admission to the end of its answer.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use metrics::counter;
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    kernel::{
-        clock::Time,
-        context::Context,
-        id::{Incarnation, Request},
-    },
-    prefix::{Chain, Owner},
+    admission::Ticket,
+    catalog::Limits,
+    kernel::{clock::Time, context::Context, id::Request},
     request::{
-        assembler::{Expected, Piece},
+        assembler::{End, Expected, Piece},
         attempt::{Event, Machine, Rules, SILENCE, Step},
+        once::{self, Answer, MAX_KEPT_BYTES},
+        refusal::{Execution, Refusal},
+    },
+    serve::{
+        answer::Part,
+        limit::Admitted,
+        once::{Claimed, Holder},
+        place::{Placed, Subject},
     },
-    route::{self, Choice, Query},
-    serve::answer::Part,
     upstream::{
         engine::{self, Failure, Read, Stream},
         wire::Completion,
@@ -31,30 +34,20 @@
 pub struct Job {
     /// What the daemon's parts share.
     pub context: Arc<Context>,
-    /// Whose prompt it is.
-    pub owner: Owner,
-    /// The prompt's blocks.
-    pub chain: Chain,
-    /// Where the caller's levels end, in blocks.
-    pub levels: Vec<usize>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
+    /// The request.
+    pub request: Request,
+    /// What the workspace may use.
+    pub limits: Limits,
+    /// What is placed.
+    pub subject: Subject,
     /// What is sent; each attempt sets its identifier and where it starts.
     pub completion: Completion,
     /// When the caller stops waiting.
     pub deadline: Time,
     /// How the request may be treated.
     pub rules: Rules,
-}
-
-/// An attempt that was sent. Dropping it before its end cancels it.
-struct Placed {
-    context: Arc<Context>,
-    attempt: Request,
-    choice: Choice,
-    incarnation: Option<Incarnation>,
-    cached_tokens: Option<u64>,
-    ended: bool,
+    /// The idempotency key, if it must run at most once for it.
+    pub key: Option<String>,
 }
 
 /// The state of a [`Job`] under way.
@@ -64,6 +57,15 @@
     placed: Option<Placed>,
     stream: Option<Stream>,
     parts: mpsc::Sender<Part>,
+    holder: Option<Holder>,
+    kept: Kept,
+}
+
+/// The answer so far, if it is to be kept.
+#[derive(Default)]
+struct Kept {
+    text: String,
+    end: Option<End>,
 }
 
 impl Job {
@@ -71,16 +73,112 @@
     /// piece with an end, or a refusal.
     pub async fn run(self, parts: mpsc::Sender<Part>) {
         let gone = parts.clone();
-        let deadline = time::sleep(self.deadline.since(self.context.now()));
+        let admitted = tokio::select! {
+            admitted = self.admit() => admitted,
+            () = gone.closed() => return,
+        };
+        let mut admitted = match admitted {
+            Ok(admitted) => admitted,
+            Err(refusal) => return last(&parts, Part::Refusal(self.refusal(refusal))).await,
+        };
+        let holder = match self.claim().await {
+            Ok(holder) => holder,
+            Err(part) => return last(&parts, part).await,
+        };
+        let prompt_tokens = self.subject.prompt_tokens;
+        let mut drive = Drive::new(self, holder, parts);
+        drive.run(&gone).await;
+        admitted.used(prompt_tokens + drive.machine.offset());
+        drive.settle();
+    }
+
+    async fn admit(&self) -> Result<Admitted, Refusal> {
+        let tokens = self.subject.prompt_tokens + u64::from(self.rules.max_tokens);
+        let ticket = Ticket {
+            request: self.request,
+            workspace: &self.subject.owner.workspace,
+            limits: self.limits,
+            tokens,
+            deadline: self.deadline,
+            priority: self.limits.priority,
+        };
+        Admitted::new(&self.context, &ticket).await
+    }
+
+    /// Claims the key, if there is one.
+    async fn claim(&self) -> Result<Option<Holder>, Part> {
+        let Some(key) = self.key.clone() else {
+            return Ok(None);
+        };
+        let workspace = &self.subject.owner.workspace;
+        let digest = self.digest();
+        let claimed = super::once::claim(&self.context, self.request, workspace, key, digest).await;
+        match claimed {
+            Ok(Claimed::Held(holder)) => Ok(Some(holder)),
+            Ok(Claimed::Replay(Answer::Completion {
+                text,
+                finish,
+                usage,
+            })) => Err(Part::Piece(Piece {
+                offset: 0,
+                text,
+                end: Some(End { finish, usage }),
+            })),
+            Ok(Claimed::Replay(Answer::Call { .. })) => {
+                unreachable!("the digest of a call is never that of a completion")
+            }
+            Err(refusal) => Err(Part::Refusal(refusal)),
+        }
+    }
+
+    /// The digest of what is asked.
+    fn digest(&self) -> String {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(b"completion");
+        hasher.update(&self.completion.max_tokens.to_le_bytes());
+        hasher.update(&(self.completion.model.as_str().len() as u64).to_le_bytes());
+        hasher.update(self.completion.model.as_str().as_bytes());
+        hasher.update(self.completion.prompt.as_bytes());
+        hasher.finalize().to_hex().to_string()
+    }
+
+    /// A refusal from before the key's row was looked at.
+    fn refusal(&self, refusal: Refusal) -> Refusal {
+        match self.key {
+            Some(_) => refusal.keyed(),
+            None => refusal,
+        }
+    }
+}
+
+impl Drive {
+    fn new(job: Job, holder: Option<Holder>, parts: mpsc::Sender<Part>) -> Drive {
+        let machine = Machine::new(job.rules);
+        Drive {
+            job,
+            machine,
+            placed: None,
+            stream: None,
+            parts,
+            holder,
+            kept: Kept::default(),
+        }
+    }
+
+    async fn run(&mut self, gone: &mpsc::Sender<Part>) {
+        let left = self.job.deadline.since(self.job.context.now());
+        let deadline = time::sleep(left);
         tokio::pin!(deadline);
         let mut expired = false;
-        let mut drive = Drive::new(self, parts);
         let mut step = Step::Place;
         loop {
+            // What a key holds is run to its end, for those who ask again.
+            let stays = self.holder.is_some() && self.machine.is_retry();
             let event = tokio::select! {
-                event = drive.act(step) => event,
-                () = gone.closed() => {
+                event = self.act(step) => event,
+                () = gone.closed(), if !stays => {
                     counter!("tealturn_callers_gone_total").increment(1);
+                    self.placed = None;
                     return;
                 }
                 () = &mut deadline, if !expired => {
@@ -89,20 +187,7 @@
                 }
             };
             let Some(event) = event else { return };
-            step = drive.machine.on(event);
-        }
-    }
-}
-
-impl Drive {
-    fn new(job: Job, parts: mpsc::Sender<Part>) -> Drive {
-        let machine = Machine::new(job.rules);
-        Drive {
-            job,
-            machine,
-            placed: None,
-            stream: None,
-            parts,
+            step = self.machine.on(event);
         }
     }
 
@@ -115,8 +200,7 @@
             Step::Pass(piece) => self.pass(piece).await,
             Step::Fail(refusal) => {
                 self.placed = None;
-                let send = self.parts.send(Part::Refusal(refusal));
-                drop(time::timeout(LAST_TIMEOUT, send).await);
+                last(&self.parts, Part::Refusal(refusal)).await;
                 None
             }
         }
@@ -125,57 +209,40 @@
     async fn place(&mut self) -> Event {
         self.stream = None;
         self.placed = None;
-        let Some(placed) = self.choose() else {
-            return Event::NoUpstream;
+        let context = self.job.context.clone();
+        if self.machine.is_retry() && !self.may_retry() {
+            return Event::NoRetries;
+        }
+        let placed = match self.job.subject.place(&context, &self.machine).await {
+            Ok(placed) => placed,
+            Err(event) => return event,
         };
+        if self.holder.as_ref().is_some_and(|it| !it.may_send()) {
+            return Event::TooLate;
+        }
         let address = placed.choice.address;
+        self.job.completion.request_id = placed.attempt;
+        self.job.completion.skip_tokens = self.machine.offset();
+        let expected = Expected {
+            attempt: placed.attempt,
+            version: self.job.subject.owner.version,
+            incarnation: placed.choice.incarnation,
+        };
+        let upstream = placed.choice.upstream.clone();
+        self.machine.place(upstream, expected);
         self.placed = Some(placed);
         let fresh = !self.job.rules.idempotent;
-        let client = self.job.context.client.clone();
-        let open = engine::open(&client, address, &self.job.completion, fresh);
+        let open = engine::open(&context.client, address, &self.job.completion, fresh);
         let opened = time::timeout(SILENCE, open).await;
-        self.opened(opened)
+        self.opened(opened, false)
     }
 
-    /// Chooses an upstream for the next attempt.
-    fn choose(&mut self) -> Option<Placed> {
-        let context = self.job.context.clone();
-        let attempt = context.next_request();
-        let query = Query {
-            request: attempt,
-            owner: &self.job.owner,
-            chain: &self.job.chain,
-            levels: &self.job.levels,
-            prompt_tokens: self.job.prompt_tokens,
-            avoid: self.machine.avoid(),
-            zone: &context.settings.zone,
-        };
-        let now = context.now();
-        let directory = context.directory.load();
-        let choice = context
-            .policy
-            .choose(&query, &directory, now, rand::random())?;
-        let sent = route::Event::Sent {
-            query,
-            choice: &choice,
-        };
-        context.policy.observe(&sent, now);
-        self.job.completion.request_id = attempt;
-        self.job.completion.skip_tokens = self.machine.offset();
-        let expected = Expected {
-            attempt,
-            version: self.job.owner.version,
-            incarnation: choice.incarnation,
-        };
-        self.machine.place(choice.upstream.clone(), expected);
-        Some(Placed {
-            context: context.clone(),
-            attempt,
-            choice,
-            incarnation: None,
-            cached_tokens: None,
-            ended: false,
-        })
+    fn may_retry(&self) -> bool {
+        let workspace = &self.job.subject.owner.workspace;
+        let may = self.job.context.serving.retries().retry(workspace);
+        let name = if may { "allowed" } else { "refused" };
+        counter!("tealturn_retries_total", "budget" => name).increment(1);
+        may
     }
 
     async fn resume(&mut self, offset: u64) -> Event {
@@ -185,26 +252,44 @@
             return Event::UnknownStream;
         };
         if placed.is_over() {
+            placed.crashed();
             return Event::UpstreamGone;
         }
         let address = placed.choice.address;
+        let attempt = placed.attempt;
         let client = self.job.context.client.clone();
         // Other connections to the same address may have gone silent with this one.
         client.forget(address);
-        let resume = engine::resume(&client, address, placed.attempt, offset);
+        let resume = engine::resume(&client, address, attempt, offset);
         let opened = time::timeout(SILENCE, resume).await;
-        self.opened(opened)
+        self.opened(opened, true)
     }
 
-    fn opened(&mut self, opened: Result<Result<Stream, Failure>, time::error::Elapsed>) -> Event {
+    fn opened(
+        &mut self,
+        opened: Result<Result<Stream, Failure>, time::error::Elapsed>,
+        resumed: bool,
+    ) -> Event {
         match opened {
             Ok(Ok(stream)) => {
                 self.stream = Some(stream);
                 Event::Opened
             }
-            Ok(Err(Failure::Unreachable)) => Event::Unreachable,
+            Ok(Err(Failure::Unreachable(refused))) => {
+                // It had accepted the attempt, and now nothing listens there.
+                if let Some(placed) = self.placed.as_ref().filter(|_| resumed && refused) {
+                    placed.crashed();
+                }
+                Event::Unreachable
+            }
             Ok(Err(Failure::Refused(..))) => Event::Refused,
-            Ok(Err(Failure::UnknownStream)) => Event::UnknownStream,
+            Ok(Err(Failure::UnknownStream(run))) => {
+                let newer = |it: &&Placed| run.is_some_and(|run| run > it.incarnation());
+                if let Some(placed) = self.placed.as_ref().filter(newer) {
+                    placed.crashed();
+                }
+                Event::UnknownStream
+            }
             Ok(Err(Failure::Lost)) => Event::Broken,
             Err(_) => Event::Silent,
         }
@@ -227,58 +312,63 @@
         if let (Some(placed), Some(incarnation)) = (&mut self.placed, incarnation) {
             placed.first(incarnation);
         }
-        let end = piece.end;
-        drop(self.parts.send(Part::Piece(piece)).await);
-        let Some(end) = end else {
+        if self.holder.is_some() {
+            self.kept.push(&piece);
+        }
+        let Some(end) = piece.end else {
+            drop(self.parts.send(Part::Piece(piece)).await);
             return Some(self.read().await);
         };
-        if let Some(placed) = &mut self.placed {
-            placed.ended = true;
-            placed.cached_tokens = Some(end.usage.cached_tokens);
+        if let Some(placed) = self.placed.take() {
+            placed.end(end.usage.cached_tokens);
         }
-        self.placed = None;
+        self.job
+            .context
+            .serving
+            .retries()
+            .attempt(&self.job.subject.owner.workspace);
+        last(&self.parts, Part::Piece(piece)).await;
         if let Some(stream) = self.stream.take() {
             stream.finish(&self.job.context.client).await;
         }
         None
     }
-}
-
-impl Placed {
-    /// Whether a later run of the upstream is known.
-    fn is_over(&self) -> bool {
-        let directory = self.context.directory.load();
-        let known = directory.get(&self.choice.upstream);
-        let run = self.incarnation.unwrap_or(self.choice.incarnation);
-        known.is_some_and(|it| it.incarnation > run)
-    }
 
-    /// Takes note of the run that answers.
-    fn first(&mut self, incarnation: Incarnation) {
-        if self.incarnation.replace(incarnation).is_some() {
+    /// Tells the other daemons how a keyed request ended.
+    fn settle(&mut self) {
+        let Some(holder) = self.holder.take() else {
             return;
-        }
-        let event = route::Event::First {
-            request: self.attempt,
-            incarnation,
-            cached_tokens: None,
         };
-        self.context.policy.observe(&event, self.context.now());
+        let outcome = match (self.machine.run(), self.kept.answer()) {
+            (Execution::NotRun, _) => holder.not_run(),
+            (Execution::Run, answer) => once::Outcome::Run(answer),
+            (Execution::Unknown, Some(answer)) => once::Outcome::Run(Some(answer)),
+            (Execution::Unknown, None) => once::Outcome::Unknown,
+        };
+        holder.settle(outcome);
     }
 }
 
-impl Drop for Placed {
-    fn drop(&mut self) {
-        let event = route::Event::Ended {
-            request: self.attempt,
-            cached_tokens: self.cached_tokens,
-        };
-        self.context.policy.observe(&event, self.context.now());
-        if self.ended {
-            return;
+impl Kept {
+    fn push(&mut self, piece: &Piece) {
+        self.end = piece.end;
+        // One byte more than is kept tells that it is too long.
+        if self.text.len() <= MAX_KEPT_BYTES {
+            self.text.push_str(&piece.text);
         }
-        let (context, attempt): (_, Request) = (self.context.clone(), self.attempt);
-        let address: SocketAddr = self.choice.address;
-        tokio::spawn(async move { engine::cancel(&context.client, address, attempt).await });
     }
+
+    fn answer(&mut self) -> Option<Answer> {
+        let end = self.end?;
+        Some(Answer::Completion {
+            text: std::mem::take(&mut self.text),
+            finish: end.finish,
+            usage: end.usage,
+        })
+    }
+}
+
+/// Hands over the last part, unless the caller does not read.
+async fn last(parts: &mpsc::Sender<Part>, part: Part) {
+    drop(time::timeout(LAST_TIMEOUT, parts.send(part)).await);
 }
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -5,13 +5,18 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Method, Request, Response, body::Incoming, header, http::request::Parts};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header, http::request::Parts,
+};
 use rand::seq::IteratorRandom;
 use tokio::time;
 
 use crate::{
     Error,
-    http::{client::Answer, server::Body},
+    http::{
+        client::Answer,
+        server::{self, Body},
+    },
     kernel::{
         context::Context,
         id::{self, Service, Workspace},
@@ -20,12 +25,19 @@
     platform::vm::Role,
     request::{
         attempt::{MAX_REFUSALS, MAX_RUNS, RETRY_AFTER},
+        once::{Answer as Kept, Outcome},
         refusal::{Execution, Kind, Refusal},
     },
-    serve::caller,
+    serve::{
+        caller::{self, IDEMPOTENCY_KEY},
+        once::{self, Claimed, Holder},
+    },
     upstream::directory::{Directory, Upstream},
 };
 
+/// Marks the repeat of an earlier answer.
+const REPLAYED: &str = "idempotency-replayed";
+
 /// The start of all paths of this page.
 const PREFIX: &str = "/s/";
 
@@ -36,7 +48,7 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(2_000);
 
 /// The longest wait for the answer to a call that can't be repeated.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Headers that concern one connection only, or that the daemon sets or consumes itself.
 const OWN_HEADERS: &[&str] = &[
@@ -80,13 +92,28 @@
     pub body: Bytes,
 }
 
+/// What became of a call that may not be repeated.
+enum Sent {
+    /// It was answered; the answer in the form in which it is kept, if it can be.
+    Answer(Response<Body>, Option<Kept>),
+    /// It was run, and its answer broke off.
+    Cut,
+    /// It may have been run.
+    Lost,
+    /// No byte was sent.
+    Nothing,
+    /// No byte was sent, nor may be.
+    TooLate,
+}
+
 #[async_trait]
 impl Page for Services {
     async fn answer(&self, context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
         let id = context.next_request();
         let (head, body) = request.into_parts();
         let answered = match Call::new(&context, id, &head, body).await {
-            Ok(call) => call.answer(&context, &head).await,
+            Ok((call, key)) => call.answer(&context, key).await,
+            Err(refusal) if head.headers.contains_key(IDEMPOTENCY_KEY) => Err(refusal.keyed()),
             Err(refusal) => Err(refusal),
         };
         answered.unwrap_or_else(|refusal| caller::refuse(&refusal, id))
@@ -99,7 +126,7 @@
         id: id::Request,
         head: &Parts,
         body: Incoming,
-    ) -> Result<Call, Refusal> {
+    ) -> Result<(Call, Option<String>), Refusal> {
         let workspace = caller::workspace(&head.headers, &context.catalog.load())?;
         let rest = head.uri.path().strip_prefix(PREFIX).unwrap_or_default();
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -114,7 +141,8 @@
             return Err(Refusal::not_run(Kind::UnknownService, message));
         }
         let query = head.uri.query().map(|it| format!("?{it}"));
-        Ok(Call {
+        let key = caller::key(&head.headers)?;
+        let call = Call {
             id,
             workspace,
             service,
@@ -122,19 +150,27 @@
             path: format!("/{path}{}", query.unwrap_or_default()),
             headers: forwarded(&head.headers),
             body: caller::body(body).await?,
-        })
+        };
+        Ok((call, key))
     }
 
-    async fn answer(&self, context: &Context, head: &Parts) -> Result<Response<Body>, Refusal> {
-        let key = caller::key(&head.headers)?;
+    async fn answer(
+        self,
+        context: &Arc<Context>,
+        key: Option<String>,
+    ) -> Result<Response<Body>, Refusal> {
         if self.method.is_idempotent() {
             return self.repeat(context).await;
         }
-        if key.is_none() {
+        let Some(key) = key else {
             let message = "a method that is not idempotent needs an idempotency-key header";
             return Err(Refusal::not_run(Kind::KeyMissing, message));
-        }
-        self.once(context).await
+        };
+        // What a key holds is run to its end, for those who ask again.
+        let context = context.clone();
+        let tasks = context.serving.tasks.clone();
+        let running = tasks.spawn(async move { self.once(&context, key).await });
+        running.await.unwrap_or_else(|_| Err(unanswered(true)))
     }
 
     /// Sends an idempotent call until it is answered.
@@ -160,24 +196,117 @@
         Err(unanswered(runs > 0))
     }
 
-    /// Sends a call that may not be repeated, over a new connection; chooses again only while
-    /// no byte was sent.
-    async fn once(&self, context: &Context) -> Result<Response<Body>, Refusal> {
+    /// Sends a call that may not be repeated, if it can have its key.
+    async fn once(&self, context: &Arc<Context>, key: String) -> Result<Response<Body>, Refusal> {
+        let claimed = once::claim(context, self.id, &self.workspace, key, self.digest()).await?;
+        let holder = match claimed {
+            Claimed::Held(holder) => holder,
+            Claimed::Replay(answer) => return Ok(self.replay(answer)),
+        };
+        match self.send(context, &holder).await {
+            Sent::Answer(response, kept) => {
+                holder.settle(Outcome::Run(kept));
+                Ok(response)
+            }
+            Sent::Cut => {
+                holder.settle(Outcome::Run(None));
+                Err(Refusal {
+                    run: Execution::Run,
+                    ..unanswered(true)
+                })
+            }
+            Sent::Lost => {
+                holder.settle(Outcome::Unknown);
+                Err(unanswered(true))
+            }
+            Sent::Nothing => {
+                let outcome = holder.not_run();
+                holder.settle(outcome);
+                Err(unanswered(false))
+            }
+            Sent::TooLate => {
+                let outcome = holder.not_run();
+                holder.settle(outcome);
+                Err(unanswered(false).keyed())
+            }
+        }
+    }
+
+    /// Sends a call over a new connection; chooses again only while no byte was sent.
+    async fn send(&self, context: &Context, holder: &Holder) -> Sent {
         let mut avoid = Vec::new();
-        while let Some(upstream) = self.choose(context, &avoid) {
+        while avoid.len() < MAX_REFUSALS as usize {
+            let Some(upstream) = self.choose(context, &avoid) else {
+                return Sent::Nothing;
+            };
             avoid.push(upstream.name.clone());
-            let request = self.request(&upstream)?;
+            let Ok(request) = self.request(&upstream) else {
+                return Sent::Nothing;
+            };
+            if !holder.may_send() {
+                return Sent::TooLate;
+            }
             let send = context.client.send_fresh(upstream.address, request);
             match time::timeout(ANSWER_TIMEOUT, send).await {
-                Ok(Ok(answer)) => return Ok(self.pass(answer)),
+                Ok(Ok(answer)) => return self.collect(context, answer).await,
                 Ok(Err(Error::Connect { .. })) => {}
-                Ok(Err(_)) | Err(_) => return Err(unanswered(true)),
-            }
-            if avoid.len() >= MAX_REFUSALS as usize {
-                break;
+                Ok(Err(_)) | Err(_) => return Sent::Lost,
             }
         }
-        Err(unanswered(false))
+        Sent::Nothing
+    }
+
+    /// Reads a whole answer, so that it can be kept.
+    async fn collect(&self, context: &Context, answer: Answer) -> Sent {
+        let status = answer.response.status();
+        let headers = forwarded(answer.response.headers());
+        let finish = context.client.finish(answer);
+        let Ok(Ok(body)) = time::timeout(ANSWER_TIMEOUT, finish).await else {
+            return Sent::Cut;
+        };
+        let content_type = headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|it| it.to_str().ok());
+        let kept = std::str::from_utf8(&body).ok().map(|it| Kept::Call {
+            status: status.as_u16(),
+            content_type: content_type.map(str::to_owned),
+            body: it.to_owned(),
+        });
+        let mut response = server::answer(status, "", body);
+        *response.headers_mut() = headers;
+        caller::name(&mut response, self.id);
+        Sent::Answer(response, kept)
+    }
+
+    /// An earlier attempt's answer.
+    fn replay(&self, answer: Kept) -> Response<Body> {
+        let Kept::Call {
+            status,
+            content_type,
+            body,
+        } = answer
+        else {
+            unreachable!("the digest of a completion is never that of a call")
+        };
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+        let content_type = content_type.unwrap_or_default();
+        let mut response = server::answer(status, &content_type, body);
+        let replayed = header::HeaderValue::from_static("true");
+        response.headers_mut().insert(REPLAYED, replayed);
+        caller::name(&mut response, self.id);
+        response
+    }
+
+    /// The digest of what is asked.
+    fn digest(&self) -> String {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(b"call");
+        for field in [self.service.as_str(), self.method.as_str(), &self.path] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(&self.body);
+        hasher.finalize().to_hex().to_string()
     }
 
     /// The less loaded of two upstreams of the service, drawn at random.
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -10,7 +10,7 @@
 use crate::{
     Error,
     http::client::{self, Answer, Client},
-    kernel::id::Request,
+    kernel::id::{Incarnation, Request},
     upstream::{
         sse::{Decoder, Event},
         wire::{Chunk, Completion, Refusal},
@@ -29,12 +29,12 @@
 /// Why a stream did not open.
 #[derive(Debug)]
 pub enum Failure {
-    /// No byte was sent.
-    Unreachable,
+    /// No byte was sent. Whether the connection was refused, as by a process that has ended.
+    Unreachable(bool),
     /// The engine ran nothing. The refusal is left out if its body could not be read.
     Refused(StatusCode, Option<Refusal>),
-    /// The engine does not know the stream.
-    UnknownStream,
+    /// This run of the engine does not know the stream.
+    UnknownStream(Option<Incarnation>),
     /// The request may have arrived.
     Lost,
 }
@@ -71,9 +71,9 @@
     completion: &Completion,
     fresh: bool,
 ) -> Result<Stream, Failure> {
-    let body = serde_json::to_vec(completion).map_err(|_| Failure::Unreachable)?;
+    let body = serde_json::to_vec(completion).map_err(|_| Failure::Unreachable(false))?;
     let request = client::request("POST", address, "/v1/completions", Bytes::from(body))
-        .map_err(|_| Failure::Unreachable)?;
+        .map_err(|_| Failure::Unreachable(false))?;
     let sent = if fresh {
         client.send_fresh(address, request).await
     } else {
@@ -94,8 +94,8 @@
     offset: u64,
 ) -> Result<Stream, Failure> {
     let path = format!("/v1/streams/{attempt}?offset={offset}");
-    let request =
-        client::request("GET", address, &path, Bytes::new()).map_err(|_| Failure::Unreachable)?;
+    let request = client::request("GET", address, &path, Bytes::new())
+        .map_err(|_| Failure::Unreachable(false))?;
     stream(client, client.send_fresh(address, request).await).await
 }
 
@@ -162,7 +162,10 @@
 async fn stream(client: &Client, sent: Result<Answer, Error>) -> Result<Stream, Failure> {
     let answer = match sent {
         Ok(answer) => answer,
-        Err(Error::Connect { .. }) => return Err(Failure::Unreachable),
+        Err(Error::Connect { source, .. }) => {
+            let refused = source.kind() == std::io::ErrorKind::ConnectionRefused;
+            return Err(Failure::Unreachable(refused));
+        }
         Err(_) => return Err(Failure::Lost),
     };
     let status = answer.response.status();
@@ -171,15 +174,19 @@
             answer,
             decoder: Decoder::default(),
         }),
-        StatusCode::NOT_FOUND => Err(Failure::UnknownStream),
+        StatusCode::NOT_FOUND => {
+            let refusal = refusal(client, answer).await;
+            Err(Failure::UnknownStream(refusal.map(|it| it.incarnation)))
+        }
         StatusCode::CONFLICT
         | StatusCode::TOO_MANY_REQUESTS
         | StatusCode::SERVICE_UNAVAILABLE
-        | StatusCode::BAD_REQUEST => {
-            let body = client.finish(answer).await.ok();
-            let refusal = body.and_then(|it| serde_json::from_slice(&it).ok());
-            Err(Failure::Refused(status, refusal))
-        }
+        | StatusCode::BAD_REQUEST => Err(Failure::Refused(status, refusal(client, answer).await)),
         _ => Err(Failure::Lost),
     }
 }
+
+async fn refusal(client: &Client, answer: Answer) -> Option<Refusal> {
+    let body = client.finish(answer).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- a/src/upstream/poll.rs
+++ b/src/upstream/poll.rs
@@ -17,10 +17,11 @@
     kernel::{
         clock::Time,
         context::Context,
-        id,
+        id::{self, Incarnation},
         part::{Part, Registration},
     },
     platform::vm::Entry,
+    serve::suspects,
     timeline::Subject,
     upstream::{
         roster::{Change, Probe, Roster, Target},
@@ -179,10 +180,22 @@
     }
 
     fn record(&self, name: &id::Upstream, change: Change) {
+        if change == Change::Restarted {
+            self.crashed(name);
+        }
         let subject = Subject::Upstream(name.to_string());
         self.context.ring.record(subject, change.as_str(), "");
     }
 
+    /// All runs before the newest one have ended.
+    fn crashed(&self, name: &id::Upstream) {
+        let Some(run) = self.roster.incarnation(name) else {
+            return;
+        };
+        let before = Incarnation(run.0.saturating_sub(1));
+        suspects::crashed(&self.context, name, before);
+    }
+
     fn publish(&self, name: &id::Upstream) {
         if let Some(fact) = self.roster.fact(name) {
             self.context.board.publish(&fact);
--- a/src/upstream/roster.rs
+++ b/src/upstream/roster.rs
@@ -163,6 +163,11 @@
         })
     }
 
+    /// The newest run of an upstream that was seen.
+    pub fn incarnation(&self, name: &id::Upstream) -> Option<Incarnation> {
+        self.entries.get(name).map(|it| it.upstream.incarnation)
+    }
+
     /// The upstreams to probe.
     pub fn targets(&self) -> Vec<Target> {
         let targets = self.entries.iter().map(|(name, known)| Target {
--- /dev/null
+++ b/tests/serve.rs
@@ -0,0 +1,289 @@
+//! Requests through daemons and stand-ins over real sockets, with faults on the way.
+
+#[path = "fake/router.rs"]
+mod router;
+
+use router::{Router, TOKENS, completion, expected, read};
+use tealturn::{
+    request::refusal::{Execution, Kind},
+    standin::{engine, plain, platform},
+};
+
+const COMPLETIONS: &str = "/v1/completions";
+const FILING: &str = "/s/wiki-app/filings";
+
+/// What happens to the engine while it answers.
+struct Fault {
+    name: &'static str,
+    faults: fn() -> engine::Faults,
+}
+
+fn slow() -> engine::Faults {
+    engine::Faults {
+        slow_percent: 1_000,
+        ..engine::Faults::default()
+    }
+}
+
+const FAULTS: &[Fault] = &[
+    Fault {
+        name: "none",
+        faults: slow,
+    },
+    Fault {
+        name: "silent connections",
+        faults: || engine::Faults {
+            silence: true,
+            ..slow()
+        },
+    },
+    Fault {
+        name: "crash, back at once",
+        faults: || engine::Faults {
+            crash: true,
+            restart_ms: 0,
+            ..slow()
+        },
+    },
+    Fault {
+        name: "crash, away for long",
+        faults: || engine::Faults {
+            crash: true,
+            restart_ms: 60_000,
+            ..slow()
+        },
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_through_faults_of_the_engine() {
+    for fault in FAULTS {
+        let router = Router::start(1).await;
+        router.slow();
+        let prompt = format!("handbook, then {}", fault.name);
+        let answer = router
+            .open(0, COMPLETIONS, "notary", None, completion(&prompt))
+            .await;
+        router.busy().await.set_faults((fault.faults)());
+        let answered = read(answer).await;
+        let (text, done) = answered.stream();
+        assert_eq!(answered.refusal(), None, "{}", fault.name);
+        assert_eq!(text, expected(&prompt), "{}", fault.name);
+        assert!(done && answered.whole, "{}", fault.name);
+        router.idle().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_is_no_mark_against_the_upstream() {
+    let router = Router::start(1).await;
+    router.slow();
+    let answer = router
+        .open(0, COMPLETIONS, "notary", None, completion("page"))
+        .await;
+    let engine = router.busy().await;
+    engine.set_faults(engine::Faults {
+        silence: true,
+        ..slow()
+    });
+    assert!(read(answer).await.stream().1);
+    assert_eq!(router.deployment.ledger.runs("page"), 1, "it was resumed");
+    let events = router.contexts[0].ring.events();
+    assert!(events.iter().all(|it| it.kind != "upstream_dead"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_billable_answer_is_repeated_and_not_run_again() {
+    let router = Router::start(2).await;
+    let first = router.complete(0, "clinic", Some("bill-1"), "fees").await;
+    assert_eq!(first.stream(), (expected("fees"), true));
+    let settled = |it: &router::Answered| it.refusal().is_none();
+    // The result is written beside the answer; until then others do not know it.
+    let mut again = router.complete(1, "clinic", Some("bill-1"), "fees").await;
+    while !settled(&again) {
+        let refusal = again.refusal().expect("a refusal");
+        assert_eq!(refusal.kind, Kind::Unsettled);
+        assert_eq!(refusal.run, Execution::Unknown);
+        again = router.complete(1, "clinic", Some("bill-1"), "fees").await;
+    }
+    assert_eq!(again.stream(), (expected("fees"), true));
+    assert_eq!(router.deployment.ledger.runs("fees"), 1);
+    let other = router.complete(1, "clinic", Some("bill-1"), "other").await;
+    let refusal = other.refusal().expect("a refusal");
+    assert_eq!(refusal.kind, Kind::KeyReused);
+    assert_eq!(router.deployment.ledger.runs("other"), 0);
+    // Another workspace's key of the same name is another key.
+    let notary = router.complete(0, "notary", Some("bill-1"), "deeds").await;
+    assert_eq!(notary.stream(), (expected("deeds"), true));
+    router.idle().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_billable_answer_that_breaks_off_is_not_run_again() {
+    let router = Router::start(2).await;
+    router.slow();
+    let answer = router
+        .open(0, COMPLETIONS, "clinic", Some("bill-2"), completion("fees"))
+        .await;
+    router.busy().await.set_faults(engine::Faults {
+        crash: true,
+        ..slow()
+    });
+    let answered = read(answer).await;
+    let refusal = answered.refusal().expect("a typed end");
+    assert_eq!(refusal.kind, Kind::Incomplete);
+    assert_eq!(refusal.run, Execution::Run);
+    let (text, done) = answered.stream();
+    assert!(!done && expected("fees").starts_with(&text));
+    let again = router.complete(1, "clinic", Some("bill-2"), "fees").await;
+    let refusal = again.refusal().expect("a refusal");
+    assert_ne!(refusal.run, Execution::NotRun);
+    assert_eq!(router.deployment.ledger.runs("fees"), 1);
+    router.idle().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_the_engine() {
+    let router = Router::start(1).await;
+    router.slow();
+    let answer = router
+        .open(0, COMPLETIONS, "notary", None, completion("page"))
+        .await;
+    let engine = router.busy().await.clone();
+    drop(answer);
+    router.idle().await;
+    let idle = async {
+        loop {
+            let load: tealturn::upstream::wire::Load = router
+                .client
+                .get(engine.address(), "/v1/load")
+                .await
+                .expect("a load report");
+            if load.running == 0 {
+                return;
+            }
+        }
+    };
+    // The whole answer would take longer than this: 64 tokens of 40 ms.
+    let cancelled = tokio::time::timeout(router::PATIENCE, idle).await;
+    assert!(cancelled.is_ok());
+    assert_eq!(u64::from(TOKENS), 64);
+}
+
+/// A fault of the plain service or the table, and what callers are told.
+struct Filing {
+    name: &'static str,
+    plain: fn() -> plain::Faults,
+    platform: fn() -> platform::Faults,
+    kind: Option<Kind>,
+    run: Execution,
+    /// What one who asks again elsewhere, after the faults, is told.
+    again: Option<Kind>,
+    executed: u32,
+}
+
+const FILINGS: &[Filing] = &[
+    Filing {
+        name: "no fault",
+        plain: plain::Faults::default,
+        platform: platform::Faults::default,
+        kind: None,
+        run: Execution::Run,
+        again: None,
+        executed: 1,
+    },
+    Filing {
+        name: "the service's answer is lost",
+        plain: || plain::Faults {
+            lose_answers: true,
+            ..plain::Faults::default()
+        },
+        platform: platform::Faults::default,
+        kind: Some(Kind::Incomplete),
+        run: Execution::Unknown,
+        again: Some(Kind::Unsettled),
+        executed: 1,
+    },
+    Filing {
+        name: "the table is down",
+        plain: plain::Faults::default,
+        platform: || platform::Faults {
+            table_down: true,
+            ..platform::Faults::default()
+        },
+        kind: Some(Kind::StoreUnavailable),
+        run: Execution::Unknown,
+        again: None,
+        executed: 1,
+    },
+    Filing {
+        name: "every second commit's answer is lost",
+        plain: plain::Faults::default,
+        platform: || platform::Faults {
+            table_lose_one_in: 2,
+            ..platform::Faults::default()
+        },
+        kind: None,
+        run: Execution::Run,
+        again: None,
+        executed: 1,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_filing_runs_at_most_once() {
+    for case in FILINGS {
+        let router = Router::start(2).await;
+        for plain in &router.deployment.plains {
+            plain.set_faults((case.plain)());
+        }
+        router.deployment.platform.set_faults((case.platform)());
+        let key = Some("filing-1");
+        let first = router.ask(0, FILING, "notary", key, "fee").await;
+        let refusal = first.refusal();
+        assert_eq!(
+            refusal.as_ref().map(|it| it.kind),
+            case.kind,
+            "{}",
+            case.name
+        );
+        let run = refusal.map_or(Execution::Run, |it| it.run);
+        assert_eq!(run, case.run, "{}", case.name);
+        for plain in &router.deployment.plains {
+            plain.set_faults(plain::Faults::default());
+        }
+        let faults = platform::Faults::default();
+        router.deployment.platform.set_faults(faults);
+        let mut again = router.ask(1, FILING, "notary", key, "fee").await;
+        while case.again.is_none() && again.refusal().is_some_and(|it| it.kind == Kind::Unsettled) {
+            again = router.ask(1, FILING, "notary", key, "fee").await;
+        }
+        let kind = again.refusal().map(|it| it.kind);
+        assert_eq!(kind, case.again, "{}", case.name);
+        let executed = router.deployment.executed("filing-1");
+        assert_eq!(executed, case.executed, "{}", case.name);
+        if kind.is_none() && case.kind.is_none() {
+            assert_eq!(again.body, first.body, "{}", case.name);
+        }
+        router.idle().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_refused_as_not_run_can_be_sent_again() {
+    let router = Router::start(2).await;
+    for plain in &router.deployment.plains {
+        plain.set_faults(plain::Faults {
+            crash: true,
+            restart_ms: 60_000,
+            ..plain::Faults::default()
+        });
+    }
+    let key = Some("filing-2");
+    let first = router.ask(0, FILING, "notary", key, "fee").await;
+    let refusal = first.refusal().expect("a refusal");
+    assert_eq!(refusal.kind, Kind::NoUpstream);
+    assert_eq!(refusal.run, Execution::NotRun);
+    assert!(first.headers.contains_key("retry-after"));
+    assert_eq!(router.deployment.executed("filing-2"), 0);
+}
