--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     catalog::{Snapshot, shared::Shared},
-    fleet::{board::Board, member::Members},
+    fleet::{board::Board, contact::Contact, member::Members},
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
@@ -25,7 +25,7 @@
     route::Policy,
     serve::state::State,
     settings::Settings,
-    timeline::Ring,
+    timeline::{Ring, decision::Decisions},
     upstream::directory::Directory,
 };
 
@@ -52,6 +52,8 @@
     pub clock: Arc<dyn Clock>,
     /// The record of state changes.
     pub ring: Arc<Ring>,
+    /// The decisions taken for each request.
+    pub decisions: Decisions,
     /// Connections to upstreams and the platform.
     pub client: Arc<Client>,
     /// The platform's table service.
@@ -68,6 +70,8 @@
     pub board: Arc<Board>,
     /// The daemons of the fleet.
     pub members: Members,
+    /// When the configuration was confirmed last.
+    pub contact: Contact,
     /// The choice of upstreams.
     pub policy: Arc<dyn Policy>,
     /// What the requests in progress share.
@@ -130,6 +134,7 @@
             bound: setup.bound,
             incarnation: setup.incarnation,
             clock: setup.clock,
+            decisions: Decisions::new(setup.ring.clone()),
             ring: setup.ring,
             client: Arc::new(Client::new()),
             table: setup.table,
@@ -139,6 +144,7 @@
             directory: ArcSwap::default(),
             board: Arc::new(Board::default()),
             members: Members::default(),
+            contact: Contact::default(),
             policy: setup.policy,
             serving,
             leaving: CancellationToken::new(),
