Carry orders and leases to the table and the engines

An order's right is checked once its connection is open, since opening one can take longer than the right lasts.

Weights with more adapters than asked for count as ready: a load that changes nothing for callers would empty the engine's cache.

--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,7 @@
 pub mod charge;
 mod command;
 pub mod core;
+pub mod edge;
 pub mod lease;
 pub mod plan;
 pub mod shard;
--- a/src/control/charge.rs
+++ b/src/control/charge.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::{
         lease::Tenure,
-        plan::{Census, Engine, Goal},
+        plan::{Census, Engine, Goal, covers},
     },
     kernel::{clock::Time, id::Incarnation},
     platform::table::Version,
@@ -251,8 +251,9 @@
 /// The next order towards `goal`, if one is due: load beside the old weights, one at a time, and
 /// drop the old ones when the new are ready here and everywhere.
 fn order(state: &State, goal: &Goal, situation: &Situation<'_>) -> Action {
-    let wanted = |it: &&Weights| goal.weights.contains(it);
-    let ready = goal.weights.iter().all(|it| state.loaded.contains(it));
+    let wanted = |it: &&Weights| goal.weights.iter().any(|asked| covers(it, asked));
+    let has = |known: &[Weights], asked| known.iter().any(|it| covers(it, asked));
+    let ready = goal.weights.iter().all(|it| has(&state.loaded, it));
     let settled = situation.settled;
     let may_drop = ready && settled.is_some_and(|since| situation.now >= since + SETTLE);
     let mut weights: Vec<Weights> = Vec::new();
@@ -267,7 +268,7 @@
     }
     let known = state.loaded.iter().chain(&state.loading);
     weights.extend(known.filter(wanted).cloned());
-    let missing = goal.weights.iter().find(|it| !weights.contains(it));
+    let missing = goal.weights.iter().find(|it| !has(&weights, it));
     let mut loads = false;
     if let Some(missing) = missing
         && state.loading.is_empty()
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -61,7 +61,7 @@
 
 /// What happened.
 #[derive(Debug)]
-pub enum Event<'a> {
+pub enum Event {
     /// Time passed.
     Tick,
     /// What is known was looked at again.
@@ -71,7 +71,7 @@
         /// Which leases were read.
         scope: Scope,
         /// The rows.
-        rows: Option<&'a [Row]>,
+        rows: Option<Vec<Row>>,
     },
     /// The answer to a write.
     Written {
@@ -201,7 +201,7 @@
     }
 
     /// Takes an event and returns what to do. `random` is a fresh random number.
-    pub fn step(&mut self, now: Time, random: u64, event: Event<'_>) -> Vec<Outcome> {
+    pub fn step(&mut self, now: Time, random: u64, event: Event) -> Vec<Outcome> {
         self.apply(now, event);
         let mut outcomes = Vec::new();
         self.scan(now, random, &mut outcomes);
@@ -213,11 +213,11 @@
         outcomes
     }
 
-    fn apply(&mut self, now: Time, event: Event<'_>) {
+    fn apply(&mut self, now: Time, event: Event) {
         match event {
             Event::Tick => (),
             Event::View(view) => self.view(now, view),
-            Event::Scanned { scope, rows } => self.scanned(now, scope, rows),
+            Event::Scanned { scope, rows } => self.scanned(now, scope, rows.as_deref()),
             Event::Written { name, result } => self.written(now, name, &result),
             Event::Observed {
                 asker: Asker::Slot,
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -33,6 +33,9 @@
 /// The wait before a write that got no answer is sent again.
 pub const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// A lease that was open for this long may be taken by daemons that have their share already.
+pub const ORPHAN_AFTER: Duration = Duration::from_millis(10_000);
+
 /// A daemon's run that can hold leases.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Holder {
@@ -91,8 +94,8 @@
 enum State {
     /// The row was never read.
     Unknown,
-    /// Nobody holds the lease.
-    Free,
+    /// Nobody holds the lease, as was first read at `since`.
+    Free { since: Time },
     /// Another holder wrote the row, whose present version was first read at `since`.
     Other { since: Time },
     /// This daemon holds the lease, though not necessarily validly.
@@ -187,18 +190,20 @@
             return false;
         }
         match self.state {
-            State::Free => true,
+            State::Free { .. } => true,
             State::Other { since } => now >= since + TTL + MARGIN,
             State::Unknown | State::Own(_) => false,
         }
     }
 
-    /// Whether its holder let it run out long ago, and nobody took it.
+    /// Whether it has been open for [`ORPHAN_AFTER`], and nobody took it.
     pub fn is_orphan(&self, now: Time) -> bool {
-        match self.state {
-            State::Other { since } => self.is_open(now) && now >= since + TTL + TTL,
-            _ => false,
-        }
+        let open_since = match self.state {
+            State::Free { since } => since,
+            State::Other { since } => since + TTL + MARGIN,
+            State::Unknown | State::Own(_) => return false,
+        };
+        self.is_open(now) && now >= open_since + ORPHAN_AFTER
     }
 
     /// The write that takes the lease. Call it only if [`Lease::is_open`].
@@ -267,7 +272,7 @@
         }
         let Some(row) = row else {
             if self.state == State::Unknown {
-                self.state = State::Free;
+                self.state = State::Free { since: now };
             }
             return Change::None;
         };
@@ -287,7 +292,7 @@
             return self.adopt(now, row.version);
         }
         self.state = match free {
-            true => State::Free,
+            true => State::Free { since: now },
             false => State::Other { since: now },
         };
         match held {
@@ -308,7 +313,7 @@
         let renew_at = call.started + RENEW_EVERY;
         match (call.purpose, &mut self.state) {
             (Purpose::Release, state) => {
-                *state = State::Free;
+                *state = State::Free { since: now };
                 Change::None
             }
             (Purpose::Renew, State::Own(tenure)) => {
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -160,7 +160,8 @@
             let ready = engines.iter().filter(|it| {
                 let goal = self.goals.get(&it.name);
                 let wanted = goal.is_some_and(|goal| goal.weights.contains(&need.weights));
-                wanted && it.open && it.loaded.contains(&need.weights)
+                let ready = it.loaded.iter().any(|it| covers(it, &need.weights));
+                wanted && it.open && ready
             });
             if ready.count() < minimum {
                 return false;
@@ -219,6 +220,12 @@
     }
 }
 
+/// Whether weights that are loaded do for those that are asked for: they may have more adapters.
+pub fn covers(loaded: &Weights, asked: &Weights) -> bool {
+    let same = loaded.model == asked.model && loaded.version == asked.version;
+    same && asked.adapters.iter().all(|it| loaded.adapters.contains(it))
+}
+
 fn rank(model: &Model, engine: &Upstream) -> [u8; 32] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(model.as_str().as_bytes());
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -104,6 +104,34 @@
         })
     }
 
+    /// Sends a request over a new connection if `may_send` says so once that is open. `None`
+    /// means that nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<Option<Answer>> {
+        let mut sender = connect(address).await?;
+        if !may_send() {
+            return Ok(None);
+        }
+        let sent = sender.send_request(request).await;
+        let response = sent.map_err(|error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        })?;
+        Ok(Some(Answer {
+            response,
+            address,
+            sender,
+        }))
+    }
+
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
     ///
     /// # Errors
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -32,6 +32,9 @@
     /// How long callers may keep an address list, in seconds.
     #[serde(default = "default_address_lifetime")]
     pub address_lifetime_s: u64,
+    /// The most engines that load weights at once, over the whole fleet. The same in all daemons.
+    #[serde(default = "default_weight_loads")]
+    pub weight_loads: u16,
 }
 
 /// Where a daemon listens. Port 0 lets the system choose.
@@ -76,3 +79,7 @@
 fn default_address_lifetime() -> u64 {
     10
 }
+
+fn default_weight_loads() -> u16 {
+    2
+}
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -75,6 +75,7 @@
     core: Core,
     run: u64,
     alive: bool,
+    stopping: bool,
     offset: u64,
     rate: f64,
     paused_until: u64,
@@ -210,6 +211,7 @@
             core: Core::new(me, LOADS),
             run,
             alive: true,
+            stopping: false,
             offset: self.random.random_range(0..1_000 * SECOND),
             rate: self.random.random_range(1.0 - drift..1.0 + drift),
             paused_until: 0,
@@ -257,7 +259,7 @@
     }
 
     /// Whether the daemon's run is gone, or paused: then the happening waits.
-    fn feed(&mut self, number: usize, run: u64, event: Event<'_>) {
+    fn feed(&mut self, number: usize, run: u64, event: Event) {
         let now = self.local(number);
         let random = self.random.next_u64();
         let daemon = &mut self.daemons[number];
@@ -287,7 +289,11 @@
         });
         let view = View {
             engines: engines.collect(),
-            daemons: self.daemons.iter().filter(|it| it.alive).count(),
+            daemons: self
+                .daemons
+                .iter()
+                .filter(|it| it.alive && !it.stopping)
+                .count(),
             needs: self.needs.last().expect("never empty").1.clone(),
         };
         self.feed(number, run, Event::View(view));
@@ -302,7 +308,6 @@
         }
         match reply {
             Reply::Scanned(scope, rows) => {
-                let rows = rows.as_deref();
                 self.feed(number, run, Event::Scanned { scope, rows });
             }
             Reply::Written(name, result) => {
@@ -410,13 +415,17 @@
         // Bounds are true time; a new holder waits by a clock that may be fast.
         let flight = FLIGHT.as_micros() as u64 * 100 / (100 + DRIFT_PERCENT);
         let mut hop = self.hop();
-        let lost = self.chance(0.1);
+        let lost = self.chance(0.2);
         if lost {
             let reply = failed(Rejection::Lost);
             self.later(pause + CALL_TIMEOUT, Happening::Answer(number, run, reply));
             if self.chance(0.4) {
                 return;
             }
+            if self.chance(0.3) {
+                // Its successor may be quicker than the order.
+                self.stop(number);
+            }
             hop = self.random.random_range(0..flight);
             if self.mode == Mode::Late && self.chance(0.5) {
                 hop = self.random.random_range(0..60 * SECOND);
@@ -454,7 +463,9 @@
     }
 
     fn obey(&mut self, place: usize, order: Order) -> Result<State, Rejection> {
-        let load = self.random.random_range(300 * MILLI..3 * SECOND);
+        let slow = self.chance(0.1);
+        let longest = if slow { 28 * SECOND } else { 3 * SECOND };
+        let load = self.random.random_range(300 * MILLI..longest);
         let runner = &mut self.runners[place];
         if !runner.alive {
             return Err(Rejection::NotSent);
@@ -520,7 +531,7 @@
         self.later(next, Happening::Fault);
         let daemon = self.random.random_range(0..self.daemons.len());
         let runner = self.random.random_range(0..self.runners.len());
-        match self.random.random_range(0..7) {
+        match self.random.random_range(0..9) {
             0 => self.daemons[daemon].alive = false,
             1 | 2 => self.restart(daemon),
             3 => {
@@ -532,6 +543,7 @@
                 self.down_until = self.now + outage;
             }
             5 => self.crash(runner),
+            6 | 7 => self.stop(daemon),
             _ => {
                 let version = self.random.random_range(1..=4);
                 let replicas = self.random.random_range(0..=self.runners.len());
@@ -546,7 +558,7 @@
     fn heal(&mut self) {
         self.down_until = 0;
         for number in 0..self.daemons.len() {
-            self.daemons[number].paused_until = 0;
+            self.daemons[number].alive = false;
             self.restart(number);
         }
         for place in 0..self.runners.len() {
@@ -555,7 +567,7 @@
     }
 
     fn restart(&mut self, number: usize) {
-        if self.daemons[number].alive {
+        if self.daemons[number].alive && !self.daemons[number].stopping {
             return;
         }
         let run = self.daemons[number].run + 1;
@@ -563,6 +575,11 @@
         self.boot(number);
     }
 
+    fn stop(&mut self, number: usize) {
+        self.daemons[number].stopping = true;
+        self.daemons[number].core.stop();
+    }
+
     fn crash(&mut self, place: usize) {
         self.changes.push(self.now);
         let runner = &mut self.runners[place];
