--- a/src/serve/limit.rs
+++ b/src/serve/limit.rs
@@ -154,8 +154,8 @@
     /// Takes note of who is heard, and tells how many that may be serving are not.
     fn learn(&mut self, context: &Context, now: Time) -> usize {
         let members = context.members.live();
-        for member in members.iter() {
-            self.heard.insert(member.daemon.clone(), now);
+        for live in members.iter() {
+            self.heard.insert(live.member.daemon.clone(), now);
         }
         self.heard.retain(|_, heard| now.since(*heard) < SILENT_FOR);
         self.heard.values().filter(|heard| **heard != now).count()
