Bound the memory of bodies, and test bad input over sockets

Cause: bodies of up to 8 MB on any number of connections had no common bound; requests left no record of their decisions. Change: bodies reserve from 256 MB as they arrive, for as long as their request lives; a job is split from its drive and records its decisions for explain; accepting pauses when file descriptors are short.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::{net::TcpListener, task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
 
 /// The body of an answer, whole or streamed.
@@ -16,6 +16,9 @@
 /// A sender has this long for all headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Headers that a request may have.
 const MAX_HEADERS: usize = 64;
 
@@ -38,7 +41,11 @@
             () = stop.cancelled() => break,
         };
         while connections.try_join_next().is_some() {}
-        let Ok((stream, _)) = accepted else { continue };
+        let Ok((stream, _)) = accepted else {
+            // Without this, a lack of file descriptors would keep a processor busy.
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
         // Small pieces of an answer must leave at once.
         if stream.set_nodelay(true).is_err() {
             continue;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -5,6 +5,7 @@
 pub mod completion;
 pub mod dispatch;
 pub mod drive;
+pub mod job;
 pub mod limit;
 pub mod once;
 pub mod place;
--- a/src/serve/caller.rs
+++ b/src/serve/caller.rs
@@ -1,18 +1,27 @@
 //! What all pages for callers need: who asks, the body, and refusals as answers.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, Response, body::Incoming, header};
 use metrics::counter;
-use tokio::time;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time,
+};
 
 use crate::{
     catalog::Snapshot,
     http::server::{self, Body},
-    kernel::id::{Request, Workspace},
-    request::refusal::{Kind, Refusal},
+    kernel::{
+        context::Context,
+        id::{Request, Workspace},
+    },
+    request::{
+        attempt::RETRY_AFTER,
+        refusal::{Kind, Refusal},
+    },
 };
 
 /// Bytes that the body of a request may have.
@@ -71,25 +80,60 @@
     })
 }
 
+/// A body, with its part of the memory for bodies.
+pub struct Whole {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// To be kept for as long as the bytes or what was made of them.
+    pub memory: OwnedSemaphorePermit,
+}
+
 /// Reads a whole body, in bounded time and memory.
 ///
 /// # Errors
 ///
-/// [`Kind::TooLarge`], [`Kind::SlowRequest`], or [`Kind::InvalidRequest`] if it was cut off.
-pub async fn body(body: Incoming) -> Result<Bytes, Refusal> {
-    let collect = Limited::new(body, MAX_BODY_BYTES).collect();
-    let collected = time::timeout(BODY_TIMEOUT, collect).await.map_err(|_| {
+/// [`Kind::TooLarge`], [`Kind::SlowRequest`], [`Kind::Overloaded`] if other bodies take all the
+/// memory, or [`Kind::InvalidRequest`] if it was cut off.
+pub async fn body(context: &Context, body: Incoming) -> Result<Whole, Refusal> {
+    let whole = time::timeout(BODY_TIMEOUT, collect(&context.serving.bodies, body)).await;
+    whole.unwrap_or_else(|_| {
         let message = format!("the body took longer than {} s", BODY_TIMEOUT.as_secs());
-        Refusal::not_run(Kind::SlowRequest, message)
-    })?;
-    let whole = collected.map_err(|error| {
-        if error.is::<LengthLimitError>() {
+        Err(Refusal::not_run(Kind::SlowRequest, message))
+    })
+}
+
+async fn collect(bodies: &Arc<Semaphore>, mut body: Incoming) -> Result<Whole, Refusal> {
+    let mut memory = reserve(bodies, 1)?;
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame =
+            frame.map_err(|_| Refusal::not_run(Kind::InvalidRequest, "the body was cut off"))?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > MAX_BODY_BYTES {
             let message = format!("the body is longer than {MAX_BODY_BYTES} bytes");
-            return Refusal::not_run(Kind::TooLarge, message);
+            return Err(Refusal::not_run(Kind::TooLarge, message));
         }
-        Refusal::not_run(Kind::InvalidRequest, "the body was cut off")
-    })?;
-    Ok(whole.to_bytes())
+        let missing = length.div_ceil(1024).saturating_sub(memory.num_permits());
+        if missing > 0 {
+            memory.merge(reserve(bodies, missing)?);
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok(Whole {
+        bytes: bytes.into(),
+        memory,
+    })
+}
+
+fn reserve(bodies: &Arc<Semaphore>, kib: usize) -> Result<OwnedSemaphorePermit, Refusal> {
+    let permits = bodies.clone().try_acquire_many_owned(kib as u32);
+    permits.map_err(|_| {
+        let message = "the bodies of other requests take all the memory";
+        Refusal::not_run(Kind::Overloaded, message).retry_after(RETRY_AFTER)
+    })
 }
 
 /// The answer that consists of a refusal.
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -26,7 +26,7 @@
     serve::{
         answer::{Events, Form, HEARTBEAT, Part},
         caller::{self, IDEMPOTENCY_KEY},
-        drive::Job,
+        job::Job,
         place::Subject,
     },
     upstream::wire::Completion,
@@ -107,7 +107,8 @@
 ) -> Result<Prepared, Refusal> {
     let workspace = caller::workspace(headers, &context.catalog.load())?;
     let key = caller::key(headers)?;
-    let ask = Ask::parse(&caller::body(body).await?)?;
+    let whole = caller::body(context, body).await?;
+    let ask = Ask::parse(&whole.bytes)?;
     let grant = {
         let catalog = context.catalog.load();
         catalog.model(&workspace, &ask.model).cloned()
@@ -122,6 +123,7 @@
     };
     let stream = ask.stream;
     let mut job = job(context, id, &grant, ask)?;
+    job.memory = Some(whole.memory);
     job.key = key.filter(|_| !job.rules.idempotent);
     Ok(Prepared { form, stream, job })
 }
@@ -191,6 +193,7 @@
             max_tokens: ask.max_tokens,
         },
         key: None,
+        memory: None,
     })
 }
 
--- a/src/serve/drive.rs
+++ b/src/serve/drive.rs
@@ -1,57 +1,27 @@
-//! Carries one completion from its admission to the end of its answer.
+//! Carries one completion from its first attempt to the end of its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use metrics::counter;
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    admission::Ticket,
-    catalog::Limits,
-    kernel::{clock::Time, context::Context, id::Request},
     request::{
         assembler::{End, Expected, Piece},
-        attempt::{Event, Machine, Rules, SILENCE, Step},
+        attempt::{Event, Machine, SILENCE, Step},
         once::{self, Answer, MAX_KEPT_BYTES},
-        refusal::{Execution, Refusal},
-    },
-    serve::{
-        answer::Part,
-        limit::Admitted,
-        once::{Claimed, Holder},
-        place::{Placed, Subject},
-    },
-    upstream::{
-        engine::{self, Failure, Read, Stream},
-        wire::Completion,
+        refusal::Execution,
     },
+    serve::{answer::Part, job::Job, once::Holder, place::Placed},
+    timeline::decision,
+    upstream::engine::{self, Failure, Read, Stream},
 };
 
 /// The longest wait for a caller that does not read what is waiting for it.
 const LAST_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A completion to be answered.
-pub struct Job {
-    /// What the daemon's parts share.
-    pub context: Arc<Context>,
-    /// The request.
-    pub request: Request,
-    /// What the workspace may use.
-    pub limits: Limits,
-    /// What is placed.
-    pub subject: Subject,
-    /// What is sent; each attempt sets its identifier and where it starts.
-    pub completion: Completion,
-    /// When the caller stops waiting.
-    pub deadline: Time,
-    /// How the request may be treated.
-    pub rules: Rules,
-    /// The idempotency key, if it must run at most once for it.
-    pub key: Option<String>,
-}
-
 /// The state of a [`Job`] under way.
-struct Drive {
+pub struct Drive {
     job: Job,
     machine: Machine,
     placed: Option<Placed>,
@@ -68,91 +38,9 @@
     end: Option<End>,
 }
 
-impl Job {
-    /// Answers to `parts`, until the end or until the receiver is dropped. The last part is a
-    /// piece with an end, or a refusal.
-    pub async fn run(self, parts: mpsc::Sender<Part>) {
-        let gone = parts.clone();
-        let admitted = tokio::select! {
-            admitted = self.admit() => admitted,
-            () = gone.closed() => return,
-        };
-        let mut admitted = match admitted {
-            Ok(admitted) => admitted,
-            Err(refusal) => return last(&parts, Part::Refusal(self.refusal(refusal))).await,
-        };
-        let holder = match self.claim().await {
-            Ok(holder) => holder,
-            Err(part) => return last(&parts, part).await,
-        };
-        let prompt_tokens = self.subject.prompt_tokens;
-        let mut drive = Drive::new(self, holder, parts);
-        drive.run(&gone).await;
-        admitted.used(prompt_tokens + drive.machine.offset());
-        drive.settle();
-    }
-
-    async fn admit(&self) -> Result<Admitted, Refusal> {
-        let tokens = self.subject.prompt_tokens + u64::from(self.rules.max_tokens);
-        let ticket = Ticket {
-            request: self.request,
-            workspace: &self.subject.owner.workspace,
-            limits: self.limits,
-            tokens,
-            deadline: self.deadline,
-            priority: self.limits.priority,
-        };
-        Admitted::new(&self.context, &ticket).await
-    }
-
-    /// Claims the key, if there is one.
-    async fn claim(&self) -> Result<Option<Holder>, Part> {
-        let Some(key) = self.key.clone() else {
-            return Ok(None);
-        };
-        let workspace = &self.subject.owner.workspace;
-        let digest = self.digest();
-        let claimed = super::once::claim(&self.context, self.request, workspace, key, digest).await;
-        match claimed {
-            Ok(Claimed::Held(holder)) => Ok(Some(holder)),
-            Ok(Claimed::Replay(Answer::Completion {
-                text,
-                finish,
-                usage,
-            })) => Err(Part::Piece(Piece {
-                offset: 0,
-                text,
-                end: Some(End { finish, usage }),
-            })),
-            Ok(Claimed::Replay(Answer::Call { .. })) => {
-                unreachable!("the digest of a call is never that of a completion")
-            }
-            Err(refusal) => Err(Part::Refusal(refusal)),
-        }
-    }
-
-    /// The digest of what is asked.
-    fn digest(&self) -> String {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(b"completion");
-        hasher.update(&self.completion.max_tokens.to_le_bytes());
-        hasher.update(&(self.completion.model.as_str().len() as u64).to_le_bytes());
-        hasher.update(self.completion.model.as_str().as_bytes());
-        hasher.update(self.completion.prompt.as_bytes());
-        hasher.finalize().to_hex().to_string()
-    }
-
-    /// A refusal from before the key's row was looked at.
-    fn refusal(&self, refusal: Refusal) -> Refusal {
-        match self.key {
-            Some(_) => refusal.keyed(),
-            None => refusal,
-        }
-    }
-}
-
 impl Drive {
-    fn new(job: Job, holder: Option<Holder>, parts: mpsc::Sender<Part>) -> Drive {
+    /// A job of which nothing was sent.
+    pub fn new(job: Job, holder: Option<Holder>, parts: mpsc::Sender<Part>) -> Drive {
         let machine = Machine::new(job.rules);
         Drive {
             job,
@@ -165,7 +53,8 @@
         }
     }
 
-    async fn run(&mut self, gone: &mpsc::Sender<Part>) {
+    /// Answers to the end, or until `gone` is closed.
+    pub async fn run(&mut self, gone: &mpsc::Sender<Part>) {
         let left = self.job.deadline.since(self.job.context.now());
         let deadline = time::sleep(left);
         tokio::pin!(deadline);
@@ -178,6 +67,7 @@
                 event = self.act(step) => event,
                 () = gone.closed(), if !stays => {
                     counter!("tealturn_callers_gone_total").increment(1);
+                    self.job.note(decision::Step::Cancelled, "the caller is gone");
                     self.placed = None;
                     return;
                 }
@@ -191,6 +81,11 @@
         }
     }
 
+    /// Tokens that were passed on.
+    pub fn tokens(&self) -> u64 {
+        self.machine.offset()
+    }
+
     /// Takes a step, and tells what it led to; `None` after the last.
     async fn act(&mut self, step: Step) -> Option<Event> {
         match step {
@@ -200,6 +95,8 @@
             Step::Pass(piece) => self.pass(piece).await,
             Step::Fail(refusal) => {
                 self.placed = None;
+                self.job
+                    .note(decision::Step::Failed, refusal.message.clone());
                 last(&self.parts, Part::Refusal(refusal)).await;
                 None
             }
@@ -210,12 +107,20 @@
         self.stream = None;
         self.placed = None;
         let context = self.job.context.clone();
-        if self.machine.is_retry() && !self.may_retry() {
-            return Event::NoRetries;
+        if self.machine.is_retry() {
+            self.job.note(decision::Step::Retried, ());
+            if !self.may_retry() {
+                return Event::NoRetries;
+            }
         }
         let placed = match self.job.subject.place(&context, &self.machine).await {
             Ok(placed) => placed,
-            Err(event) => return event,
+            Err(event) => {
+                if matches!(event, Event::Barred(_)) {
+                    self.job.note(decision::Step::Suspected, ());
+                }
+                return event;
+            }
         };
         if self.holder.as_ref().is_some_and(|it| !it.may_send()) {
             return Event::TooLate;
@@ -230,6 +135,7 @@
         };
         let upstream = placed.choice.upstream.clone();
         self.machine.place(upstream, expected);
+        self.job.note(decision::Step::Chosen, &placed.choice);
         self.placed = Some(placed);
         let fresh = !self.job.rules.idempotent;
         let open = engine::open(&context.client, address, &self.job.completion, fresh);
@@ -247,6 +153,7 @@
 
     async fn resume(&mut self, offset: u64) -> Event {
         counter!("tealturn_resumes_total").increment(1);
+        self.job.note(decision::Step::Cut, ());
         self.stream = None;
         let Some(placed) = &self.placed else {
             return Event::UnknownStream;
@@ -272,6 +179,11 @@
     ) -> Event {
         match opened {
             Ok(Ok(stream)) => {
+                let step = match resumed {
+                    true => decision::Step::Resumed,
+                    false => decision::Step::Sent,
+                };
+                self.job.note(step, ());
                 self.stream = Some(stream);
                 Event::Opened
             }
@@ -282,7 +194,10 @@
                 }
                 Event::Unreachable
             }
-            Ok(Err(Failure::Refused(..))) => Event::Refused,
+            Ok(Err(Failure::Refused(status, _))) => {
+                self.job.note(decision::Step::Rejected, status.to_string());
+                Event::Refused
+            }
             Ok(Err(Failure::UnknownStream(run))) => {
                 let newer = |it: &&Placed| run.is_some_and(|run| run > it.incarnation());
                 if let Some(placed) = self.placed.as_ref().filter(newer) {
@@ -309,8 +224,10 @@
 
     async fn pass(&mut self, piece: Piece) -> Option<Event> {
         let incarnation = self.machine.assembler().and_then(|it| it.incarnation());
-        if let (Some(placed), Some(incarnation)) = (&mut self.placed, incarnation) {
-            placed.first(incarnation);
+        if let (Some(placed), Some(incarnation)) = (&mut self.placed, incarnation)
+            && placed.first(incarnation)
+        {
+            self.job.note(decision::Step::First, ());
         }
         if self.holder.is_some() {
             self.kept.push(&piece);
@@ -327,6 +244,7 @@
             .serving
             .retries()
             .attempt(&self.job.subject.owner.workspace);
+        self.job.note(decision::Step::Completed, ());
         last(&self.parts, Part::Piece(piece)).await;
         if let Some(stream) = self.stream.take() {
             stream.finish(&self.job.context.client).await;
@@ -335,7 +253,7 @@
     }
 
     /// Tells the other daemons how a keyed request ended.
-    fn settle(&mut self) {
+    pub fn settle(&mut self) {
         let Some(holder) = self.holder.take() else {
             return;
         };
@@ -369,6 +287,6 @@
 }
 
 /// Hands over the last part, unless the caller does not read.
-async fn last(parts: &mpsc::Sender<Part>, part: Part) {
+pub async fn last(parts: &mpsc::Sender<Part>, part: Part) {
     drop(time::timeout(LAST_TIMEOUT, parts.send(part)).await);
 }
--- a/src/serve/limit.rs
+++ b/src/serve/limit.rs
@@ -155,7 +155,7 @@
     fn learn(&mut self, context: &Context, now: Time) -> usize {
         let members = context.members.live();
         for member in members.iter() {
-            self.heard.insert(member.daemon.clone(), now);
+            self.heard.insert(member.member.daemon.clone(), now);
         }
         self.heard.retain(|_, heard| now.since(*heard) < SILENT_FOR);
         self.heard.values().filter(|heard| **heard != now).count()
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -152,10 +152,10 @@
         suspects::crashed(&self.context, &self.choice.upstream, self.incarnation());
     }
 
-    /// Takes note of the run that answers.
-    pub fn first(&mut self, incarnation: Incarnation) {
+    /// Takes note of the run that answers, and tells whether it is the first piece.
+    pub fn first(&mut self, incarnation: Incarnation) -> bool {
         if self.incarnation.replace(incarnation).is_some() {
-            return;
+            return false;
         }
         let event = route::Event::First {
             request: self.attempt,
@@ -163,6 +163,7 @@
             cached_tokens: None,
         };
         self.context.policy.observe(&event, self.context.now());
+        true
     }
 
     /// Takes note of the end of the answer.
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -9,7 +9,7 @@
     HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header, http::request::Parts,
 };
 use rand::seq::IteratorRandom;
-use tokio::time;
+use tokio::{sync::OwnedSemaphorePermit, time};
 
 use crate::{
     Error,
@@ -90,6 +90,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub memory: Option<Arc<OwnedSemaphorePermit>>,
 }
 
 /// What became of a call that may not be repeated.
@@ -142,6 +144,7 @@
         }
         let query = head.uri.query().map(|it| format!("?{it}"));
         let key = caller::key(&head.headers)?;
+        let whole = caller::body(context, body).await?;
         let call = Call {
             id,
             workspace,
@@ -149,7 +152,8 @@
             method: head.method.clone(),
             path: format!("/{path}{}", query.unwrap_or_default()),
             headers: forwarded(&head.headers),
-            body: caller::body(body).await?,
+            body: whole.bytes,
+            memory: Some(Arc::new(whole.memory)),
         };
         Ok((call, key))
     }
--- a/src/serve/state.rs
+++ b/src/serve/state.rs
@@ -1,8 +1,8 @@
 //! What the requests in progress share.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio_util::task::TaskTracker;
 
 use crate::{
@@ -18,6 +18,9 @@
     },
 };
 
+/// Bytes of callers' bodies that a daemon holds at once.
+pub const BODIES_BYTES: usize = 256 * 1024 * 1024;
+
 /// The shared state of all requests in progress. Its locks are held for short decisions only.
 pub struct State {
     admission: Mutex<Admission>,
@@ -25,6 +28,8 @@
     suspects: Mutex<Table>,
     awake: Mutex<Awake>,
     retries: Mutex<Budgets<Workspace>>,
+    /// The memory for bodies, in KiB.
+    pub bodies: Arc<Semaphore>,
     /// Work that must end before the process does.
     pub tasks: TaskTracker,
 }
@@ -38,6 +43,7 @@
             suspects: Mutex::default(),
             awake: Mutex::new(Awake::new(now)),
             retries: Mutex::default(),
+            bodies: Arc::new(Semaphore::new(BODIES_BYTES / 1024)),
             tasks: TaskTracker::new(),
         }
     }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -1,13 +1,18 @@
 //! Requests through daemons and stand-ins over real sockets, with faults on the way.
 
-#[path = "fake/router.rs"]
+#[path = "serve/input.rs"]
+mod input;
+#[path = "serve/router.rs"]
 mod router;
 
+use std::time::Duration;
+
 use router::{Router, TOKENS, completion, expected, read};
 use tealturn::{
     request::refusal::{Execution, Kind},
     standin::{engine, plain, platform},
 };
+use tokio::time;
 
 const COMPLETIONS: &str = "/v1/completions";
 const FILING: &str = "/s/wiki-app/filings";
@@ -59,7 +64,7 @@
 async fn answers_are_whole_through_faults_of_the_engine() {
     for fault in FAULTS {
         let router = Router::start(1).await;
-        router.slow();
+        router.slow(1_000);
         let prompt = format!("handbook, then {}", fault.name);
         let answer = router
             .open(0, COMPLETIONS, "notary", None, completion(&prompt))
@@ -77,7 +82,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_connection_is_no_mark_against_the_upstream() {
     let router = Router::start(1).await;
-    router.slow();
+    router.slow(1_000);
     let answer = router
         .open(0, COMPLETIONS, "notary", None, completion("page"))
         .await;
@@ -97,15 +102,10 @@
     let router = Router::start(2).await;
     let first = router.complete(0, "clinic", Some("bill-1"), "fees").await;
     assert_eq!(first.stream(), (expected("fees"), true));
-    let settled = |it: &router::Answered| it.refusal().is_none();
-    // The result is written beside the answer; until then others do not know it.
-    let mut again = router.complete(1, "clinic", Some("bill-1"), "fees").await;
-    while !settled(&again) {
-        let refusal = again.refusal().expect("a refusal");
-        assert_eq!(refusal.kind, Kind::Unsettled);
-        assert_eq!(refusal.run, Execution::Unknown);
-        again = router.complete(1, "clinic", Some("bill-1"), "fees").await;
-    }
+    let body = completion("fees");
+    let again = router
+        .settled(1, COMPLETIONS, "clinic", "bill-1", &body)
+        .await;
     assert_eq!(again.stream(), (expected("fees"), true));
     assert_eq!(router.deployment.ledger.runs("fees"), 1);
     let other = router.complete(1, "clinic", Some("bill-1"), "other").await;
@@ -121,7 +121,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_billable_answer_that_breaks_off_is_not_run_again() {
     let router = Router::start(2).await;
-    router.slow();
+    router.slow(1_000);
     let answer = router
         .open(0, COMPLETIONS, "clinic", Some("bill-2"), completion("fees"))
         .await;
@@ -145,29 +145,26 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_goes_away_frees_the_engine() {
     let router = Router::start(1).await;
-    router.slow();
+    // The whole answer would take longer than anything that is waited for.
+    let percent = 50_000;
+    assert!(router::PATIENCE < Duration::from_millis(4) * TOKENS * percent / 100);
+    router.slow(percent);
     let answer = router
         .open(0, COMPLETIONS, "notary", None, completion("page"))
         .await;
-    let engine = router.busy().await.clone();
+    router.busy().await;
     drop(answer);
     router.idle().await;
     let idle = async {
-        loop {
-            let load: tealturn::upstream::wire::Load = router
-                .client
-                .get(engine.address(), "/v1/load")
-                .await
-                .expect("a load report");
-            if load.running == 0 {
-                return;
+        for engine in &router.deployment.engines {
+            while router.load(engine).await.running > 0 {
+                time::sleep(Duration::from_millis(10)).await;
             }
         }
     };
-    // The whole answer would take longer than this: 64 tokens of 40 ms.
-    let cancelled = tokio::time::timeout(router::PATIENCE, idle).await;
-    assert!(cancelled.is_ok());
-    assert_eq!(u64::from(TOKENS), 64);
+    time::timeout(router::PATIENCE, idle)
+        .await
+        .expect("cancelled");
 }
 
 /// A fault of the plain service or the table, and what callers are told.
@@ -254,10 +251,10 @@
         }
         let faults = platform::Faults::default();
         router.deployment.platform.set_faults(faults);
-        let mut again = router.ask(1, FILING, "notary", key, "fee").await;
-        while case.again.is_none() && again.refusal().is_some_and(|it| it.kind == Kind::Unsettled) {
-            again = router.ask(1, FILING, "notary", key, "fee").await;
-        }
+        let again = match case.again {
+            Some(_) => router.ask(1, FILING, "notary", key, "fee").await,
+            None => router.settled(1, FILING, "notary", "filing-1", "fee").await,
+        };
         let kind = again.refusal().map(|it| it.kind);
         assert_eq!(kind, case.again, "{}", case.name);
         let executed = router.deployment.executed("filing-1");
--- a/tests/fake/router.rs
+++ b/tests/serve/router.rs
@@ -13,7 +13,7 @@
     },
     http::client::{self, Answer, Client},
     kernel::{context::Context, id::Revision},
-    request::refusal::{Detail, Document},
+    request::refusal::{Detail, Document, Kind},
     serve::Controller,
     standin::{
         self,
@@ -176,27 +176,44 @@
             .await
     }
 
-    /// Makes all engines slow, so that an answer takes seconds.
-    pub fn slow(&self) {
+    /// Makes all engines slow: a step takes 4 ms times `percent`.
+    pub fn slow(&self, percent: u32) {
         for engine in &self.deployment.engines {
             engine.set_faults(Faults {
-                slow_percent: 1_000,
+                slow_percent: percent,
                 ..Faults::default()
             });
         }
     }
 
+    /// Asks again with a key until its result is known.
+    pub async fn settled(
+        &self,
+        daemon: usize,
+        path: &str,
+        workspace: &str,
+        key: &str,
+        body: &str,
+    ) -> Answered {
+        let asks = async {
+            loop {
+                let body = body.to_owned();
+                let answered = self.ask(daemon, path, workspace, Some(key), body).await;
+                let unsettled = |it: Detail| it.kind == Kind::Unsettled;
+                if !answered.refusal().is_some_and(unsettled) {
+                    return answered;
+                }
+            }
+        };
+        time::timeout(PATIENCE, asks).await.expect("a known result")
+    }
+
     /// The engine that runs a request now.
     pub async fn busy(&self) -> &Arc<Engine> {
         let find = async {
             loop {
                 for engine in &self.deployment.engines {
-                    let load: Load = self
-                        .client
-                        .get(engine.address(), "/v1/load")
-                        .await
-                        .expect("a load report");
-                    if load.running > 0 {
+                    if self.load(engine).await.running > 0 {
                         return engine;
                     }
                 }
@@ -206,6 +223,12 @@
         time::timeout(PATIENCE, find).await.expect("a busy engine")
     }
 
+    /// What an engine reports.
+    pub async fn load(&self, engine: &Engine) -> Load {
+        let load = self.client.get(engine.address(), "/v1/load").await;
+        load.expect("a load report")
+    }
+
     /// Waits until no daemon has a request in progress or waiting.
     pub async fn idle(&self) {
         let idle = |it: &Arc<Context>| {
