--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -206,6 +206,7 @@
         ));
         let running = engine.clone();
         tokio::spawn(async move { stop.run_until_cancelled(running.run()).await });
+        engine.take_report();
         let reporting = engine.clone();
         tokio::spawn(async move { reporting.report().await });
         Ok(engine)
@@ -317,6 +318,7 @@
             restart
         };
         time::sleep(restart).await;
+        self.take_report();
         self.load_missing();
         self.switch.up();
     }
@@ -326,18 +328,19 @@
         let mut interval = time::interval(Duration::from_millis(10));
         loop {
             interval.tick().await;
-            let now = self.clock.now();
-            let mut inner = self.lock();
-            let load = inner.load(&self.settings);
-            let lag = Duration::from_millis(inner.faults.load_lag_ms);
-            inner.reports.push_back(Report { time: now, load });
-            while inner
-                .reports
-                .get(1)
-                .is_some_and(|it| now.since(it.time) >= lag)
-            {
-                inner.reports.pop_front();
-            }
+            self.take_report();
+        }
+    }
+
+    fn take_report(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let load = inner.load(&self.settings);
+        let lag = Duration::from_millis(inner.faults.load_lag_ms);
+        inner.reports.push_back(Report { time: now, load });
+        let is_old = |it: &Report| now.since(it.time) >= lag;
+        while inner.reports.get(1).is_some_and(is_old) {
+            inner.reports.pop_front();
         }
     }
 
--- a/src/standin/platform/weights.rs
+++ b/src/standin/platform/weights.rs
@@ -34,11 +34,10 @@
         let guard = Guard(self);
         let mut left = speed.load;
         while !left.is_zero() {
-            let step = left.min(TICK);
-            time::sleep(step).await;
+            time::sleep(TICK).await;
             let active = self.active.load(Ordering::Relaxed).max(1);
             let share = speed.at_once.min(active) as u32;
-            left = left.saturating_sub(step * share / active as u32);
+            left = left.saturating_sub(TICK * share / active as u32);
         }
         drop(guard);
     }
