--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -81,6 +81,57 @@
         })
     }
 
+    /// Sends a request over a new connection, since an idle one may have gone silent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_fresh(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer> {
+        let mut sender = connect(address).await?;
+        let sent = sender.send_request(request).await;
+        let response = sent.map_err(|error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        })?;
+        Ok(Answer {
+            response,
+            address,
+            sender,
+        })
+    }
+
+    /// Sends a request over a new connection if `may_send` says so once that is open. `None`
+    /// means that nothing was sent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::send`].
+    pub async fn send_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<Option<Answer>> {
+        let mut sender = connect(address).await?;
+        if !may_send() {
+            return Ok(None);
+        }
+        let sent = sender.send_request(request).await;
+        let response = sent.map_err(|error| Error::Lost {
+            address,
+            reason: error.to_string(),
+        })?;
+        Ok(Some(Answer {
+            response,
+            address,
+            sender,
+        }))
+    }
+
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
     ///
     /// # Errors
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,16 @@
 //! The daemon's controller: binds its listeners, starts its parts, and stops them in order.
 
+pub mod answer;
+pub mod caller;
+pub mod completion;
 pub mod dispatch;
+pub mod drive;
+pub mod limit;
+pub mod once;
+pub mod place;
+pub mod service;
+pub mod state;
+pub mod suspects;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -9,6 +19,7 @@
 
 use crate::{
     Error, Result,
+    fleet::roster,
     http::{client::Client, server},
     kernel::{
         clock::{Clock, System},
@@ -102,6 +113,9 @@
         stop.cancelled().await;
         context.ring.record(Subject::Process, "leaving", "");
         context.leaving.cancel();
+        // Until it knows better, another daemon may still put this one into a list.
+        let left = context.members.left().cancelled();
+        drop(time::timeout(roster::MAX_LEAVE, left).await);
         time::sleep(Duration::from_secs(context.settings.address_lifetime_s)).await;
         closing.cancel();
         drop(callers.await);
