--- a/tests/contract_engine.rs
+++ b/tests/contract_engine.rs
@@ -52,11 +52,11 @@
             at_once: 2,
         };
         let platform = Platform::start(speed, ledger.clone(), stop.clone());
-        let platform = platform.await.unwrap();
+        let platform = platform.await.expect("the call works");
         let mut settings = Settings::new("assistente".into(), Version(1), platform.address());
         change(&mut settings);
         let engine = Engine::start(settings, ledger.clone(), stop.clone());
-        let engine = engine.await.unwrap();
+        let engine = engine.await.expect("the call works");
         Bench {
             client: Client::new(),
             address: engine.address(),
@@ -75,24 +75,26 @@
         };
         Bench {
             client: Client::new(),
-            address: address.parse().unwrap(),
+            address: address.parse().expect("the call works"),
             standin: None,
         }
     }
 
     fn engine(&self) -> &Arc<Engine> {
-        &self.standin.as_ref().unwrap().engine
+        &self.standin.as_ref().expect("the call works").engine
     }
 
     async fn open(&self, completion: &Completion) -> Result<Stream, Refused> {
-        let body = Bytes::from(serde_json::to_vec(completion).unwrap());
-        let request = client::request("POST", self.address, "/v1/completions", body).unwrap();
+        let body = Bytes::from(serde_json::to_vec(completion).expect("the call works"));
+        let request =
+            client::request("POST", self.address, "/v1/completions", body).expect("the call works");
         self.send(request).await
     }
 
     async fn resume(&self, id: Request, offset: u64) -> Result<Stream, Refused> {
         let path = format!("/v1/streams/{id}?offset={offset}");
-        let request = client::request("GET", self.address, &path, Bytes::new()).unwrap();
+        let request =
+            client::request("GET", self.address, &path, Bytes::new()).expect("the call works");
         self.send(request).await
     }
 
@@ -101,7 +103,10 @@
         request: http::Request<http_body_util::Full<Bytes>>,
     ) -> Result<Stream, Refused> {
         let answer = time::timeout(PATIENCE, self.client.send(self.address, request));
-        let answer = answer.await.unwrap().unwrap();
+        let answer = answer
+            .await
+            .expect("the call works")
+            .expect("the call works");
         let status = answer.response.status().as_u16();
         if status == 200 {
             return Ok(Stream {
@@ -109,18 +114,21 @@
                 buffer: Vec::new(),
             });
         }
-        let body = self.client.finish(answer).await.unwrap();
-        let refusal: Refusal = serde_json::from_slice(&body).unwrap();
+        let body = self.client.finish(answer).await.expect("the call works");
+        let refusal: Refusal = serde_json::from_slice(&body).expect("the call works");
         Err(Refused { status, refusal })
     }
 
     async fn whole(&self, completion: &Completion) -> Vec<Chunk> {
-        let mut stream = self.open(completion).await.unwrap();
-        stream.rest().await.unwrap()
+        let mut stream = self.open(completion).await.expect("the call works");
+        stream.rest().await.expect("the call works")
     }
 
     async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> T {
-        self.client.get(self.address, path).await.unwrap()
+        self.client
+            .get(self.address, path)
+            .await
+            .expect("the call works")
     }
 
     async fn order(&self, order: &Order) -> Result<State, Error> {
@@ -135,7 +143,9 @@
                 time::sleep(Duration::from_millis(5)).await;
             }
         };
-        time::timeout(PATIENCE, reached).await.unwrap();
+        time::timeout(PATIENCE, reached)
+            .await
+            .expect("the call works");
     }
 }
 
@@ -156,17 +166,26 @@
         loop {
             if let Some(end) = self.buffer.windows(2).position(|it| it == b"\n\n") {
                 let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
-                let text = String::from_utf8(event).unwrap();
-                return Some(text.trim().strip_prefix("data: ").unwrap().to_owned());
+                let text = String::from_utf8(event).expect("the call works");
+                return Some(
+                    text.trim()
+                        .strip_prefix("data: ")
+                        .expect("the call works")
+                        .to_owned(),
+                );
             }
             let frame = self.answer.response.body_mut().frame();
-            let frame = time::timeout(PATIENCE, frame).await.unwrap()?.ok()?;
-            self.buffer.extend_from_slice(frame.data_ref().unwrap());
+            let frame = time::timeout(PATIENCE, frame)
+                .await
+                .expect("the call works")?
+                .ok()?;
+            self.buffer
+                .extend_from_slice(frame.data_ref().expect("the call works"));
         }
     }
 
     async fn chunk(&mut self) -> Chunk {
-        serde_json::from_str(&self.event().await.unwrap()).unwrap()
+        serde_json::from_str(&self.event().await.expect("the call works")).expect("the call works")
     }
 
     /// The chunks up to the end mark; `None` if it does not come.
@@ -177,7 +196,7 @@
             if event == "[DONE]" {
                 return Some(chunks);
             }
-            chunks.push(serde_json::from_str(&event).unwrap());
+            chunks.push(serde_json::from_str(&event).expect("the call works"));
         }
     }
 }
@@ -229,13 +248,13 @@
     let count = u64::from(completion.max_tokens) - offset;
     let expected = Answer::new(&completion.prompt).text(offset, count);
     assert_eq!(text, expected, "{name}");
-    let last = chunks.last().unwrap();
+    let last = chunks.last().expect("the call works");
     assert_eq!(
         last.choices[0].finish_reason,
         Some(Finish::Length),
         "{name}"
     );
-    let usage = last.usage.unwrap();
+    let usage = last.usage.expect("the call works");
     assert_eq!(usage.completion_tokens, u64::from(completion.max_tokens));
     let tokens = completion.prompt.len().div_ceil(4) as u64;
     assert_eq!(usage.prompt_tokens, tokens, "{name}");
@@ -334,7 +353,7 @@
         let opened = bench.open(&completion).await;
         match (&case.expected, opened) {
             (Expected::Whole, Ok(mut stream)) => {
-                let chunks = stream.rest().await.unwrap();
+                let chunks = stream.rest().await.expect("the call works");
                 assert_answer(case.name, &completion, completion.skip_tokens, &chunks);
             }
             (Expected::Cut, Ok(mut stream)) => {
@@ -357,15 +376,22 @@
 async fn a_stream_resumes_at_any_offset_and_can_be_cancelled() {
     let bench = Bench::foreign_or_new().await;
     let completion = completion(1);
-    let mut stream = bench.open(&completion).await.unwrap();
+    let mut stream = bench.open(&completion).await.expect("the call works");
     stream.chunk().await;
     drop(stream);
     for offset in [0, 1, 5] {
-        let mut rest = bench.resume(completion.request_id, offset).await.unwrap();
-        let chunks = rest.rest().await.unwrap();
+        let mut rest = bench
+            .resume(completion.request_id, offset)
+            .await
+            .expect("the call works");
+        let chunks = rest.rest().await.expect("the call works");
         assert_answer("resumed", &completion, offset, &chunks);
     }
-    let unknown = bench.resume(Request(99), 0).await.err().unwrap();
+    let unknown = bench
+        .resume(Request(99), 0)
+        .await
+        .err()
+        .expect("the call works");
     assert_eq!(unknown.status, 404);
     assert_eq!(unknown.refusal.code, "unknown_stream");
 
@@ -374,20 +400,32 @@
         max_tokens: 10_000,
         ..completion
     };
-    let mut stream = bench.open(&long).await.unwrap();
+    let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
     let path = format!("/v1/streams/{}", long.request_id);
-    let cancel = client::request("DELETE", bench.address, &path, Bytes::new()).unwrap();
-    bench.client.fetch(bench.address, cancel).await.unwrap();
-    let rest = stream.rest().await.unwrap();
-    let finish = rest.last().unwrap().choices[0].finish_reason;
+    let cancel =
+        client::request("DELETE", bench.address, &path, Bytes::new()).expect("the call works");
+    bench
+        .client
+        .fetch(bench.address, cancel)
+        .await
+        .expect("the call works");
+    let rest = stream.rest().await.expect("the call works");
+    let finish = rest.last().expect("the call works").choices[0].finish_reason;
     assert_eq!(finish, Some(Finish::Cancelled));
 }
 
 #[tokio::test]
 async fn a_prefix_is_cached_for_its_salt_until_a_crash() {
     let bench = Bench::new(|_| {}).await;
-    let cached = |chunks: Vec<Chunk>| chunks.last().unwrap().usage.unwrap().cached_tokens;
+    let cached = |chunks: Vec<Chunk>| {
+        chunks
+            .last()
+            .expect("the call works")
+            .usage
+            .expect("the call works")
+            .cached_tokens
+    };
     let first = completion(1);
     assert_eq!(cached(bench.whole(&first).await), 0);
     let again = completion(2);
@@ -409,7 +447,11 @@
         .until(|it| it.incarnation > before && !it.loaded.is_empty())
         .await;
     bench.client.forget(bench.address);
-    let lost = bench.resume(first.request_id, 0).await.err().unwrap();
+    let lost = bench
+        .resume(first.request_id, 0)
+        .await
+        .err()
+        .expect("the call works");
     assert_eq!(lost.status, 404);
     assert!(lost.refusal.incarnation > before);
     let chunks = bench.whole(&completion(4)).await;
@@ -424,7 +466,7 @@
         max_tokens: 200,
         ..completion(1)
     };
-    let mut stream = bench.open(&long).await.unwrap();
+    let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
     bench.engine().set_faults(Faults {
         silence: true,
@@ -433,8 +475,16 @@
     let silent = async { while stream.event().await.is_some() {} };
     assert!(time::timeout(SILENCE, silent).await.is_err());
     bench.client.forget(bench.address);
-    let mut rest = bench.resume(long.request_id, 7).await.unwrap();
-    assert_answer("resumed", &long, 7, &rest.rest().await.unwrap());
+    let mut rest = bench
+        .resume(long.request_id, 7)
+        .await
+        .expect("the call works");
+    assert_answer(
+        "resumed",
+        &long,
+        7,
+        &rest.rest().await.expect("the call works"),
+    );
 }
 
 #[tokio::test]
@@ -444,7 +494,7 @@
         max_tokens: 40,
         ..completion(1)
     };
-    let mut busy = bench.open(&busy).await.unwrap();
+    let mut busy = bench.open(&busy).await.expect("the call works");
     busy.chunk().await;
     let low = completion(2);
     let high = Completion {
@@ -452,8 +502,8 @@
         prompt: "Is the medical valid?".to_owned(),
         ..completion(3)
     };
-    let mut low = bench.open(&low).await.unwrap();
-    let mut high = bench.open(&high).await.unwrap();
+    let mut low = bench.open(&low).await.expect("the call works");
+    let mut high = bench.open(&high).await.expect("the call works");
     let (mut first, mut second) = (false, false);
     tokio::select! {
         _ = high.rest() => first = true,
@@ -569,7 +619,10 @@
     } in cases
     {
         let bench = Bench::new(|it| it.fenced = fenced).await;
-        bench.order(&order(fences[0], &[1, 2])).await.unwrap();
+        bench
+            .order(&order(fences[0], &[1, 2]))
+            .await
+            .expect("the call works");
         bench.until(|it| it.loaded.len() == 2).await;
         bench.engine().set_faults(Faults {
             refuse_orders: refuses,
@@ -583,10 +636,23 @@
             continue;
         }
         bench.until(|it| it.loaded == [weights(3)]).await;
-        let calls = bench.standin.as_ref().unwrap().platform.calls();
-        let state = bench.order(&order(fences[1], &[3])).await.unwrap();
+        let calls = bench
+            .standin
+            .as_ref()
+            .expect("the call works")
+            .platform
+            .calls();
+        let state = bench
+            .order(&order(fences[1], &[3]))
+            .await
+            .expect("the call works");
         assert!(state.loading.is_empty(), "{name}: repeated");
-        let later = bench.standin.as_ref().unwrap().platform.calls();
+        let later = bench
+            .standin
+            .as_ref()
+            .expect("the call works")
+            .platform
+            .calls();
         assert_eq!(calls.weights, later.weights, "{name}: repeated");
     }
 }
@@ -603,7 +669,7 @@
         max_tokens: 10_000,
         ..completion(1)
     };
-    let mut stream = bench.open(&long).await.unwrap();
+    let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
     let stale: Load = bench.get("/v1/load").await;
     assert_eq!((idle.running, stale.running), (0, 0));
@@ -620,7 +686,9 @@
             }
         }
     };
-    let fresh = time::timeout(PATIENCE, fresh).await.unwrap();
+    let fresh = time::timeout(PATIENCE, fresh)
+        .await
+        .expect("the call works");
     assert_eq!(fresh.incarnation, bench.engine().incarnation());
     assert_ne!(fresh.incarnation, Incarnation(0));
 }
--- a/tests/contract_platform.rs
+++ b/tests/contract_platform.rs
@@ -45,20 +45,20 @@
             at_once: 2,
         };
         let platform = Platform::start(speed, Arc::new(Ledger::default()), stop.clone());
-        let platform = platform.await.unwrap();
+        let platform = platform.await.expect("the call works");
         let address = platform.address();
         Bench::at(address, Some((platform, stop.drop_guard())))
     }
 
     async fn foreign_or_new() -> Bench {
         match env::var("TEALTURN_PLATFORM") {
-            Ok(address) => Bench::at(address.parse().unwrap(), None),
+            Ok(address) => Bench::at(address.parse().expect("the call works"), None),
             Err(_) => Bench::new().await,
         }
     }
 
     fn at(address: SocketAddr, standin: Option<(Arc<Platform>, DropGuard)>) -> Bench {
-        let since = UNIX_EPOCH.elapsed().unwrap();
+        let since = UNIX_EPOCH.elapsed().expect("the call works");
         Bench {
             remote: Remote::new(Arc::new(Client::new()), address, address),
             client: Client::new(),
@@ -69,7 +69,7 @@
     }
 
     fn platform(&self) -> &Arc<Platform> {
-        &self.standin.as_ref().unwrap().0
+        &self.standin.as_ref().expect("the call works").0
     }
 
     fn key(&self, name: &str) -> String {
@@ -91,12 +91,15 @@
     }
 
     async fn row(&self, name: &str) -> Option<Row> {
-        self.remote.get(&self.key(name)).await.unwrap()
+        self.remote
+            .get(&self.key(name))
+            .await
+            .expect("the call works")
     }
 
     async fn status(&self, method: &str, path: &str, body: &'static [u8]) -> u16 {
         let body = Bytes::from_static(body);
-        let request = client::request(method, self.address, path, body).unwrap();
+        let request = client::request(method, self.address, path, body).expect("the call works");
         match self.client.fetch(self.address, request).await {
             Ok(_) => 200,
             Err(Error::Status { status, .. }) => status,
@@ -119,22 +122,25 @@
         checks: vec![bench.check("a", None), bench.check("b", None)],
         writes: vec![bench.put("a", "1"), bench.put("b", "{\"x\": \"ü&=\"}")],
     };
-    let version = committed(bench.remote.commit(&first).await.unwrap());
-    let row = bench.row("b").await.unwrap();
+    let version = committed(bench.remote.commit(&first).await.expect("the call works"));
+    let row = bench.row("b").await.expect("the call works");
     assert_eq!(
         (row.value.as_str(), row.version),
         ("{\"x\": \"ü&=\"}", version)
     );
-    assert_eq!(bench.row("a").await.unwrap().version, version);
+    assert_eq!(
+        bench.row("a").await.expect("the call works").version,
+        version
+    );
 
     let refused = Transaction {
         checks: vec![bench.check("a", Some(version)), bench.check("b", None)],
         writes: vec![bench.put("a", "2"), bench.put("c", "2")],
     };
-    let outcome = bench.remote.commit(&refused).await.unwrap();
-    let rows = vec![bench.row("b").await.unwrap()];
+    let outcome = bench.remote.commit(&refused).await.expect("the call works");
+    let rows = vec![bench.row("b").await.expect("the call works")];
     assert_eq!(outcome, Outcome::Conflict { rows });
-    assert_eq!(bench.row("a").await.unwrap().value, "1");
+    assert_eq!(bench.row("a").await.expect("the call works").value, "1");
     assert_eq!(bench.row("c").await, None);
 
     let second = Transaction {
@@ -146,14 +152,14 @@
             },
         ],
     };
-    let later = committed(bench.remote.commit(&second).await.unwrap());
+    let later = committed(bench.remote.commit(&second).await.expect("the call works"));
     assert!(later > version);
     assert_eq!(bench.row("b").await, None);
     let gone = Transaction {
         checks: vec![bench.check("b", Some(version))],
         writes: Vec::new(),
     };
-    let outcome = bench.remote.commit(&gone).await.unwrap();
+    let outcome = bench.remote.commit(&gone).await.expect("the call works");
     assert_eq!(outcome, Outcome::Conflict { rows: Vec::new() });
 }
 
@@ -168,7 +174,11 @@
                 checks: vec![bench.check("a", None)],
                 writes: vec![bench.put("a", &place.to_string())],
             };
-            let outcome = bench.remote.commit(&transaction).await.unwrap();
+            let outcome = bench
+                .remote
+                .commit(&transaction)
+                .await
+                .expect("the call works");
             matches!(outcome, Outcome::Committed { .. })
         });
     }
@@ -192,7 +202,13 @@
         checks: Vec::new(),
         writes: names.iter().map(|it| bench.put(it, "0")).collect(),
     };
-    committed(bench.remote.commit(&transaction).await.unwrap());
+    committed(
+        bench
+            .remote
+            .commit(&transaction)
+            .await
+            .expect("the call works"),
+    );
     let scan = |name, prefix, after, limit, found| Scan {
         name,
         prefix,
@@ -220,7 +236,7 @@
         };
         let prefix = bench.key(case.prefix);
         let rows = bench.remote.scan(&prefix, &after, case.limit);
-        let rows = rows.await.unwrap();
+        let rows = rows.await.expect("the call works");
         let found: Vec<_> = rows.iter().map(|it| it.key.clone()).collect();
         let expected: Vec<_> = case.found.iter().map(|it| bench.key(it)).collect();
         assert_eq!(found, expected, "{}", case.name);
@@ -304,7 +320,7 @@
 fn entry(name: &str, state: State) -> Entry {
     Entry {
         name: name.to_owned(),
-        address: "127.0.0.1:9".parse().unwrap(),
+        address: "127.0.0.1:9".parse().expect("the call works"),
         zone: "sala-a".into(),
         role: Role::Kv,
         state,
@@ -314,7 +330,7 @@
 #[tokio::test]
 async fn the_vm_list_lags_and_can_be_wrong() {
     let bench = Bench::new().await;
-    let listed = || async { bench.remote.entries().await.unwrap() };
+    let listed = || async { bench.remote.entries().await.expect("the call works") };
     let platform = bench.platform();
     platform.set_faults(Faults {
         vms_lag_ms: 600_000,
@@ -353,8 +369,13 @@
     let bench = Bench::foreign_or_new().await;
     let path = "/objects/contract";
     assert_eq!(bench.status("PUT", path, b"text").await, 200);
-    let request = client::request("GET", bench.address, path, Bytes::new()).unwrap();
-    let object = bench.client.fetch(bench.address, request).await.unwrap();
+    let request =
+        client::request("GET", bench.address, path, Bytes::new()).expect("the call works");
+    let object = bench
+        .client
+        .fetch(bench.address, request)
+        .await
+        .expect("the call works");
     assert_eq!(object, "text");
     assert_eq!(bench.status("DELETE", path, b"").await, 200);
     assert_eq!(bench.status("GET", path, b"").await, 404);
@@ -404,5 +425,5 @@
     assert!(matches!(kept, Err(Failure::Lost(_))), "{kept:?}");
     let fresh = Bench::at(bench.address, None);
     let row = time::timeout(PATIENCE, fresh.row("a"));
-    assert_eq!(row.await.unwrap(), None);
+    assert_eq!(row.await.expect("the call works"), None);
 }
--- a/tests/contract_upstream.rs
+++ b/tests/contract_upstream.rs
@@ -63,7 +63,7 @@
     ];
     for case in cases {
         let stop = CancellationToken::new();
-        let service = Plain::start(stop.clone()).await.unwrap();
+        let service = Plain::start(stop.clone()).await.expect("the call works");
         service.set_faults(case.faults);
         let client = Client::new();
         let call = call(&client, service.address(), "k1", b"one seat");
@@ -87,9 +87,9 @@
     let body = Bytes::from_static(body);
     let mut request = client::request("POST", address, "/bookings?day=2", body)?;
     let headers = request.headers_mut();
-    headers.insert(IDEMPOTENCY_KEY, key.parse().unwrap());
+    headers.insert(IDEMPOTENCY_KEY, key.parse().expect("the call works"));
     let answer = client.fetch(address, request).await?;
-    Ok(serde_json::from_slice(&answer).unwrap())
+    Ok(serde_json::from_slice(&answer).expect("the call works"))
 }
 
 struct Engines {
@@ -103,7 +103,7 @@
 impl Engines {
     /// Two engines, of which the first has a prompt in its cache.
     async fn new(stop: &CancellationToken) -> Engines {
-        let store = Store::start(stop.clone()).await.unwrap();
+        let store = Store::start(stop.clone()).await.expect("the call works");
         let ledger = Arc::new(Ledger::default());
         let model = Model::from("assistente");
         let settings = engine::Settings::new(model.clone(), Version(1), store.address());
@@ -111,8 +111,8 @@
         let importer = Engine::start(settings, ledger, stop.clone());
         let engines = Engines {
             client: Client::new(),
-            exporter: exporter.await.unwrap(),
-            importer: importer.await.unwrap(),
+            exporter: exporter.await.expect("the call works"),
+            importer: importer.await.expect("the call works"),
             store,
             completion: Completion {
                 request_id: Request(1),
@@ -127,10 +127,15 @@
                 skip_tokens: 0,
             },
         };
-        let body = Bytes::from(serde_json::to_vec(&engines.completion).unwrap());
+        let body = Bytes::from(serde_json::to_vec(&engines.completion).expect("the call works"));
         let address = engines.exporter.address();
-        let request = client::request("POST", address, "/v1/completions", body).unwrap();
-        engines.client.fetch(address, request).await.unwrap();
+        let request =
+            client::request("POST", address, "/v1/completions", body).expect("the call works");
+        engines
+            .client
+            .fetch(address, request)
+            .await
+            .expect("the call works");
         engines
     }
 
@@ -195,7 +200,7 @@
     for case in cases {
         let stop = CancellationToken::new();
         let engines = Engines::new(&stop).await;
-        let exported = engines.export().await.unwrap();
+        let exported = engines.export().await.expect("the call works");
         assert_eq!(exported.incarnation, engines.exporter.incarnation());
         assert_eq!(exported.blocks, 10, "{}", case.name);
         engines.store.set_faults(case.faults);
