Serve by the old weights until the new ones are ready

Engines keep the old weights during a change, but requests asked for the new version from the moment of the edit, so that all of them were refused or sent to the first engine that had it. A workspace is now served by what it was served by until three quarters of the planned engines have the new weights; a daemon never goes back.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -167,6 +167,11 @@
         self.services.get(&(workspace.clone(), service.clone()))
     }
 
+    /// All that workspaces may use of models.
+    pub fn grants(&self) -> impl Iterator<Item = &Grant> {
+        self.models.values()
+    }
+
     fn insert(&mut self, instance: &Instance, template: &Template) {
         let workspace = instance.workspace.clone();
         let limits = instance.limits.unwrap_or(template.limits);
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,5 +13,6 @@
 pub mod edge;
 pub mod lease;
 pub mod plan;
+pub mod rollout;
 pub mod shard;
 pub mod slot;
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -7,6 +7,7 @@
         charge::{Charge, Rejection},
         lease::{self, Change, Holder, Lease},
         plan::{Census, Engine, Need, Plan},
+        rollout::Readiness,
         shard::{self, Name},
         slot::Slot,
     },
@@ -15,7 +16,7 @@
         id::{Model, Upstream},
     },
     platform::table::{self, Row, Transaction},
-    upstream::wire::{Order, State},
+    upstream::wire::{Order, State, Weights},
 };
 
 /// The time between reads of all leases while few daemons do it.
@@ -188,6 +189,11 @@
         self.leases.iter().map(|(name, lease)| (*name, lease))
     }
 
+    /// How many engines have weights ready.
+    pub fn readiness(&self, weights: &Weights) -> Readiness {
+        self.plan.readiness(weights, &self.engines)
+    }
+
     /// From now on it takes no lease, and gives up those that it has.
     pub fn stop(&mut self) {
         self.stopping = true;
--- a/src/control/edge.rs
+++ b/src/control/edge.rs
@@ -31,7 +31,7 @@
         vm::Role,
     },
     timeline::Subject,
-    upstream::wire::{Order, State},
+    upstream::wire::{Order, State, Weights},
 };
 
 /// The time between decisions when nothing happens.
@@ -124,6 +124,10 @@
             daemons: self.context.members.count(),
             needs: plan::needs(&catalog),
         }));
+        let snapshot = self.context.catalog.load();
+        let readiness = |weights: &Weights| self.core.readiness(weights);
+        let waiting = self.context.rollout.update(&snapshot, readiness);
+        gauge!("tealturn_rollout_waiting").set(waiting.len() as f64);
     }
 
     fn feed(&mut self, event: Event) {
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     catalog::{Catalog, Target},
+    control::rollout::Readiness,
     kernel::id::{Adapter, Model, Upstream, Version},
     upstream::wire::{Role, Weights},
 };
@@ -155,21 +156,41 @@
             .iter()
             .filter(|(need, _)| need.weights.model == *model);
         for (need, places) in own {
-            let minimum = (places * READY_PERCENT).div_ceil(100);
-            // An engine that the plan takes them from does not count: it may drop them next.
-            let ready = engines.iter().filter(|it| {
-                let goal = self.goals.get(&it.name);
-                let wanted = goal.is_some_and(|goal| goal.weights.contains(&need.weights));
-                let ready = it.loaded.iter().any(|it| covers(it, &need.weights));
-                wanted && it.open && ready
-            });
-            if ready.count() < minimum {
+            if !self.is_enough(need, *places, engines) {
                 return false;
             }
         }
         true
     }
 
+    /// How many engines have weights ready. Weights that the plan does not ask for are never
+    /// ready enough.
+    pub fn readiness(&self, weights: &Weights, engines: &[Engine]) -> Readiness {
+        let mut places = self.places.iter();
+        let place = places.find(|(need, _)| covers(&need.weights, weights));
+        if place.is_some_and(|(need, places)| self.is_enough(need, *places, engines)) {
+            return Readiness::Enough;
+        }
+        let mut open = engines.iter().filter(|it| it.open);
+        let found = open.any(|it| it.loaded.iter().any(|it| covers(it, weights)));
+        match found {
+            true => Readiness::Somewhere,
+            false => Readiness::Nowhere,
+        }
+    }
+
+    fn is_enough(&self, need: &Need, places: usize, engines: &[Engine]) -> bool {
+        let minimum = (places * READY_PERCENT).div_ceil(100);
+        // An engine that the plan takes them from does not count: it may drop them next.
+        let ready = engines.iter().filter(|it| {
+            let goal = self.goals.get(&it.name);
+            let wanted = goal.is_some_and(|goal| goal.weights.contains(&need.weights));
+            let ready = it.loaded.iter().any(|it| covers(it, &need.weights));
+            wanted && it.open && ready
+        });
+        ready.count() >= minimum
+    }
+
     fn divide(&mut self, needs: &[&Need], engines: &[&Engine]) {
         for engine in engines {
             let standby = Goal {
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     catalog::{Snapshot, shared::Shared},
+    control::rollout::Rollout,
     fleet::{board::Board, contact::Contact, member::Members},
     http::client::Client,
     kernel::{
@@ -62,6 +63,8 @@
     pub catalog: ArcSwap<Snapshot>,
     /// The same as the operators see it, with its latest changes.
     pub configuration: Shared,
+    /// The weights that each workspace is served by while new ones load.
+    pub rollout: Rollout,
     /// What is known of the upstreams.
     pub directory: ArcSwap<Directory>,
     /// What the daemons tell each other.
@@ -132,6 +135,7 @@
             vms: setup.vms,
             catalog: ArcSwap::default(),
             configuration: Shared::default(),
+            rollout: Rollout::default(),
             directory: ArcSwap::default(),
             board: Arc::new(Board::default()),
             members: Members::default(),
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -100,10 +100,11 @@
         let catalog = context.catalog.load();
         catalog.model(&workspace, &ask.model).cloned()
     };
-    let grant = grant.ok_or_else(|| {
+    let mut grant = grant.ok_or_else(|| {
         let message = format!("the workspace has no model {:?}", ask.model.as_str());
         Refusal::not_run(Kind::UnknownModel, message)
     })?;
+    context.rollout.resolve(&mut grant);
     let form = Form {
         request: id,
         model: ask.model.clone(),
