--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -16,7 +16,7 @@
     },
     route::{
         hot::{Evidence, Holder},
-        pool::name_hash,
+        pool::{busy, name_hash},
     },
     upstream::directory::{Directory, Upstream},
 };
@@ -33,8 +33,8 @@
 /// Own sends to an empty engine count this often, since other daemons send there too.
 const EMPTY_SENDS: f64 = 4.0;
 
-/// How far cache events are believed before answers tell more.
-const EVENT_TRUST: f64 = 0.5;
+/// How far cache events are believed before answers confirm any: not enough to be used.
+const EVENT_TRUST: f64 = 0.3;
 
 /// How far cache events are believed after a gap, until answers confirm them.
 const GAP_TRUST: f64 = 0.2;
@@ -48,6 +48,12 @@
 /// The weight of the newest value in a mean.
 const WEIGHT: f64 = 0.1;
 
+/// The time over which reported loads are averaged.
+const LOAD_WINDOW: Duration = Duration::from_secs(3);
+
+/// The load above which waiting grows in proportion.
+const LOAD_MAX: f64 = 0.95;
+
 /// Engines remembered beyond twice those of the directory.
 const SPARE_ENGINES: usize = 64;
 
@@ -75,6 +81,9 @@
     eviction: Duration,
     /// The mean time from first token to end of a request.
     decode: Duration,
+    /// Its reported load, averaged over [`LOAD_WINDOW`], and when that report arrived.
+    load: f64,
+    reported: Time,
     /// What was known before this is void: the cache was emptied.
     cleared: Time,
     event_trust: f64,
@@ -132,6 +141,8 @@
             sent: Map::default(),
             eviction: EVICTION_GUESS,
             decode: DECODE_GUESS,
+            load: 0.0,
+            reported: Time::default(),
             cleared: Time::default(),
             event_trust: EVENT_TRUST,
             event_seq: 0,
@@ -146,7 +157,8 @@
     }
 
     /// The time until a request that is sent now would be prefilled if it were all cached.
-    pub fn queue(&self, upstream: &Upstream, now: Time) -> Duration {
+    pub fn queue(&mut self, upstream: &Upstream, now: Time) -> Duration {
+        let used = self.load(upstream);
         let Some(load) = &upstream.load else {
             return Duration::ZERO;
         };
@@ -154,22 +166,29 @@
         let rate = load.prefill_rate.max(1) as f64;
         let done = rate * now.since(taken).as_secs_f64();
         let reported = (load.prefill_tokens as f64 - done).max(0.0);
-        let (mut tokens, mut requests) = (0, 0);
-        for sent in self.sent.values().filter(|it| it.at > taken) {
-            tokens += sent.tokens;
-            requests += 1;
-        }
+        let sent = self.sent.values().filter(|it| it.at > taken);
+        let tokens: u64 = sent.map(|it| it.tokens).sum();
         let sends = if self.is_empty_run(now) {
             EMPTY_SENDS
         } else {
             1.0
         };
         let prefill = (reported + tokens as f64 * sends) / rate;
-        let over = (load.running + load.queued + requests).saturating_sub(load.batch);
-        let slots = self.decode.as_secs_f64() * f64::from(over) / f64::from(load.batch.max(1));
+        let slots = self.decode.as_secs_f64() * turns(used, load.batch);
         Duration::from_secs_f64((prefill + slots).min(3_600.0))
     }
 
+    /// The part of an engine that is in use, averaged over its last reports.
+    pub fn load(&mut self, upstream: &Upstream) -> f64 {
+        let passed = upstream.reported.since(self.reported).as_secs_f64();
+        if passed > 0.0 {
+            let weight = 1.0 - (-passed / LOAD_WINDOW.as_secs_f64()).exp();
+            self.load += weight * (busy(upstream) - self.load);
+            self.reported = upstream.reported;
+        }
+        self.load
+    }
+
     /// How likely it is that the engine still holds a prefix, from 0 to 1.
     pub fn credit(&self, holder: &Holder, now: Time) -> f64 {
         if holder.incarnation != self.incarnation || holder.at < self.cleared {
@@ -250,3 +269,13 @@
         };
     }
 }
+
+/// How long a request waits for one of `slots`, in times that a request holds one, at a mean
+/// `load`. Reports are as old as requests are long, so that only the mean tells anything
+/// (Sakasegawa's approximation of a queue with several servers).
+fn turns(load: f64, slots: u32) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let used = load.min(LOAD_MAX);
+    let waiting = used.powf((2.0 * (slots + 1.0)).sqrt()) / (slots * (1.0 - used));
+    waiting + (load - LOAD_MAX).max(0.0)
+}
--- a/src/route/homes.rs
+++ b/src/route/homes.rs
@@ -9,7 +9,7 @@
 use crate::kernel::clock::Time;
 
 /// The part of an engine that a prefix may use before it needs another home.
-pub const HOME_LOAD: f64 = 0.6;
+pub const HOME_LOAD: f64 = 1.0;
 
 /// The time that a new home is given to fill its cache.
 const FILL: Duration = Duration::from_millis(500);
--- a/src/route/hot.rs
+++ b/src/route/hot.rs
@@ -28,6 +28,9 @@
 /// The time over which demand is averaged.
 pub const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 
+/// The time after which a new prefix's demand is taken to go on as it began.
+const DEMAND_AGE_MIN: Duration = Duration::from_secs(1);
+
 /// How an engine's holding of a prefix is known, in order of trust.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Evidence {
@@ -57,6 +60,8 @@
 pub struct Entry {
     count: f64,
     counted: Time,
+    /// When it was first counted.
+    first: Option<Time>,
     /// How many homes it has.
     pub homes: Homes,
     holders: [Option<Holder>; HOLDERS],
@@ -115,8 +120,16 @@
         self.count * (-age / DEMAND_WINDOW.as_secs_f64()).exp()
     }
 
+    /// The demand once it will have been counted for the whole window at today's rate.
+    pub fn expected_demand(&self, now: Time) -> f64 {
+        let age = now.since(self.first.unwrap_or(now)).max(DEMAND_AGE_MIN);
+        let counted = 1.0 - (-age.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.demand(now) / counted
+    }
+
     /// Counts a request.
     pub fn count(&mut self, now: Time) {
+        self.first.get_or_insert(now);
         self.count = self.demand(now) + 1.0;
         self.counted = now;
     }
--- a/src/route/level.rs
+++ b/src/route/level.rs
@@ -74,26 +74,26 @@
         };
         let mut places = checkpoints(chain.len()).peekable();
         while let Some(blocks) = places.next() {
-            let Some(next) = places.peek() else { break };
             let here = demand(blocks);
-            if here >= 1.0 && demand(*next) < BRANCH * here {
+            if here < 1.0 {
+                break;
+            }
+            let next = places.peek().map_or(0.0, |it| demand(*it));
+            if next < BRANCH * here {
                 self.push(chain, blocks);
             }
         }
     }
 }
 
-/// The lengths at which the demand of prompts without levels is counted: 1, 2, 3, 4, 6, 8, 12,
-/// 16, ... blocks.
+/// The lengths at which the demand of prompts without levels is counted: each block up to 8,
+/// then four lengths for each doubling.
 pub fn checkpoints(blocks: usize) -> impl Iterator<Item = usize> {
     let mut next = 1_usize;
     std::iter::from_fn(move || {
         let place = next;
-        next = if place.is_power_of_two() && place > 1 {
-            place + place / 2
-        } else {
-            (place + 1).next_power_of_two()
-        };
+        let doubling = place.checked_ilog2().unwrap_or(0);
+        next += 1 << doubling.saturating_sub(2);
         (place <= blocks).then_some(place)
     })
 }
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -41,6 +41,8 @@
     id: u64,
     open: usize,
     busy: f64,
+    used: f64,
+    backlog: f64,
 }
 
 /// An engine of a pool.
@@ -129,9 +131,19 @@
         place.ok().map(|it| &self.members[it])
     }
 
-    /// Engines' worth of work in progress, over all open members.
-    pub fn busy(&self) -> f64 {
-        self.busy
+    /// The mean time to prefill what open members have in their queues, in seconds.
+    pub fn backlog(&self) -> f64 {
+        self.backlog / self.open.max(1) as f64
+    }
+
+    /// The mean load of open members; above 1 requests wait.
+    pub fn load(&self) -> f64 {
+        self.busy / self.open.max(1) as f64
+    }
+
+    /// How many open members' worth of work is in progress, without what waits.
+    pub fn used(&self) -> f64 {
+        self.used
     }
 
     /// The home of `key` at `place` in its order, among the members that `open` accepts. A
@@ -162,6 +174,8 @@
         if upstream.is_open() {
             self.open += 1;
             self.busy += busy(upstream);
+            self.used += busy(upstream).min(1.0);
+            self.backlog += backlog(upstream);
         }
     }
 
@@ -202,13 +216,20 @@
 }
 
 /// The part of an engine that its last report shows in use; above 1 requests wait.
-fn busy(upstream: &Upstream) -> f64 {
+pub fn busy(upstream: &Upstream) -> f64 {
     let Some(load) = &upstream.load else {
         return 0.0;
     };
     let slots = f64::from(load.running + load.queued) / f64::from(load.batch.max(1));
-    let backlog = load.prefill_tokens as f64 / load.prefill_rate.max(1) as f64;
-    slots.max(backlog)
+    slots.max(backlog(upstream))
+}
+
+/// The time to prefill what waits at an engine, in seconds.
+fn backlog(upstream: &Upstream) -> f64 {
+    let load = upstream.load.as_ref();
+    load.map_or(0.0, |it| {
+        it.prefill_tokens as f64 / it.prefill_rate.max(1) as f64
+    })
 }
 
 /// The place of rank `rank` among `count` places, in an order of its own for each `key`. One
--- a/src/route/search.rs
+++ b/src/route/search.rs
@@ -21,14 +21,31 @@
 };
 
 /// How likely a home is to hold its prefixes when nothing else is known.
-const HOME_CREDIT: f64 = 0.9;
+const HOME_CREDIT: f64 = 0.6;
 
-/// The cost of prefilling beside the request's own wait: others wait for it too.
+/// The cost of prefilling in an idle pool, beside its time: others wait for it too.
 const WASTE_WEIGHT: f64 = 2.0;
 
+/// The mean backlog of a pool that doubles the cost of prefilling, in seconds. Without it a
+/// busy pool would recompute what it holds, and get no other work done.
+const BACKLOG_S: f64 = 0.6;
+
+/// The cost of using a prefix away from its homes, beside the time to compute it: the copy
+/// stays in a cache that has other uses.
+const COPY_WEIGHT: f64 = 0.1;
+
 /// The time that another availability zone adds to a request.
 const ZONE_PENALTY: Duration = Duration::from_millis(2);
 
+/// The load, against the mean of the pool, above which a home passes prompts on.
+const BOUND: f64 = 1.3;
+
+/// The load below which no home passes prompts on.
+const BOUND_MIN: f64 = 0.4;
+
+/// Homes that a prompt is passed on to at most.
+const BOUND_STEPS: usize = 3;
+
 /// Candidates that are compared at most.
 const CANDIDATES: usize = 8;
 
@@ -54,6 +71,7 @@
     now: Time,
     steps: [Step; LEVELS],
     len: usize,
+    waste_weight: f64,
 }
 
 /// A level with what is known of it.
@@ -97,9 +115,10 @@
             now,
             steps: [Step::default(); LEVELS],
             len: 0,
+            waste_weight: waste_weight(pool),
         };
         let demand = knowledge.table.get(Hash(pool.id()));
-        let demand = demand.map_or(0.0, |it| it.demand(now));
+        let demand = demand.map_or(0.0, |it| it.expected_demand(now));
         let mut limit = pool.open().max(1);
         for level in Levels::new(query, knowledge.table, now).iter() {
             let step = search.step(level, demand, limit);
@@ -132,8 +151,8 @@
     fn step(&self, level: &Level, demand: f64, limit: usize) -> Step {
         let (now, pool) = (self.now, self.pool);
         let (entry, homes) = self.knowledge.table.update(level.hash, |entry| {
-            let part = entry.demand(now) / demand.max(1.0);
-            let wanted = (part.min(1.0) * pool.busy() / HOME_LOAD).ceil();
+            let part = entry.expected_demand(now) / demand.max(1.0);
+            let wanted = (part.min(1.0) * pool.used() / HOME_LOAD).ceil();
             let homes = entry.homes.adjust((wanted as usize).min(limit) as u32, now);
             (*entry, homes)
         });
@@ -189,11 +208,34 @@
         for level in (1..=level).rev() {
             place = ranked(self.steps[level].hash, self.steps[level - 1].homes, place);
         }
-        if let Some(member) = self.home(self.steps[0].hash, place) {
+        if let Some(member) = self.bounded(place) {
             candidates.add(member, levels, reason);
         }
     }
 
+    /// The home at `place` in the order of the first level, or one of the next if it is loaded
+    /// above the bound. Of the prompts that meet there, the part that is too much goes on; which
+    /// ones do depends on their longest level alone, so that all daemons agree.
+    fn bounded(&self, place: usize) -> Option<&'a Member> {
+        let (first, last) = (&self.steps[0], &self.steps[self.len - 1]);
+        let bound = (BOUND * self.pool.load()).max(BOUND_MIN);
+        let mut home = self.home(first.hash, place)?;
+        for step in 1..=BOUND_STEPS {
+            let engine = self.knowledge.engines.remember(home.hash);
+            let mut state = engine.run(home.upstream.incarnation, self.now);
+            let excess = 1.0 - bound / state.load(&home.upstream).max(bound);
+            let share = mix(last.hash ^ home.hash) as f64 / u64::MAX as f64;
+            if share >= excess {
+                break;
+            }
+            let Some(next) = self.home(first.hash, place + step) else {
+                break;
+            };
+            home = next;
+        }
+        Some(home)
+    }
+
     /// Adds engines that are known to hold the longest levels.
     fn add_holders(&self, candidates: &mut Candidates<'a>) {
         if !self.knowledge.caches {
@@ -226,7 +268,7 @@
     fn estimate(&self, candidate: Candidate<'_>) -> Estimate {
         let upstream = &candidate.member.upstream;
         let engine = self.knowledge.engines.remember(candidate.member.hash);
-        let state = engine.run(upstream.incarnation, self.now);
+        let mut state = engine.run(upstream.incarnation, self.now);
         let empty = state.is_empty_run(self.now);
         let (mut cached_tokens, mut credit) = (0.0, 0.0_f64);
         for (index, step) in self.steps[..self.len].iter().enumerate().rev() {
@@ -253,8 +295,12 @@
             .map_or(1, |it| it.prefill_rate.max(1));
         let uncached = (self.query.prompt_tokens as f64 - cached_tokens).max(0.0);
         let (queue, prefill) = (queue.as_secs_f64(), uncached / rate as f64);
+        let kept = candidate.levels.checked_sub(1);
+        let kept = kept.map_or(0.0, |it| self.steps[it].tokens);
+        let longest = self.steps[..self.len].last().map_or(0.0, |it| it.tokens);
+        let copies = COPY_WEIGHT * (longest - kept) / rate as f64;
         Estimate {
-            cost: queue + WASTE_WEIGHT * prefill,
+            cost: queue + self.waste_weight * prefill + copies,
             first_token: queue + prefill,
             cached_tokens,
         }
@@ -288,6 +334,10 @@
     }
 }
 
+fn waste_weight(pool: &Pool) -> f64 {
+    WASTE_WEIGHT * (1.0 + pool.backlog() / BACKLOG_S)
+}
+
 fn choice(candidate: &Candidate<'_>, estimate: &Estimate) -> Choice {
     let upstream = &candidate.member.upstream;
     Choice {
