--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -1,5 +1,15 @@
 //! The configuration that operators edit: templates, and their instances per workspace.
 
+pub mod change;
+pub mod edit;
+pub mod keeper;
+pub mod page;
+pub mod poll;
+pub mod shared;
+pub mod store;
+pub mod sync;
+pub mod validate;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -157,6 +167,11 @@
         self.services.get(&(workspace.clone(), service.clone()))
     }
 
+    /// All that workspaces may use of models.
+    pub fn grants(&self) -> impl Iterator<Item = &Grant> {
+        self.models.values()
+    }
+
     fn insert(&mut self, instance: &Instance, template: &Template) {
         let workspace = instance.workspace.clone();
         let limits = instance.limits.unwrap_or(template.limits);
