--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -15,7 +15,7 @@
         id::{Incarnation, Request},
     },
     route::{
-        hot::{Evidence, Holder},
+        hot::Holder,
         pool::{busy, name_hash},
     },
     upstream::directory::{Directory, Upstream},
@@ -33,15 +33,6 @@
 /// Own sends to an empty engine count this often, since other daemons send there too.
 const EMPTY_SENDS: f64 = 4.0;
 
-/// How far cache events are believed before answers confirm any: not enough to be used.
-const EVENT_TRUST: f64 = 0.3;
-
-/// How far cache events are believed after a gap, until answers confirm them.
-const GAP_TRUST: f64 = 0.2;
-
-/// Cache events that are believed less are left aside.
-const EVENT_TRUST_MIN: f64 = 0.4;
-
 /// The time that a request is taken to decode before any has ended.
 const DECODE_GUESS: Duration = Duration::from_millis(500);
 
@@ -57,7 +48,7 @@
 /// Engines remembered beyond twice those of the directory.
 const SPARE_ENGINES: usize = 64;
 
-/// All engines that were chosen or told of cache events, by the hash of their names.
+/// All engines that were candidates, by the hash of their names.
 #[derive(Default)]
 pub struct Engines {
     engines: HashMap<u64, Arc<Engine>>,
@@ -84,10 +75,6 @@
     /// Its reported load, averaged over [`LOAD_WINDOW`], and when that report arrived.
     load: f64,
     reported: Time,
-    /// What was known before this is void: the cache was emptied.
-    cleared: Time,
-    event_trust: f64,
-    event_seq: u64,
 }
 
 /// A request on its way.
@@ -143,9 +130,6 @@
             decode: DECODE_GUESS,
             load: 0.0,
             reported: Time::default(),
-            cleared: Time::default(),
-            event_trust: EVENT_TRUST,
-            event_seq: 0,
         }
     }
 }
@@ -182,7 +166,13 @@
     pub fn load(&mut self, upstream: &Upstream) -> f64 {
         let passed = upstream.reported.since(self.reported).as_secs_f64();
         if passed > 0.0 {
-            let weight = 1.0 - (-passed / LOAD_WINDOW.as_secs_f64()).exp();
+            let known = self.reported != Time::default();
+            let kept = if known {
+                (-passed / LOAD_WINDOW.as_secs_f64()).exp()
+            } else {
+                0.0
+            };
+            let weight = 1.0 - kept;
             self.load += weight * (busy(upstream) - self.load);
             self.reported = upstream.reported;
         }
@@ -191,16 +181,11 @@
 
     /// How likely it is that the engine still holds a prefix, from 0 to 1.
     pub fn credit(&self, holder: &Holder, now: Time) -> f64 {
-        if holder.incarnation != self.incarnation || holder.at < self.cleared {
+        if holder.incarnation != self.incarnation {
             return 0.0;
         }
         let age = now.since(holder.at).as_secs_f64() / self.eviction.as_secs_f64();
-        let fresh = (2.0 - 2.0 * age).clamp(0.0, 1.0);
-        match holder.evidence {
-            Evidence::Event if self.event_trust < EVENT_TRUST_MIN => 0.0,
-            Evidence::Event => fresh * self.event_trust,
-            Evidence::Sent | Evidence::Answer => fresh,
-        }
+        (2.0 - 2.0 * age).clamp(0.0, 1.0)
     }
 
     /// Whether this run started a short while ago, with an empty cache.
@@ -225,14 +210,6 @@
 
     /// Takes note whether a prefix that was known as `holder` was still there `now`.
     pub fn checked(&mut self, holder: &Holder, hit: bool, now: Time) {
-        if holder.evidence == Evidence::Event {
-            self.event_trust = if hit {
-                self.event_trust + WEIGHT * (1.0 - self.event_trust)
-            } else {
-                self.event_trust / 2.0
-            };
-            return;
-        }
         let age = now.since(holder.at);
         if hit == (age <= self.eviction) {
             return;
@@ -242,19 +219,6 @@
         self.eviction = eviction.clamp(EVICTION.0, EVICTION.1);
     }
 
-    /// Takes note that the cache was emptied, at `at` or later.
-    pub fn cleared(&mut self, at: Time) {
-        self.cleared = self.cleared.max(at);
-    }
-
-    /// Takes note of the number of a cache event.
-    pub fn event(&mut self, seq: u64) {
-        if self.event_seq != 0 && seq > self.event_seq + 1 {
-            self.event_trust = self.event_trust.min(GAP_TRUST);
-        }
-        self.event_seq = self.event_seq.max(seq);
-    }
-
     fn renew(&mut self, incarnation: Incarnation, now: Time) {
         if incarnation <= self.incarnation {
             return;
--- a/src/route/homes.rs
+++ b/src/route/homes.rs
@@ -1,8 +1,7 @@
 //! How many homes a prefix has.
 //!
-//! The number follows the prefix's part of the work in its pool. It grows quickly, at most
-//! twofold while the new homes fill their caches; it shrinks in two steps, so that a short
-//! lull costs no recomputation.
+//! The number follows the prefix's part of the work in its pool. It grows at once; it shrinks
+//! in two steps, so that a short lull costs no recomputation.
 
 use std::time::Duration;
 
@@ -11,9 +10,6 @@
 /// The part of an engine that a prefix may use before it needs another home.
 pub const HOME_LOAD: f64 = 1.0;
 
-/// The time that a new home is given to fill its cache.
-const FILL: Duration = Duration::from_millis(500);
-
 /// How long the demand must have been lower before homes are given up.
 const SHRINK: Duration = Duration::from_secs(3);
 
@@ -21,8 +17,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Homes {
     count: u32,
-    grown: Time,
-    /// The most homes that were wanted since fewer than `count` are.
     lower: Option<Lower>,
 }
 
@@ -30,6 +24,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Lower {
     since: Time,
+    /// The most homes that were wanted since.
     wanted: u32,
 }
 
@@ -37,35 +32,17 @@
     /// Takes in how many homes the demand wants now, and tells how many there are.
     pub fn adjust(&mut self, wanted: u32, now: Time) -> usize {
         let wanted = wanted.max(1);
-        if self.count == 0 {
+        if wanted >= self.count {
             self.count = wanted;
-        }
-        if wanted > self.count {
-            self.grow(wanted, now);
-        } else if wanted < self.count {
-            self.shrink(wanted, now);
-        } else {
             self.lower = None;
+            return self.count as usize;
         }
-        self.count as usize
-    }
-
-    fn grow(&mut self, wanted: u32, now: Time) {
-        self.lower = None;
-        if now.since(self.grown) < FILL {
-            return;
-        }
-        self.count = wanted.min(self.count * 2);
-        self.grown = now;
-    }
-
-    fn shrink(&mut self, wanted: u32, now: Time) {
         let lower = self.lower.get_or_insert(Lower { since: now, wanted });
         lower.wanted = lower.wanted.max(wanted);
-        if now.since(lower.since) < SHRINK {
-            return;
+        if now.since(lower.since) >= SHRINK {
+            self.count = lower.wanted;
+            self.lower = None;
         }
-        self.count = lower.wanted;
-        self.lower = None;
+        self.count as usize
     }
 }
--- a/src/route/hot.rs
+++ b/src/route/hot.rs
@@ -31,17 +31,6 @@
 /// The time after which a new prefix's demand is taken to go on as it began.
 const DEMAND_AGE_MIN: Duration = Duration::from_secs(1);
 
-/// How an engine's holding of a prefix is known, in order of trust.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Evidence {
-    /// A cache event told so.
-    Event,
-    /// This daemon sent a request with the prefix there.
-    Sent,
-    /// An answer counted the prefix as cached, or computed it.
-    Answer,
-}
-
 /// An engine that is known to hold a prefix.
 #[derive(Clone, Copy, Debug)]
 pub struct Holder {
@@ -49,10 +38,8 @@
     pub engine: u64,
     /// The run that holds it.
     pub incarnation: Incarnation,
-    /// When it was known last.
+    /// When it was known last, by an own send or an answer.
     pub at: Time,
-    /// How it is known.
-    pub evidence: Evidence,
 }
 
 /// What is known of a prefix.
@@ -154,19 +141,9 @@
             .iter()
             .position(|it| it.as_ref().is_some_and(same));
         let place = place.unwrap_or_else(|| self.oldest());
-        if let Some(old) = &mut self.holders[place]
-            && same(old)
-        {
-            if old.incarnation > holder.incarnation {
-                return;
-            }
-            if old.incarnation == holder.incarnation && holder.evidence < old.evidence {
-                // Weaker evidence does not replace stronger, but shows later use.
-                if holder.evidence == Evidence::Sent {
-                    old.at = old.at.max(holder.at);
-                }
-                return;
-            }
+        let old = self.holders[place].filter(same);
+        if old.is_some_and(|old| old.incarnation > holder.incarnation) {
+            return;
         }
         self.holders[place] = Some(holder);
     }
--- a/src/route/prefix.rs
+++ b/src/route/prefix.rs
@@ -1,13 +1,14 @@
 //! The policy `prefix`: a request goes where its prompt's prefixes are cached, unless the wait
 //! there costs more than computing them elsewhere.
 //!
-//! It learns where prefixes are cached, in order of trust, from the cached tokens that answers
-//! count, from its own sends, and from cache events. The policy `rendezvous` does without.
+//! It learns where prefixes are cached from the cached tokens that answers count and from its
+//! own sends. Cache events are left aside: in the runs of `tests/placement.rs` they gained
+//! nothing over answers and sends, and wrong ones cost hits. The policy `rendezvous` learns
+//! nothing of the caches.
 
 use std::{
     array,
     sync::{Mutex, MutexGuard},
-    time::Duration,
 };
 
 use crate::{
@@ -19,16 +20,13 @@
     route::{
         Choice, Event, Policy, Query, Registration,
         engine::Engines,
-        hot::{Evidence, Holder, Table},
+        hot::{Holder, Table},
         level::{LEVELS, Level, Levels, checkpoints},
         pool::{name_hash, weights_id},
         recent::{Recent, lock},
         search::{Knowledge, Search},
     },
-    upstream::{
-        directory::Directory,
-        wire::{Change, Events},
-    },
+    upstream::directory::Directory,
 };
 
 /// Shards of the requests in progress.
@@ -37,9 +35,6 @@
 /// Requests in one generation of a shard, should their ends never be told.
 const SHARD_REQUESTS: usize = 4_096;
 
-/// A cache event does not contradict what was learnt within this time before it arrived.
-const EVENT_LAG: Duration = Duration::from_secs(2);
-
 inventory::submit!(Registration {
     name: "prefix",
     make: || Box::new(Prefix::new(true)),
@@ -110,7 +105,6 @@
             engine,
             incarnation: choice.incarnation,
             at: now,
-            evidence: Evidence::Sent,
         };
         let mut prefixes = [None; LEVELS];
         for (prefix, level) in prefixes.iter_mut().zip(levels.iter()) {
@@ -195,13 +189,13 @@
             engine: pending.engine,
             incarnation: pending.incarnation,
             at: pending.first.unwrap_or(now),
-            evidence: Evidence::Answer,
         };
         for sent in pending.prefixes.iter().flatten() {
             let tokens = (sent.level.blocks * BLOCK_TOKENS) as u64;
+            let hit = tokens <= cached_tokens;
             if let Some(before) = &sent.before {
                 let mut state = engine.run(pending.incarnation, now);
-                state.checked(before, tokens <= cached_tokens, pending.sent);
+                state.checked(before, hit, pending.sent);
             }
             self.table.amend(sent.level.hash, |it| it.hold(holder));
         }
@@ -218,49 +212,6 @@
             });
         }
     }
-
-    fn cache(&self, engine: u64, events: &Events, now: Time) {
-        let Some(known) = self.engines.get(engine) else {
-            return;
-        };
-        let mut state = known.run(Incarnation(0), now);
-        if state.incarnation() != events.incarnation {
-            return;
-        }
-        for event in &events.events {
-            state.event(event.seq);
-            if matches!(event.change, Change::Cleared) {
-                state.cleared(now - EVENT_LAG);
-            }
-        }
-        drop(state);
-        for event in &events.events {
-            self.apply(engine, events.incarnation, &event.change, now);
-        }
-    }
-
-    fn apply(&self, engine: u64, incarnation: Incarnation, change: &Change, now: Time) {
-        match change {
-            Change::Stored(hashes) => {
-                let holder = Holder {
-                    engine,
-                    incarnation,
-                    at: now,
-                    evidence: Evidence::Event,
-                };
-                for hash in hashes {
-                    self.table.amend(*hash, |it| it.hold(holder));
-                }
-            }
-            Change::Removed(hashes) => {
-                for hash in hashes {
-                    self.table
-                        .amend(*hash, |it| it.release(engine, now - EVENT_LAG));
-                }
-            }
-            Change::Cleared => {}
-        }
-    }
 }
 
 impl Policy for Prefix {
@@ -299,9 +250,7 @@
                 request,
                 cached_tokens,
             } => self.ended(*request, *cached_tokens, now),
-            Event::Cache { upstream, events } => {
-                self.cache(name_hash(upstream.as_str()), events, now);
-            }
+            Event::Cache { .. } => {}
         }
     }
 }
