--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -9,7 +9,10 @@
 
 use router::{Router, TOKENS, completion, expected, read};
 use tealturn::{
-    request::refusal::{Execution, Kind},
+    request::{
+        refusal::{Execution, Kind},
+        suspect::MAX_CRASHES,
+    },
     standin::{engine, plain, platform},
 };
 use tokio::time;
@@ -284,3 +287,41 @@
     assert!(first.headers.contains_key("retry-after"));
     assert_eq!(router.deployment.executed("filing-2"), 0);
 }
+
+/// A prompt that crashes each engine that computes it, sent again and again at all daemons.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poisonous_request_crashes_few_engines_and_harms_no_neighbour() {
+    let router = Router::start(2).await;
+    for engine in &router.deployment.engines {
+        engine.set_faults(engine::Faults {
+            poison: Some("poison".to_owned()),
+            restart_ms: 50,
+            ..slow()
+        });
+    }
+    let router = &router;
+    let neighbours = async {
+        for place in 0..8 {
+            let prompt = format!("page {place}");
+            let answered = router.complete(place % 2, "notary", None, &prompt).await;
+            match answered.refusal() {
+                None => assert_eq!(answered.stream(), (expected(&prompt), true)),
+                Some(refusal) => {
+                    let ran = router.deployment.ledger.runs(&prompt) > 0;
+                    let truth = refusal.run != Execution::NotRun || !ran;
+                    assert!(truth, "{prompt} ran, but was refused with {refusal:?}");
+                }
+            }
+        }
+    };
+    let senders = |first: usize| async move {
+        for place in first..first + 20 {
+            let answered = router.complete(place % 2, "notary", None, "poison").await;
+            assert!(answered.refusal().is_some());
+        }
+    };
+    tokio::join!(neighbours, senders(0), senders(1));
+    let crashes = router.deployment.ledger.totals().crashes;
+    assert!(crashes <= MAX_CRASHES as u64, "{crashes} engines crashed");
+    router.idle().await;
+}
