--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -160,7 +160,9 @@
     pub errors: Vec<String>,
 }
 
-/// Whether a change that got no proper answer was applied.
+/// Whether a change that got no proper answer was applied. It tells of this sending only: a
+/// change whose earlier sending ended with [`Applied::Unknown`] stays unknown until it is accepted
+/// or refused by a [`Conflict`] or as [`Invalid`].
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Applied {
--- a/src/catalog/edit.rs
+++ b/src/catalog/edit.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// The change.
+    pub fn change(&self) -> &Change {
+        &self.change
+    }
+
     /// The first step.
     pub fn start(&self) -> Step {
         Step::Call(Call::Get(store::change_key(self.change.id)))
@@ -236,6 +241,11 @@
                 Ok(self.conflict(current, None))
             }
             sync::Step::Entries(entries) => {
+                // A copy that was under way may have taken effect since the name was read.
+                let own = entries.iter().find(|it| it.change == self.change.id);
+                if let Some(own) = own {
+                    return Ok(self.accepted(own.revision));
+                }
                 let current = entries.last().map_or(self.change.base, |it| it.revision);
                 Ok(self.conflict(current, Some(&entries)))
             }
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -7,10 +7,10 @@
 pub const BYTES_PER_SECOND: i64 = 1_100;
 
 /// Bytes that may be saved up.
-const MAX_SAVED_BYTES: i64 = 8 * 1_024;
+pub const MAX_SAVED_BYTES: i64 = 8 * 1_024;
 
-/// Bytes that urgent messages may be ahead.
-const MAX_AHEAD_BYTES: i64 = 16 * 1_024;
+/// Urgent messages are put off while more bytes than this were sent ahead of the budget.
+pub const MAX_AHEAD_BYTES: i64 = 16 * 1_024;
 
 /// The bytes that may be sent now.
 #[derive(Clone, Copy, Debug)]
@@ -44,7 +44,7 @@
     pub fn spend(&mut self, now: Time, bytes: usize) {
         self.fill(now);
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-        self.bytes = self.bytes.saturating_sub(bytes).max(-MAX_AHEAD_BYTES);
+        self.bytes = self.bytes.saturating_sub(bytes);
     }
 
     fn fill(&mut self, now: Time) {
--- a/src/fleet/core.rs
+++ b/src/fleet/core.rs
@@ -136,6 +136,11 @@
         self.own.leaving && self.roster.live(now).all(|it| self.told.contains(it))
     }
 
+    /// The daemons to ask at the start, all at once: the highest revision among them counts.
+    pub fn greet(&self, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        self.seeds.iter().copied().sample(rng, FANOUT)
+    }
+
     /// Called every [`TICK`]: the daemon to send a message to.
     pub fn tick(&mut self, now: Time, rng: &mut dyn Rng) -> Option<SocketAddr> {
         let late = self.ticked.map(|it| now.since(it)).unwrap_or_default();
--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -38,6 +38,9 @@
 /// How much more seldom than the table the VM list is read.
 const VM_LIST_POLLS: u32 = 2;
 
+/// Times that a daemon that knows no other asks several at once.
+const GREETINGS: u32 = 3;
+
 /// Changes of the configuration in one answer.
 const UPDATE_ENTRIES: usize = 512;
 
@@ -63,7 +66,7 @@
             () = serving => {}
             () = edge.clone().tick() => {}
             () = edge.clone().push() => {}
-            () = edge.find() => {}
+            () = edge.clone().find() => {}
             () = stop.cancelled() => {}
         }
     }
@@ -138,7 +141,8 @@
     }
 
     /// Looks for other daemons in the VM list.
-    async fn find(&self) {
+    async fn find(self: Arc<Edge>) {
+        let mut greeted = 0;
         loop {
             if let Ok(entries) = self.context.vms.entries().await {
                 let mut seeds = self.context.settings.seeds.clone();
@@ -150,6 +154,13 @@
                 }
                 self.core().set_seeds(seeds);
             }
+            if greeted < GREETINGS && self.core().roster().is_empty() {
+                greeted += 1;
+                let greeted = self.core().greet(&mut rand::rng());
+                for to in greeted {
+                    tokio::spawn(self.clone().send(to, false));
+                }
+            }
             let fleet = self.context.members.count();
             let wait = poll::interval(fleet, rand::rng().random_range(0.0..1.0));
             time::sleep(wait * VM_LIST_POLLS).await;
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -27,6 +27,8 @@
     TooLarge,
     /// The body did not arrive in time.
     SlowRequest,
+    /// The daemon has no configuration that it can rely on; another one may.
+    NotReady,
     /// The credential is missing or unknown.
     Unauthorized,
     /// The workspace has no such model.
@@ -148,7 +150,9 @@
             Kind::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Kind::AlreadyRun | Kind::Unsettled => StatusCode::CONFLICT,
             Kind::Overloaded => StatusCode::TOO_MANY_REQUESTS,
-            Kind::NoUpstream | Kind::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Kind::NoUpstream | Kind::NotReady | Kind::StoreUnavailable => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Kind::Deadline => StatusCode::GATEWAY_TIMEOUT,
             Kind::Barred => StatusCode::FORBIDDEN,
             Kind::Incomplete => StatusCode::BAD_GATEWAY,
--- a/src/serve/caller.rs
+++ b/src/serve/caller.rs
@@ -1,6 +1,6 @@
 //! What all pages for callers need: who asks, the body, and refusals as answers.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -9,9 +9,11 @@
 use tokio::time;
 
 use crate::{
-    catalog::Snapshot,
     http::server::{self, Body},
-    kernel::id::{Request, Workspace},
+    kernel::{
+        context::Context,
+        id::{Request, Workspace},
+    },
     request::refusal::{Kind, Refusal},
 };
 
@@ -27,6 +29,9 @@
 /// Names what may run at most once.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// When a caller may come back to a daemon that was not ready.
+const READY_RETRY: Duration = Duration::from_millis(1_000);
+
 /// Bytes that an idempotency key may have.
 const MAX_KEY_BYTES: usize = 128;
 
@@ -34,8 +39,13 @@
 ///
 /// # Errors
 ///
+/// [`Kind::NotReady`] while the daemon has no configuration that it can rely on,
 /// [`Kind::Unauthorized`].
-pub fn workspace(headers: &HeaderMap, catalog: &Snapshot) -> Result<Workspace, Refusal> {
+pub fn workspace(headers: &HeaderMap, context: &Context) -> Result<Workspace, Refusal> {
+    if !context.ready.load(Ordering::Acquire) {
+        let message = "this daemon has no configuration that it can rely on";
+        return Err(Refusal::not_run(Kind::NotReady, message).retry_after(READY_RETRY));
+    }
     let unauthorized = |message| Refusal::not_run(Kind::Unauthorized, message);
     let value = headers
         .get(header::AUTHORIZATION)
@@ -44,6 +54,7 @@
     let credential = value
         .strip_prefix("Bearer ")
         .ok_or_else(|| unauthorized("the authorization header is no bearer credential"))?;
+    let catalog = context.catalog.load();
     let workspace = catalog.workspace(credential);
     workspace
         .cloned()
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -94,7 +94,7 @@
     headers: &HeaderMap,
     body: Incoming,
 ) -> Result<Response<Body>, Refusal> {
-    let workspace = caller::workspace(headers, &context.catalog.load())?;
+    let workspace = caller::workspace(headers, context)?;
     let ask = Ask::parse(&caller::body(body).await?)?;
     let grant = {
         let catalog = context.catalog.load();
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -100,7 +100,7 @@
         head: &Parts,
         body: Incoming,
     ) -> Result<Call, Refusal> {
-        let workspace = caller::workspace(&head.headers, &context.catalog.load())?;
+        let workspace = caller::workspace(&head.headers, context)?;
         let rest = head.uri.path().strip_prefix(PREFIX).unwrap_or_default();
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let service = Service::from(service);
--- a/tests/fake/table.rs
+++ b/tests/fake/table.rs
@@ -1,5 +1,8 @@
 //! A table service in memory, with faults.
 
+// Each test uses a part of it.
+#![allow(dead_code)]
+
 use std::{
     collections::BTreeMap,
     sync::{Mutex, MutexGuard},
@@ -10,7 +13,6 @@
 
 /// What goes wrong with the next calls.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-#[allow(dead_code)]
 pub enum Fault {
     #[default]
     None,
@@ -35,7 +37,6 @@
     commits: u64,
 }
 
-#[allow(dead_code)]
 impl Memory {
     /// Sets the fault of all later calls.
     pub fn set(&self, fault: Fault) {
