--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     catalog::{Snapshot, shared::Shared},
+    control::rollout::Rollout,
     fleet::{board::Board, contact::Contact, member::Members},
     http::client::Client,
     kernel::{
@@ -21,9 +22,11 @@
         id::{Incarnation, Request},
     },
     platform::{table::Table, vm::List},
+    request::once::Now,
     route::Policy,
+    serve::state::State,
     settings::Settings,
-    timeline::Ring,
+    timeline::{Ring, decision::Decisions},
     upstream::directory::Directory,
 };
 
@@ -50,6 +53,8 @@
     pub clock: Arc<dyn Clock>,
     /// The record of state changes.
     pub ring: Arc<Ring>,
+    /// The decisions taken for each request.
+    pub decisions: Decisions,
     /// Connections to upstreams and the platform.
     pub client: Arc<Client>,
     /// The platform's table service.
@@ -60,6 +65,8 @@
     pub catalog: ArcSwap<Snapshot>,
     /// The same as the operators see it, with its latest changes.
     pub configuration: Shared,
+    /// The weights that each workspace is served by while new ones load.
+    pub rollout: Rollout,
     /// What is known of the upstreams.
     pub directory: ArcSwap<Directory>,
     /// What the daemons tell each other.
@@ -70,6 +77,8 @@
     pub contact: Contact,
     /// The choice of upstreams.
     pub policy: Arc<dyn Policy>,
+    /// What the requests in progress share.
+    pub serving: State,
     /// Set when a planned stop begins: the daemon leaves the address lists, and goes on serving.
     pub leaving: CancellationToken,
     /// Set by the configuration part when the daemon may serve.
@@ -118,22 +127,30 @@
 impl Context {
     /// A context that knows nothing of configuration, upstreams and peers yet.
     pub fn new(setup: Setup) -> Context {
+        let received = Now {
+            time: setup.clock.now(),
+            wall_s: setup.clock.wall_micros() / 1_000_000,
+        };
+        let serving = State::new(setup.settings.daemon.clone(), setup.incarnation, received);
         Context {
             settings: setup.settings,
             bound: setup.bound,
             incarnation: setup.incarnation,
             clock: setup.clock,
+            decisions: Decisions::new(setup.ring.clone()),
             ring: setup.ring,
             client: Arc::new(Client::new()),
             table: setup.table,
             vms: setup.vms,
             catalog: ArcSwap::default(),
             configuration: Shared::default(),
+            rollout: Rollout::default(),
             directory: ArcSwap::default(),
             board: Arc::new(Board::default()),
             members: Members::default(),
             contact: Contact::default(),
             policy: setup.policy,
+            serving,
             leaving: CancellationToken::new(),
             ready: AtomicBool::new(false),
             peer_listener: Slot::default(),
