--- a/src/fleet/core.rs
+++ b/src/fleet/core.rs
@@ -136,6 +136,11 @@
         self.own.leaving && self.roster.live(now).all(|it| self.told.contains(it))
     }
 
+    /// The daemons to ask at the start, all at once: the highest revision among them counts.
+    pub fn greet(&self, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        self.seeds.iter().copied().sample(rng, FANOUT)
+    }
+
     /// Called every [`TICK`]: the daemon to send a message to.
     pub fn tick(&mut self, now: Time, rng: &mut dyn Rng) -> Option<SocketAddr> {
         let late = self.ticked.map(|it| now.since(it)).unwrap_or_default();
@@ -224,9 +229,9 @@
         self.receive(now, own, answer)
     }
 
-    /// Takes note that a message was not answered.
-    pub fn failed(&mut self, address: SocketAddr) {
-        self.roster.failed(address);
+    /// Takes note that an address refused a connection.
+    pub fn refused(&mut self, address: SocketAddr) {
+        self.roster.refused(address);
     }
 
     fn header(&self, now: Time, own: Own) -> Message {
