--- a/src/bin/tealturn-load/app.rs
+++ b/src/bin/tealturn-load/app.rs
@@ -1,8 +1,9 @@
 //! The arguments of the load.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, path::PathBuf};
 
 use clap::{Parser, Subcommand};
+use tealturn::load::compare;
 
 /// Callers of a deployment, which check every answer and measure.
 #[derive(Debug, Parser)]
@@ -18,6 +19,10 @@
 pub enum Command {
     /// Call running daemons. Exits with 1 if an answer was wrong or lost or a refusal untrue.
     Run(Run),
+    /// Compare policies in one process, each with stand-ins and daemons of its own.
+    Compare(Compare),
+    /// Measure what a daemon adds to the time to the first token.
+    Overhead(Overhead),
 }
 
 /// A run against daemons.
@@ -32,9 +37,6 @@
     /// Where the stand-in's platform listens.
     #[arg(long, value_name = "IP:PORT")]
     pub platform: SocketAddr,
-    /// Where a daemon listens for operators: the load's catalog is put there first.
-    #[arg(long, value_name = "IP:PORT")]
-    pub operator: Option<SocketAddr>,
     /// The seed of the traffic.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
@@ -51,3 +53,52 @@
     #[arg(long)]
     pub json: bool,
 }
+
+/// A comparison of policies.
+#[derive(Debug, Parser)]
+pub struct Compare {
+    /// A deployment; may be given several times.
+    #[arg(long = "deployment", value_name = "NAME", default_values = ["nortebraco", "cascade"])]
+    pub deployments: Vec<String>,
+    /// A policy; may be given several times.
+    #[arg(long = "policy", value_name = "NAME", default_values = compare::POLICIES)]
+    pub policies: Vec<String>,
+    /// A seed of the traffic; may be given several times.
+    #[arg(long = "seed", value_name = "NUMBER", default_values_t = [1, 2, 3])]
+    pub seeds: Vec<u64>,
+    /// Load, in percent of what the engines can take.
+    #[arg(long, default_value_t = 80)]
+    pub load_percent: u32,
+    /// How long calls are made in each run, in seconds.
+    #[arg(long, default_value_t = 12)]
+    pub seconds: u64,
+    /// The first part of this, in seconds, that does not count for hit rate and times.
+    #[arg(long, default_value_t = 4)]
+    pub warmup: u64,
+    /// How the engines' cache events fail: usual, absent or wrong.
+    #[arg(long, default_value = "usual")]
+    pub events: String,
+    /// Where the table of all runs is saved as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub output: Option<PathBuf>,
+}
+
+/// A measurement of what a daemon adds.
+#[derive(Debug, Parser)]
+pub struct Overhead {
+    /// The deployment: nortebraco or cascade.
+    #[arg(long, default_value = "nortebraco")]
+    pub deployment: String,
+    /// Where the daemon listens for callers.
+    #[arg(long, value_name = "IP:PORT")]
+    pub daemon: SocketAddr,
+    /// Where the stand-in's platform listens.
+    #[arg(long, value_name = "IP:PORT")]
+    pub platform: SocketAddr,
+    /// Questions on each way.
+    #[arg(long, default_value_t = 1_000)]
+    pub questions: u64,
+    /// Print the measures as JSON.
+    #[arg(long)]
+    pub json: bool,
+}
--- a/src/bin/tealturn-load/main.rs
+++ b/src/bin/tealturn-load/main.rs
@@ -2,13 +2,17 @@
 
 mod app;
 
-use std::{io, process::ExitCode, time::Duration};
+use std::{fmt::Display, fs, io, process::ExitCode, time::Duration};
 
-use app::{App, Command, Run};
+use app::{App, Command, Compare, Overhead, Run};
 use clap::Parser;
+use serde::Serialize;
 use tealturn::{
     Error, Result,
     load::{
+        compare::{self, Events},
+        overhead,
+        report::Report,
         run::{self, Settings},
         traffic::Profile,
     },
@@ -29,13 +33,14 @@
 async fn run(command: Command) -> Result<bool> {
     match command {
         Command::Run(arguments) => load(arguments).await,
+        Command::Compare(arguments) => compare(arguments).await,
+        Command::Overhead(arguments) => overhead(arguments).await,
     }
 }
 
 async fn load(arguments: Run) -> Result<bool> {
-    let unknown = || Error::Settings(vec![format!("unknown deployment {}", arguments.deployment)]);
     let settings = Settings {
-        profile: Profile::named(&arguments.deployment).ok_or_else(unknown)?,
+        profile: profile(&arguments.deployment)?,
         seed: arguments.seed,
         rate: arguments.rate,
         duration: Duration::from_secs(arguments.seconds),
@@ -48,11 +53,56 @@
         return Err(Error::Unavailable { reason });
     }
     let report = run::run(&settings).await?;
-    if arguments.json {
-        let json = serde_json::to_string_pretty(&report).map_err(io::Error::other)?;
+    print(&report, arguments.json)?;
+    Ok(report.is_right())
+}
+
+async fn compare(arguments: Compare) -> Result<bool> {
+    let events = match arguments.events.as_str() {
+        "usual" => Events::Usual,
+        "absent" => Events::Absent,
+        "wrong" => Events::Wrong,
+        other => return Err(Error::Settings(vec![format!("unknown events {other}")])),
+    };
+    let settings = compare::Settings {
+        deployments: arguments.deployments,
+        policies: arguments.policies,
+        seeds: arguments.seeds,
+        load_percent: arguments.load_percent,
+        duration: Duration::from_secs(arguments.seconds),
+        warmup: Duration::from_secs(arguments.warmup),
+        events,
+    };
+    println!("{}", compare::HEAD);
+    let table = compare::compare(&settings).await?;
+    if let Some(path) = arguments.output {
+        let json = serde_json::to_string_pretty(&table).map_err(io::Error::other)?;
+        fs::write(path, json)?;
+    }
+    Ok(table.reports.iter().all(Report::is_right))
+}
+
+async fn overhead(arguments: Overhead) -> Result<bool> {
+    let profile = profile(&arguments.deployment)?;
+    let Overhead {
+        daemon, platform, ..
+    } = arguments;
+    let measured = overhead::measure(&profile, daemon, platform, arguments.questions).await?;
+    print(&measured, arguments.json)?;
+    Ok(true)
+}
+
+fn profile(name: &str) -> Result<Profile> {
+    let unknown = || Error::Settings(vec![format!("unknown deployment {name}")]);
+    Profile::named(name).ok_or_else(unknown)
+}
+
+fn print<T: Display + Serialize>(measures: &T, json: bool) -> Result<()> {
+    if json {
+        let json = serde_json::to_string_pretty(measures).map_err(io::Error::other)?;
         println!("{json}");
     } else {
-        print!("{report}");
+        print!("{measures}");
     }
-    Ok(report.is_right())
+    Ok(())
 }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -25,6 +25,9 @@
 /// A caller gives up after this long.
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// Callers tell daemons a deadline that is so much earlier, so that a refusal can still arrive.
+const MARGIN: Duration = Duration::from_secs(1);
+
 /// A daemon that sends nothing for this long is taken for silent.
 const SILENCE: Duration = Duration::from_secs(4);
 
@@ -149,7 +152,8 @@
     }
 
     async fn attempt(&self, call: &Call, address: SocketAddr, started: Instant) -> Attempt {
-        let request = match self.request(call, address) {
+        let left = PATIENCE.saturating_sub(started.elapsed() + MARGIN);
+        let request = match self.request(call, address, left) {
             Ok(request) => request,
             Err(error) => return Attempt::Wrong(error.to_string()),
         };
@@ -178,7 +182,12 @@
         }
     }
 
-    fn request(&self, call: &Call, address: SocketAddr) -> Result<Request<Full<Bytes>>> {
+    fn request(
+        &self,
+        call: &Call,
+        address: SocketAddr,
+        left: Duration,
+    ) -> Result<Request<Full<Bytes>>> {
         let (path, body) = match &call.kind {
             Kind::Completion {
                 prompt,
@@ -191,7 +200,7 @@
                     max_tokens: *max_tokens,
                     stream: true,
                     levels,
-                    deadline_ms: PATIENCE.as_millis() as u64,
+                    deadline_ms: left.as_millis() as u64,
                 };
                 let body = serde_json::to_vec(&completion).map_err(std::io::Error::other)?;
                 ("/v1/completions".to_owned(), body)
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -25,7 +25,10 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Wait between two tries of that.
-const READY_INTERVAL: Duration = Duration::from_millis(100);
+pub const READY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Tries to put the configuration.
+pub const READY_TRIES: usize = 100;
 
 /// What a run does.
 #[derive(Clone, Debug)]
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -29,6 +29,8 @@
     pub model: Model,
     /// Engines; every third does not check fencing numbers.
     pub engines: usize,
+    /// How fast the engines are.
+    pub speed: engine::batch::Speed,
     /// The plain service.
     pub service: Service,
     /// Instances of the plain service.
@@ -47,6 +49,7 @@
             zones: zones(&["sala-a", "sala-b", "sala-c"]),
             model: Model::from("assistente"),
             engines: 12,
+            speed: engine::SPEED,
             service: Service::from("wiki-app"),
             plains: 3,
             kv: "memoria",
@@ -64,6 +67,7 @@
             zones: zones(&["seattle-hall", "pdx-hall", "spokane-hall", "tacoma-hall"]),
             model: Model::from("tealturn-lm"),
             engines: 18,
+            speed: engine::SPEED,
             service: Service::from("counter-app"),
             plains: 4,
             kv: "promptkeep",
@@ -83,7 +87,8 @@
         }
     }
 
-    fn zone(&self, place: usize) -> Zone {
+    /// The zone of the VM at `place`.
+    pub fn zone(&self, place: usize) -> Zone {
         self.zones[place % self.zones.len()].clone()
     }
 }
@@ -132,6 +137,7 @@
             let model = settings.model.clone();
             let mut own = engine::Settings::new(model.clone(), VERSION, platform.address());
             own.fenced = place % 3 != 2;
+            own.speed = settings.speed;
             let fenced = own.fenced;
             let engine = Engine::start(own, ledger.clone(), stop.clone()).await?;
             let name = format!("{model}-{place}");
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -48,6 +48,13 @@
 /// Cache events that are kept for readers.
 const KEEP_EVENTS: usize = 4_096;
 
+/// The usual speed of an engine.
+pub const SPEED: Speed = Speed {
+    batch: 16,
+    step: Duration::from_millis(4),
+    prefill_rate: 100_000,
+};
+
 /// How an engine is set up.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -76,11 +83,7 @@
             model,
             version,
             fenced: true,
-            speed: Speed {
-                batch: 16,
-                step: Duration::from_millis(4),
-                prefill_rate: 100_000,
-            },
+            speed: SPEED,
             cache_blocks: 2_048,
             cache_idle: Duration::from_secs(10),
             queue: 256,
@@ -227,6 +230,16 @@
         self.lock().cache.held(&chain.0)
     }
 
+    /// Its load at this moment, which nobody else knows.
+    pub fn load_now(&self) -> Load {
+        self.lock().load(&self.settings)
+    }
+
+    /// How fast it is.
+    pub fn speed(&self) -> &Speed {
+        &self.settings.speed
+    }
+
     /// What it has loaded.
     pub fn state(&self) -> State {
         self.lock().state.clone()
