Check all settings at once; add logs, metrics, health and examples

The log has a line for each change of state that the time line records. /readyz tells leaving, no_catalog and isolated apart.

--- a/src/bin/tealturnd/main.rs
+++ b/src/bin/tealturnd/main.rs
@@ -8,6 +8,7 @@
 use clap::Parser;
 use tealturn::{
     Result,
+    report::{log, metric},
     serve::{Controller, Listening},
     settings::Settings,
 };
@@ -29,6 +30,15 @@
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    if app.check {
+        println!("{}: valid", app.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = log::start(&settings.log) {
+        eprintln!("{error}");
+        return ExitCode::from(EXIT_SETTINGS);
+    }
+    metric::start();
     match run(settings) {
         Ok(code) => code,
         Err(error) => {
--- a/src/report.rs
+++ b/src/report.rs
@@ -1,4 +1,7 @@
-//! What a daemon tells its operators: its status, its time line, a request's decisions.
+//! What a daemon tells its operators: its status, health, metrics, log and time line.
 
+pub mod health;
+pub mod log;
+pub mod metric;
 pub mod status;
 pub mod timeline;
--- a/src/route.rs
+++ b/src/route.rs
@@ -137,3 +137,11 @@
         .find(|it| it.name == name)
         .map(|it| (it.make)())
 }
+
+/// The names of all registered policies.
+pub fn policies() -> Vec<&'static str> {
+    let registered = inventory::iter::<Registration>.into_iter();
+    let mut names: Vec<_> = registered.map(|it| it.name).collect();
+    names.sort_unstable();
+    names
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -2,7 +2,7 @@
 
 pub mod decision;
 
-use std::{collections::VecDeque, sync::Mutex};
+use std::{collections::VecDeque, fmt, sync::Mutex};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,20 @@
     Workspace(String),
 }
 
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Process => f.write_str("process"),
+            Subject::Request(request) => write!(f, "request {request}"),
+            Subject::Daemon(name) => write!(f, "daemon {name}"),
+            Subject::Upstream(name) => write!(f, "upstream {name}"),
+            Subject::Revision(number) => write!(f, "revision {number}"),
+            Subject::Lease(key) => write!(f, "lease {key}"),
+            Subject::Workspace(name) => write!(f, "workspace {name}"),
+        }
+    }
+}
+
 /// A change of state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Event {
@@ -101,6 +115,7 @@
             inner.events.pop_front();
         }
         let (kind, detail) = (kind.to_owned(), detail.into());
+        tracing::info!(subject = %subject, kind, detail);
         inner.events.push_back(Event {
             stamp,
             seq,
