--- a/src/operate.rs
+++ b/src/operate.rs
@@ -1,9 +1,12 @@
 //! The operator's verbs: each registers itself, and `tealturnctl` offers what is registered.
 
 pub mod apply;
+pub mod drain;
+pub mod explain;
 pub mod get;
 pub mod session;
 pub mod status;
+pub mod timeline;
 
 use async_trait::async_trait;
 use clap::{ArgMatches, Command};
--- a/src/operate/status.rs
+++ b/src/operate/status.rs
@@ -26,6 +26,15 @@
             state(status.ready, status.leaving),
             status.revision,
         );
+        for member in &status.members {
+            text.push_str(&format!(
+                "  {} {} in {}: {}\n",
+                member.daemon,
+                member.caller,
+                member.zone,
+                if member.leaving { "leaving" } else { "live" },
+            ));
+        }
         for upstream in &status.upstreams {
             text.push_str(&line(upstream));
         }
--- a/src/report/status.rs
+++ b/src/report/status.rs
@@ -35,10 +35,27 @@
     pub leaving: bool,
     /// The revision of the configuration in force.
     pub revision: Revision,
+    /// The other live daemons that it knows, by name.
+    pub members: Vec<Member>,
     /// The upstreams that it knows, by name.
     pub upstreams: Vec<Upstream>,
 }
 
+/// What a daemon knows of another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// The daemon.
+    pub daemon: Daemon,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// The run that was seen.
+    pub incarnation: Incarnation,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// It takes no new callers.
+    pub leaving: bool,
+}
+
 /// What a daemon knows of an upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Upstream {
@@ -74,6 +91,14 @@
             running: it.load.as_ref().map(|load| load.running),
             queued: it.load.as_ref().map(|load| load.queued),
         });
+        let live = context.members.live();
+        let members = live.iter().map(|it| Member {
+            daemon: it.member.daemon.clone(),
+            zone: it.member.zone.clone(),
+            incarnation: it.member.incarnation,
+            caller: it.member.caller,
+            leaving: it.member.leaving,
+        });
         Status {
             deployment: context.settings.deployment.clone(),
             daemon: context.settings.daemon.clone(),
@@ -82,6 +107,7 @@
             ready: context.ready.load(Ordering::Acquire),
             leaving: context.leaving.is_cancelled(),
             revision: context.catalog.load().revision(),
+            members: members.collect(),
             upstreams: upstreams.collect(),
         }
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -111,7 +111,11 @@
         let (callers, operators) = (tokio::spawn(callers), tokio::spawn(operators));
         context.ring.record(Subject::Process, "started", "");
 
-        stop.cancelled().await;
+        // A signal or an operator asks for a planned stop.
+        tokio::select! {
+            () = stop.cancelled() => (),
+            () = context.leaving.cancelled() => (),
+        }
         context.ring.record(Subject::Process, "leaving", "");
         context.leaving.cancel();
         // Until it knows better, another daemon may still put this one into a list.
--- a/src/timeline/decision.rs
+++ b/src/timeline/decision.rs
@@ -4,6 +4,7 @@
 use std::{
     borrow::Cow,
     collections::VecDeque,
+    fmt,
     sync::{Arc, Mutex, MutexGuard},
 };
 
@@ -21,6 +22,9 @@
 /// Decisions that a shard keeps.
 const SHARD_DECISIONS: usize = 1_024;
 
+/// Decisions that a process keeps at most.
+pub const DECISIONS: usize = SHARDS * SHARD_DECISIONS;
+
 /// What was decided.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -84,6 +88,51 @@
     },
 }
 
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            Step::Received => "received",
+            Step::Admitted => "admitted",
+            Step::Queued => "queued",
+            Step::Refused => "refused",
+            Step::Claimed => "claimed",
+            Step::Chosen => "chosen",
+            Step::Sent => "sent",
+            Step::Rejected => "rejected",
+            Step::First => "first",
+            Step::Cut => "cut",
+            Step::Resumed => "resumed",
+            Step::Retried => "retried",
+            Step::Suspected => "suspected",
+            Step::Cancelled => "cancelled",
+            Step::Completed => "completed",
+            Step::Failed => "failed",
+        };
+        f.write_str(name)
+    }
+}
+
+impl fmt::Display for Detail {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Detail::None => Ok(()),
+            Detail::Text(text) => f.write_str(text),
+            Detail::Choice {
+                upstream,
+                incarnation,
+                cached_tokens,
+                expected_micros,
+                reason,
+                ..
+            } => write!(
+                f,
+                "{upstream} (run {incarnation}) by {reason}: {cached_tokens} prompt tokens \
+                 expected in its cache, first token expected in {expected_micros} us"
+            ),
+        }
+    }
+}
+
 impl From<()> for Detail {
     fn from((): ()) -> Detail {
         Detail::None
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -184,6 +184,70 @@
     assert_eq!(daemon.exit_code().await, Some(0));
 }
 
+#[tokio::test]
+async fn an_operator_drains_it_and_it_exits_with_0() {
+    let mut daemon = Running::start("drain.yaml", 1);
+    let operator = daemon.operator.to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tealturnctl"));
+    command.args(["--daemon", &operator, "drain"]);
+    let output = finish(command);
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(output.stdout, b"leaving\n");
+    assert_eq!(daemon.exit_code().await, Some(0));
+}
+
+struct Call {
+    name: &'static str,
+    arguments: &'static [&'static str],
+    code: i32,
+    told: &'static str,
+}
+
+const CALLS: &[Call] = &[
+    Call {
+        name: "no daemon given",
+        arguments: &["status"],
+        code: 2,
+        told: "--daemon IP:PORT is required",
+    },
+    Call {
+        name: "a daemon that does not listen",
+        arguments: &["--daemon", "127.0.0.1:9", "status"],
+        code: 1,
+        told: "cannot connect to 127.0.0.1:9",
+    },
+    Call {
+        name: "no such file",
+        arguments: &["--daemon", "127.0.0.1:9", "apply", "/nowhere.yaml"],
+        code: 2,
+        told: "/nowhere.yaml: ",
+    },
+    Call {
+        name: "an unknown verb",
+        arguments: &["--daemon", "127.0.0.1:9", "explode"],
+        code: 2,
+        told: "explode",
+    },
+    Call {
+        name: "no request identifier",
+        arguments: &["--daemon", "127.0.0.1:9", "explain", "xyz"],
+        code: 2,
+        told: "xyz",
+    },
+];
+
+#[test]
+fn the_operators_tool_tells_what_went_wrong() {
+    for call in CALLS {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tealturnctl"));
+        command.args(call.arguments);
+        let output = finish(command);
+        assert_eq!(output.status.code(), Some(call.code), "{}", call.name);
+        let told = String::from_utf8_lossy(&output.stderr);
+        assert!(told.contains(call.told), "{}: {told}", call.name);
+    }
+}
+
 #[tokio::test]
 async fn a_second_signal_exits_with_3_at_once() {
     let mut daemon = Running::start("cut.yaml", 300);
