--- a/src/operate/apply.rs
+++ b/src/operate/apply.rs
@@ -9,8 +9,11 @@
 
 use crate::{
     Error,
-    catalog::{Catalog, Credential, Instance, Template},
-    kernel::id::{self, Request, Revision, Workspace},
+    catalog::{
+        Catalog, Credential, Instance, Template,
+        change::{Accepted, Applied, Change, Clash, Conflict, Edit, Id, Invalid, Unavailable},
+    },
+    kernel::id::{self, Revision, Workspace},
     operate::{
         Failure, Registration, Verb,
         session::{Reply, Session},
@@ -77,45 +80,6 @@
     pub template: id::Template,
 }
 
-/// A change of the catalog.
-#[derive(Clone, Debug, Serialize)]
-struct Change {
-    id: Request,
-    base: Revision,
-    edits: Vec<Edit>,
-}
-
-/// One edit of a change.
-#[derive(Clone, Debug, Serialize)]
-#[serde(rename_all = "snake_case")]
-enum Edit {
-    PutTemplate(Template),
-    DeleteTemplate(id::Template),
-    PutInstance(Instance),
-    DeleteInstance(InstanceKey),
-    PutCredential(Credential),
-    DeleteCredential { digest: String },
-}
-
-/// The answer to an accepted change.
-#[derive(Debug, Deserialize)]
-struct Accepted {
-    revision: Revision,
-}
-
-/// The answer to a change that the platform could not take.
-#[derive(Debug, Deserialize)]
-struct Unavailable {
-    error: String,
-    applied: String,
-}
-
-/// The answer to a change that is not valid.
-#[derive(Debug, Deserialize)]
-struct Rejected {
-    errors: Vec<String>,
-}
-
 impl Document {
     /// The edits, removals first.
     ///
@@ -126,7 +90,16 @@
     fn edits(self) -> Result<Vec<Edit>, Failure> {
         let mut edits = Vec::new();
         let remove = self.remove;
-        edits.extend(remove.instances.into_iter().map(Edit::DeleteInstance));
+        for InstanceKey {
+            workspace,
+            template,
+        } in remove.instances
+        {
+            edits.push(Edit::DeleteInstance {
+                workspace,
+                template,
+            });
+        }
         edits.extend(remove.templates.into_iter().map(Edit::DeleteTemplate));
         let digests = remove.credentials.into_iter();
         edits.extend(digests.map(|digest| Edit::DeleteCredential { digest }));
@@ -187,7 +160,7 @@
             None => session.get::<Catalog>("/v1/catalog").await?.revision,
         };
         let change = Change {
-            id: Request(rand::random()),
+            id: Id(rand::random()),
             base,
             edits: document.edits()?,
         };
@@ -228,24 +201,59 @@
                 .map_err(|error| Failure::Unknown(format!("{error} in {}", text())))?;
             Ok(format!("accepted as revision {}\n", accepted.revision))
         }
-        StatusCode::CONFLICT => Err(Failure::Conflict(text())),
+        StatusCode::CONFLICT => {
+            let conflict = serde_json::from_slice::<Conflict>(&reply.body);
+            let told = conflict.map_or_else(|_| text(), |it| describe(&it));
+            Err(Failure::Conflict(told))
+        }
         StatusCode::UNPROCESSABLE_ENTITY | StatusCode::BAD_REQUEST => {
-            let rejected = serde_json::from_slice::<Rejected>(&reply.body);
-            Err(Failure::Invalid(
-                rejected.map_or_else(|_| vec![text()], |it| it.errors),
-            ))
+            let invalid = serde_json::from_slice::<Invalid>(&reply.body);
+            let errors = invalid.map_or_else(|_| vec![text()], |it| it.errors);
+            Err(Failure::Invalid(errors))
         }
         StatusCode::SERVICE_UNAVAILABLE => {
             let Ok(body) = serde_json::from_slice::<Unavailable>(&reply.body) else {
                 return Err(Failure::Unknown(text()));
             };
-            if body.applied == "no" {
-                return Err(Failure::NotApplied(body.error));
+            match body.applied {
+                Applied::No => Err(Failure::NotApplied(body.error)),
+                Applied::Unknown => Err(Failure::Unknown(body.error)),
             }
-            Err(Failure::Unknown(body.error))
         }
         status => Err(Failure::Unknown(format!("{status}: {}", text()))),
     }
 }
 
+/// Both sides of a conflict.
+fn describe(conflict: &Conflict) -> String {
+    let Conflict {
+        base,
+        current,
+        items,
+    } = conflict;
+    let mut text =
+        format!("made on revision {base}, but {current} is in force; nothing was applied");
+    if items.is_empty() {
+        text.push_str("\nno item was changed by both: apply the file again");
+    }
+    for Clash {
+        item,
+        theirs,
+        yours,
+    } in items
+    {
+        let theirs = theirs.as_ref().map_or("no longer known".to_owned(), json);
+        text.push_str(&format!(
+            "\n{}\n  theirs: {theirs}\n  yours:  {}",
+            json(item),
+            json(yours)
+        ));
+    }
+    text
+}
+
+fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
 inventory::submit! { Registration(&ApplyVerb) }
