Prove that one request crashes at most three upstreams

Cause: crashes of two daemons merge to one count on the board, so each thought that it was the only one. Now the window (200 ms) is shorter than such a run, and everyone else refuses until the suspicion is cleared, lifted or expired.

--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -1,13 +1,16 @@
 //! Requests that crash upstreams.
 //!
 //! When an upstream crashes, each request that was running there becomes a suspect, known by
-//! its [`Fingerprint`]. The daemon that saw the crash may run a suspect again, alone among
-//! suspects on its upstream. A second crash bars it; finishing clears it. Every mark is a fact
-//! for the board ([`Key::Suspect`]). A daemon that only heard of a suspect refuses it for
-//! [`SETTLE`], since the daemon that saw the crash may be running it.
+//! its [`Fingerprint`]. Within [`RERUN`] the daemon that saw the crash may run a suspect again,
+//! alone among its suspects on one upstream. A second crash bars it; finishing clears it. Every
+//! mark is a fact for the board ([`Key::Suspect`]). Otherwise suspects are refused, by every
+//! daemon that has heard of them, until they are cleared, lifted or expired.
 //!
-//! As long as facts reach all daemons within the time of two runs that end in a crash, one
-//! request crashes at most [`MAX_CRASHES`] upstreams, whichever daemons it is sent to.
+//! A caller that sends the same request again and again, one after the other at any daemons,
+//! crashes at most [`MAX_CRASHES`] upstreams until the bar expires. This holds as long as a run
+//! that ends in a crash takes longer than [`RERUN`], until the crash is noticed, and facts reach
+//! all daemons within the time of two such runs: after the first crash two more runs can start
+//! before all have heard of it, and none after.
 
 use std::time::Duration;
 
@@ -26,8 +29,8 @@
 /// Upstreams that one request crashes at most, from all daemons together.
 pub const MAX_CRASHES: usize = 3;
 
-/// How long a suspect that another daemon saw is refused here.
-pub const SETTLE: Duration = Duration::from_secs(2);
+/// How long after a crash the daemon that saw it may start a suspect again.
+pub const RERUN: Duration = Duration::from_millis(200);
 
 /// How long a request is barred after it was last asked for.
 pub const BAR: Duration = Duration::from_secs(600);
@@ -123,9 +126,9 @@
             return Verdict::Barred { retry_after: BAR };
         }
         let marked = now.since(suspect.marked);
-        if !suspect.own && marked < SETTLE {
+        if !suspect.own || marked >= RERUN {
             return Verdict::Barred {
-                retry_after: SETTLE - marked,
+                retry_after: SUSPICION.saturating_sub(marked),
             };
         }
         if self
