--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,6 +9,7 @@
 pub mod bucket;
 pub mod queue;
 pub mod retry;
+pub mod service;
 pub mod share;
 
 use std::time::Duration;
@@ -17,6 +18,7 @@
     admission::{
         account::Account,
         queue::{Entry, Queue},
+        service::Service,
         share::{Fleet, Ledger},
     },
     catalog::Limits,
@@ -43,12 +45,6 @@
 /// The longest time after which a refused caller is told to come back.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 
-/// The time that a request is expected to take before any has finished.
-const SERVICE_GUESS: Duration = Duration::from_millis(500);
-
-/// The weight of the newest request in the mean time that requests take.
-const SERVICE_WEIGHT: f64 = 0.1;
-
 /// A request that asks to run.
 #[derive(Clone, Copy, Debug)]
 pub struct Ticket<'a> {
@@ -135,7 +131,7 @@
     ledger: Ledger,
     /// Requests that all daemons together may have at upstreams.
     capacity: u32,
-    service: Duration,
+    service: Service,
 }
 
 /// A request that was admitted.
@@ -156,7 +152,7 @@
             queue: Queue::default(),
             ledger: Ledger::new(daemon, incarnation),
             capacity: u32::MAX,
-            service: SERVICE_GUESS,
+            service: Service::default(),
         }
     }
 
@@ -170,7 +166,7 @@
             return Decision::Admitted;
         };
         let wait = self.wait(ticket, now);
-        if now + wait + self.service > ticket.deadline {
+        if now + wait + self.service.most() > ticket.deadline {
             return refuse(reason, wait);
         }
         if !self.has_room(ticket.workspace) {
@@ -182,7 +178,7 @@
                 request: ticket.request,
                 tokens: ticket.tokens,
                 priority: ticket.priority,
-                start_by: ticket.deadline - self.service,
+                start_by: ticket.deadline - self.service.most(),
             },
         );
         Decision::Queued
@@ -194,7 +190,7 @@
         let Some(running) = self.running.remove(&request) else {
             return Vec::new();
         };
-        self.service = mean(self.service, now.since(running.since));
+        self.service.ended(now.since(running.since));
         if let Some(account) = self.accounts.get_mut(&running.workspace) {
             account.finish(running.tokens, used_tokens);
         }
@@ -341,12 +337,15 @@
         let slots = self.slots(ticket.workspace, &ticket.limits, now);
         let mut wait = Duration::ZERO;
         if account.running() + own > slots as usize {
-            wait = self.service.mul_f64(own as f64 / f64::from(slots.max(1)));
+            wait = self
+                .service
+                .mean()
+                .mul_f64(own as f64 / f64::from(slots.max(1)));
         }
         if self.running.len() >= self.own_capacity() {
             let ahead = self.queue.ahead(ticket.workspace, ticket.priority);
             let turns = (ahead + 1) as f64 / self.own_capacity().max(1) as f64;
-            wait = wait.max(self.service.mul_f64(turns));
+            wait = wait.max(self.service.mean().mul_f64(turns));
         }
         let rate = self.rate(ticket.workspace, &ticket.limits, now);
         let queued = self.queue.tokens(ticket.workspace);
@@ -356,7 +355,7 @@
     /// The time until all that waits now is likely to have been admitted.
     fn backlog(&self) -> Duration {
         let turns = self.queue.len() as f64 / self.own_capacity().max(1) as f64;
-        self.service.mul_f64(turns)
+        self.service.mean().mul_f64(turns)
     }
 
     fn has_room(&self, workspace: &Workspace) -> bool {
@@ -382,7 +381,3 @@
 fn clamp(wait: Duration) -> Duration {
     wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
 }
-
-fn mean(old: Duration, new: Duration) -> Duration {
-    old.mul_f64(1.0 - SERVICE_WEIGHT) + new.mul_f64(SERVICE_WEIGHT)
-}
--- a/src/admission/account.rs
+++ b/src/admission/account.rs
@@ -18,6 +18,8 @@
     running: usize,
     bucket: Bucket,
     offered: u64,
+    /// Requests wanted at once: rises at once and fades, so that it does not follow each end.
+    requests: f64,
     tokens_per_second: f64,
     measured: Option<Time>,
 }
@@ -33,6 +35,7 @@
             running: 0,
             bucket: Bucket::default(),
             offered: 0,
+            requests: 0.0,
             tokens_per_second: 0.0,
             measured: None,
         }
@@ -52,7 +55,10 @@
 
     /// Whether nothing runs and nothing was asked for lately.
     pub fn is_idle(&self) -> bool {
-        self.running == 0 && self.offered == 0 && self.tokens_per_second < 1.0
+        self.running == 0
+            && self.offered == 0
+            && self.tokens_per_second < 1.0
+            && self.requests < 1.0
     }
 
     /// Takes note of a ticket, whatever is decided on it.
@@ -85,18 +91,20 @@
         self.bucket.refund(charged as f64 - used as f64);
     }
 
-    /// The demand since this was last asked.
+    /// The demand, when `requests` are running or queued now.
     pub fn demand(&mut self, requests: u32, now: Time) -> Demand {
         let since = now.since(self.measured.unwrap_or(now)).as_secs_f64();
         if since > 0.0 {
             let weight = (since / DEMAND_WINDOW.as_secs_f64()).min(1.0);
             let rate = self.offered as f64 / since;
             self.tokens_per_second += weight * (rate - self.tokens_per_second);
+            self.requests -= weight * self.requests;
             self.offered = 0;
             self.measured = Some(now);
         }
+        self.requests = self.requests.max(f64::from(requests));
         Demand {
-            requests,
+            requests: self.requests.round() as u32,
             tokens_per_second: self.tokens_per_second.round() as u64,
         }
     }
