--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod exchange;
 pub mod fact;
+pub mod inquiry;
 pub mod link;
 pub mod member;
 pub mod message;
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -5,7 +5,7 @@
 use std::{
     cmp::Reverse,
     collections::BTreeMap,
-    ops::Bound,
+    ops::{Bound, Range},
     sync::{Mutex, MutexGuard},
     time::Duration,
 };
@@ -24,10 +24,10 @@
 pub const NEWS_FACTS: usize = 1_024;
 
 /// Messages that carry a fact first of all, after each change of it.
-const RUMOUR_SENDS: u32 = 8;
+const RUMOUR_SENDS: u32 = 16;
 
-/// Facts looked at to fill one message in turn.
-const MAX_IN_TURN: usize = 64;
+/// Urgent facts that a message carries in turn, however often they were sent before.
+const IN_TURN: usize = 3;
 
 /// The most facts of each kind: upstreams, suspects, demand.
 const MAX_FACTS: [usize; KINDS] = [4_096, 1_024, 4_096];
@@ -49,6 +49,8 @@
     order: BTreeMap<u64, Key>,
     /// Of these, the keys of facts that are still carried first of all, by class.
     fresh: BTreeMap<(usize, Reverse<u64>), Key>,
+    /// Of these, the keys of urgent facts.
+    lasting: BTreeMap<u64, Key>,
     counts: [usize; KINDS],
     cursor: u64,
 }
@@ -115,8 +117,8 @@
     }
 
     /// Facts for one message of at most `bytes` for them: urgent ones that were sent to few
-    /// daemons first, newest first; then others that were sent to few; then, in turn, all that
-    /// last, so that a lost message only delays them.
+    /// daemons first, newest first; then a few urgent ones in turn, so that a lost message only
+    /// delays them; then others that were sent to few.
     pub fn outgoing(&self, bytes: usize, size: impl Fn(&Post) -> usize) -> Vec<Post> {
         self.lock().outgoing(bytes, false, size)
     }
@@ -203,6 +205,7 @@
             return;
         };
         self.order.remove(&slot.change);
+        self.lasting.remove(&slot.change);
         self.fresh.remove(&slot.place());
         self.counts[key.kind()] -= 1;
     }
@@ -210,33 +213,42 @@
     fn insert(&mut self, key: Key, slot: Slot) {
         self.order.insert(slot.change, key.clone());
         self.fresh.insert(slot.place(), key.clone());
+        if slot.value.class() == URGENT {
+            self.lasting.insert(slot.change, key.clone());
+        }
         self.counts[key.kind()] += 1;
         self.slots.insert(key, slot);
     }
 
     fn outgoing(&mut self, bytes: usize, urgent: bool, size: impl Fn(&Post) -> usize) -> Vec<Post> {
-        let mut left = bytes;
-        let mut posts = Vec::new();
-        let mut chosen = Vec::new();
-        let classes = if urgent { URGENT + 1 } else { CLASSES };
-        for ((class, change), key) in &self.fresh {
+        let mut filling = Filling {
+            left: bytes,
+            posts: Vec::new(),
+            chosen: Vec::new(),
+        };
+        self.fill(&mut filling, URGENT..URGENT + 1, &size);
+        if !urgent {
+            self.in_turn(&mut filling, &size);
+            self.fill(&mut filling, URGENT + 1..CLASSES, &size);
+        }
+        for change in filling.chosen {
+            self.sent(change);
+        }
+        filling.posts
+    }
+
+    /// Takes fresh facts of some classes, newest first.
+    fn fill(&self, filling: &mut Filling, classes: Range<usize>, size: &impl Fn(&Post) -> usize) {
+        let places = (classes.start, Reverse(u64::MAX))..(classes.end, Reverse(u64::MAX));
+        for ((_, change), key) in self.fresh.range(places) {
             let Some(slot) = self.slots.get(key) else {
                 continue;
             };
-            let fits =
-                *class < classes && take(&mut left, &mut posts, slot.post(key, self.now), &size);
-            if !fits {
-                break;
+            if !filling.take(slot.post(key, self.now), size) {
+                return;
             }
-            chosen.push(change.0);
-        }
-        if !urgent {
-            self.in_turn(&mut left, &mut posts, &chosen, &size);
+            filling.chosen.push(change.0);
         }
-        for change in chosen {
-            self.sent(change);
-        }
-        posts
     }
 
     fn sent(&mut self, change: u64) {
@@ -252,46 +264,46 @@
         }
     }
 
-    /// Fills a message with facts that last, in turn.
-    fn in_turn(
-        &mut self,
-        left: &mut usize,
-        posts: &mut Vec<Post>,
-        chosen: &[u64],
-        size: &impl Fn(&Post) -> usize,
-    ) {
-        let after = (Bound::Excluded(self.cursor), Bound::Unbounded);
-        let later = self.order.range(after);
-        let earlier = self.order.range(..=self.cursor);
-        for (change, key) in later.chain(earlier).take(MAX_IN_TURN) {
+    /// Takes some urgent facts in turn, fresh or not.
+    fn in_turn(&mut self, filling: &mut Filling, size: &impl Fn(&Post) -> usize) {
+        for _ in 0..IN_TURN.min(self.lasting.len()) {
+            let after = (Bound::Excluded(self.cursor), Bound::Unbounded);
+            let next = self.lasting.range(after).next();
+            let Some((change, key)) = next.or_else(|| self.lasting.first_key_value()) else {
+                return;
+            };
+            self.cursor = *change;
             let Some(slot) = self.slots.get(key) else {
                 continue;
             };
-            self.cursor = *change;
-            if slot.value.class() != URGENT || chosen.contains(change) {
+            if filling.chosen.contains(change) {
                 continue;
             }
-            if !take(left, posts, slot.post(key, self.now), size) {
+            if !filling.take(slot.post(key, self.now), size) {
                 return;
             }
         }
     }
 }
 
-/// Adds a post if there is room for it.
-fn take(
-    left: &mut usize,
-    posts: &mut Vec<Post>,
-    post: Post,
-    size: &impl Fn(&Post) -> usize,
-) -> bool {
-    let bytes = size(&post);
-    if bytes > *left {
-        return false;
+/// A message's facts while they are chosen.
+struct Filling {
+    left: usize,
+    posts: Vec<Post>,
+    chosen: Vec<u64>,
+}
+
+impl Filling {
+    /// Adds a post if there is room for it.
+    fn take(&mut self, post: Post, size: &impl Fn(&Post) -> usize) -> bool {
+        let bytes = size(&post);
+        if bytes > self.left {
+            return false;
+        }
+        self.left -= bytes;
+        self.posts.push(post);
+        true
     }
-    *left -= bytes;
-    posts.push(post);
-    true
 }
 
 impl Slot {
--- a/src/fleet/core.rs
+++ b/src/fleet/core.rs
@@ -15,6 +15,7 @@
     fleet::{
         board::{Board, Key, Value},
         budget::Budget,
+        inquiry::{Inquiry, PAGE_RECORDS},
         member::Member,
         message::{self, Load, Message, Record},
         roster::{BEATS, Change, Roster},
@@ -50,9 +51,6 @@
 /// Records in a message: changed ones, and others in turn.
 const RECORDS: usize = 4;
 
-/// Records for a daemon that knows few.
-const ASKED_RECORDS: usize = 64;
-
 /// One message in so many goes to a seed or a daemon that is silent.
 const PROBE_EVERY: u32 = 8;
 
@@ -63,6 +61,7 @@
     roster: Roster,
     seeds: Vec<SocketAddr>,
     budget: Budget,
+    inquiry: Inquiry,
     started: Time,
     ticked: Option<Time>,
     /// Daemons that were told that this one leaves.
@@ -102,6 +101,7 @@
             roster: Roster::default(),
             seeds: Vec::new(),
             budget: Budget::new(now),
+            inquiry: Inquiry::default(),
             started: now,
             ticked: None,
             told: Set::default(),
@@ -169,9 +169,25 @@
         live.sample(rng, FANOUT)
     }
 
-    /// The message to send or to answer with now. `asker` is whether the receiver asked for
-    /// more daemons.
-    pub fn message(&mut self, now: Time, own: Own, asker: bool, rng: &mut dyn Rng) -> Message {
+    /// The message to send now.
+    pub fn message(&mut self, now: Time, own: Own, rng: &mut dyn Rng) -> Message {
+        let mut message = self.regular(now, own, rng);
+        message.asks = self.inquiry.next(now, self.roster.len(), self.seeds.len());
+        self.budget.spend(now, message::size(&message));
+        message
+    }
+
+    /// The message to answer another one with.
+    pub fn answer(&mut self, now: Time, own: Own, to: &Message, rng: &mut dyn Rng) -> Message {
+        let mut message = self.regular(now, own, rng);
+        if let (Some(after), false) = (&to.asks, self.budget.is_far_ahead(now)) {
+            message.records = self.roster.after(now, after, PAGE_RECORDS);
+        }
+        self.budget.spend(now, message::size(&message));
+        message
+    }
+
+    fn regular(&mut self, now: Time, own: Own, rng: &mut dyn Rng) -> Message {
         let mut message = self.header(now, own);
         if self.budget.spare(now) > 0 {
             message.beats = self.roster.beats(now, BEATS, rng);
@@ -180,10 +196,6 @@
         } else {
             message.posts = self.board.outgoing_urgent(SHORT_POST_BYTES, message::size);
         }
-        if asker {
-            message.records = self.roster.records(now, ASKED_RECORDS, ASKED_RECORDS);
-        }
-        self.budget.spend(now, message::size(&message));
         message
     }
 
@@ -226,7 +238,13 @@
             let member = &answer.from.member;
             self.told.insert(member.clone());
         }
-        self.receive(now, own, answer)
+        let known = self.roster.len();
+        let received = self.receive(now, own, answer);
+        if sent.asks.is_some() {
+            let has_news = self.roster.len() > known;
+            self.inquiry.answered(now, &answer.records, has_news);
+        }
+        received
     }
 
     /// Takes note that an address refused a connection.
@@ -248,7 +266,7 @@
             from,
             stamp: own.stamp,
             revision: own.revision,
-            asks: self.roster.is_empty(),
+            asks: None,
             beats: Vec::new(),
             records: Vec::new(),
             posts: Vec::new(),
--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -174,7 +174,7 @@
             let mut core = self.core();
             match urgent {
                 true => core.urgent(now, own),
-                false => core.message(now, own, false, &mut rand::rng()),
+                false => core.message(now, own, &mut rand::rng()),
             }
         };
         let result = self.exchange(to, &message).await;
@@ -319,7 +319,7 @@
         let (received, answer) = {
             let mut core = edge.core();
             let received = core.receive(now, own, &message);
-            let answer = core.message(now, own, message.asks, &mut rand::rng());
+            let answer = core.answer(now, own, &message, &mut rand::rng());
             (received, answer)
         };
         edge.take(&received);
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     fleet::{board::Post, member::Member},
-    kernel::id::Revision,
+    kernel::id::{Daemon, Revision},
     timeline::Stamp,
 };
 
@@ -39,8 +39,8 @@
     pub stamp: Stamp,
     /// The revision that the sender has in force, if any.
     pub revision: Option<Revision>,
-    /// The sender knows few daemons yet and asks for more.
-    pub asks: bool,
+    /// The sender asks for the daemons whose names come after this one.
+    pub asks: Option<Daemon>,
     /// Signs of life of daemons that the receiver is expected to know.
     pub beats: Vec<Beat>,
     /// Other daemons.
--- a/src/fleet/roster.rs
+++ b/src/fleet/roster.rs
@@ -4,7 +4,7 @@
 //! comes back; a later run replaces it. A daemon is live while its beat rises often enough. A run
 //! that is not is kept for [`MEMORY`], so that an old message cannot make it look new.
 
-use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr, ops::Bound, time::Duration};
 
 use rand::{Rng, RngExt, seq::IteratorRandom};
 
@@ -214,6 +214,15 @@
         records
     }
 
+    /// The daemons that are live and whose names come after `name`, by name.
+    pub fn after(&self, now: Time, name: &Daemon, limit: usize) -> Vec<Record> {
+        let silence = self.silence();
+        let after = (Bound::Excluded(name), Bound::Unbounded);
+        let after = self.peers.range::<Daemon, _>(after).map(|(_, it)| it);
+        let live = after.filter(|it| it.is_live(now, silence));
+        live.take(limit).map(|it| it.record(now)).collect()
+    }
+
     fn insert(&mut self, now: Time, heard: Time, record: &Record) -> Option<Change> {
         if now.since(heard) >= MEMORY {
             return None;
--- a/tests/fake/node.rs
+++ b/tests/fake/node.rs
@@ -1,5 +1,8 @@
 //! A daemon without callers' listeners: its shared state and its parts, on loopback.
 
+// Each test uses a part of it.
+#![allow(dead_code)]
+
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -304,7 +304,7 @@
                 let message = message::open("test", &envelope, MAX_MESSAGE_BYTES);
                 let message: Message = message.expect("a good message");
                 let received = run.core.receive(now, own, &message);
-                let answer = run.core.message(now, own, message.asks, rng);
+                let answer = run.core.answer(now, own, &message, rng);
                 run.sent_bytes += message::size(&answer);
                 let reply = Event::Reply(from, id, sent, message::seal("test", &answer));
                 self.carry(node, from.0, reply);
@@ -355,7 +355,7 @@
         };
         let message = match urgent {
             true => run.core.urgent(now, own),
-            false => run.core.message(now, own, false, &mut self.rng),
+            false => run.core.message(now, own, &mut self.rng),
         };
         run.sent_bytes += message::size(&message);
         run.messages += 1;
