--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -71,6 +71,7 @@
 }
 
 fn main() {
+    memory();
     println!(
         "daemons upstreams workspaces sent_B/s cpu_us/s in_force_ms leaving_ms dead_ms joined_95_ms known_%"
     );
--- a/src/load/compare.rs
+++ b/src/load/compare.rs
@@ -222,6 +222,7 @@
         policy: policy.to_owned(),
         address_lifetime_s: 2,
         weight_loads: standins.weights.at_once as u16,
+        log: settings::Log::default(),
     }
 }
 
