--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -1,6 +1,7 @@
 //! The edge of the exchange: carries the messages of [`Core`] between daemons.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, atomic::Ordering},
     time::Duration,
@@ -38,6 +39,9 @@
 /// How much more seldom than the table the VM list is read.
 const VM_LIST_POLLS: u32 = 2;
 
+/// Times that a daemon that knows no other asks several at once.
+const GREETINGS: u32 = 3;
+
 /// Changes of the configuration in one answer.
 const UPDATE_ENTRIES: usize = 512;
 
@@ -63,7 +67,7 @@
             () = serving => {}
             () = edge.clone().tick() => {}
             () = edge.clone().push() => {}
-            () = edge.find() => {}
+            () = edge.clone().find() => {}
             () = stop.cancelled() => {}
         }
     }
@@ -138,7 +142,8 @@
     }
 
     /// Looks for other daemons in the VM list.
-    async fn find(&self) {
+    async fn find(self: Arc<Edge>) {
+        let mut greeted = 0;
         loop {
             if let Ok(entries) = self.context.vms.entries().await {
                 let mut seeds = self.context.settings.seeds.clone();
@@ -150,6 +155,13 @@
                 }
                 self.core().set_seeds(seeds);
             }
+            if greeted < GREETINGS && self.core().roster().is_empty() {
+                greeted += 1;
+                let greeted = self.core().greet(&mut rand::rng());
+                for to in greeted {
+                    tokio::spawn(self.clone().send(to, false));
+                }
+            }
             let fleet = self.context.members.count();
             let wait = poll::interval(fleet, rand::rng().random_range(0.0..1.0));
             time::sleep(wait * VM_LIST_POLLS).await;
@@ -162,7 +174,7 @@
             let mut core = self.core();
             match urgent {
                 true => core.urgent(now, own),
-                false => core.message(now, own, false, &mut rand::rng()),
+                false => core.message(now, own, &mut rand::rng()),
             }
         };
         let result = self.exchange(to, &message).await;
@@ -174,7 +186,9 @@
         counter!("tealturn_peer_messages_total", "outcome" => outcome).increment(1);
         if let Err(error) = result {
             tracing::debug!(%error, "a daemon gave no answer");
-            self.core().failed(to);
+            if is_refused(&error) {
+                self.core().refused(to);
+            }
         }
     }
 
@@ -285,6 +299,13 @@
     }
 }
 
+fn is_refused(error: &Error) -> bool {
+    match error {
+        Error::Connect { source, .. } => source.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
 /// Answers the calls of other daemons.
 struct Server(Arc<Edge>);
 
@@ -298,7 +319,7 @@
         let (received, answer) = {
             let mut core = edge.core();
             let received = core.receive(now, own, &message);
-            let answer = core.message(now, own, message.asks, &mut rand::rng());
+            let answer = core.answer(now, own, &message, &mut rand::rng());
             (received, answer)
         };
         edge.take(&received);
