Play a deployment through faults, second by second

tealturn-load scene: an engine crash, a shift of the hot prefixes, a restart of all daemons (each on a runtime of its own, killed without a drain) and an outage of the table service; hit rate and time to the first token by second, as JSON and SVG.

--- a/src/bin/tealturn-load/app.rs
+++ b/src/bin/tealturn-load/app.rs
@@ -23,6 +23,9 @@
     Compare(Compare),
     /// Measure what a daemon adds to the time to the first token.
     Overhead(Overhead),
+    /// Run one deployment through an engine crash, a shift of the hot prefixes, a restart of all
+    /// daemons and an outage of the table service. Prints the measures of each second as JSON.
+    Scene(Scene),
 }
 
 /// A run against daemons.
@@ -102,3 +105,17 @@
     #[arg(long)]
     pub json: bool,
 }
+
+/// A run through faults.
+#[derive(Debug, Parser)]
+pub struct Scene {
+    /// The deployment: nortebraco or cascade.
+    #[arg(long, default_value = "nortebraco")]
+    pub deployment: String,
+    /// The seed of the traffic.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Where the picture is saved as SVG.
+    #[arg(long, value_name = "FILE")]
+    pub output: PathBuf,
+}
--- a/src/bin/tealturn-load/main.rs
+++ b/src/bin/tealturn-load/main.rs
@@ -4,7 +4,7 @@
 
 use std::{fmt::Display, fs, io, process::ExitCode, time::Duration};
 
-use app::{App, Command, Compare, Overhead, Run};
+use app::{App, Command, Compare, Overhead, Run, Scene};
 use clap::Parser;
 use serde::Serialize;
 use tealturn::{
@@ -14,6 +14,7 @@
         overhead,
         report::Report,
         run::{self, Settings},
+        scene,
         traffic::Profile,
     },
 };
@@ -35,6 +36,7 @@
         Command::Run(arguments) => load(arguments).await,
         Command::Compare(arguments) => compare(arguments).await,
         Command::Overhead(arguments) => overhead(arguments).await,
+        Command::Scene(arguments) => scene(arguments).await,
     }
 }
 
@@ -45,6 +47,7 @@
         rate: arguments.rate,
         duration: Duration::from_secs(arguments.seconds),
         warmup: Duration::from_secs(arguments.warmup),
+        shift: None,
         daemons: arguments.daemons,
         platform: arguments.platform,
     };
@@ -92,6 +95,14 @@
     Ok(true)
 }
 
+async fn scene(arguments: Scene) -> Result<bool> {
+    let scene = scene::play(&arguments.deployment, arguments.seed).await?;
+    let json = serde_json::to_string_pretty(&scene).map_err(io::Error::other)?;
+    println!("{json}");
+    scene::draw(&scene, &arguments.output)?;
+    Ok(scene.seconds.iter().all(|it| it.wrong_or_lost == 0))
+}
+
 fn profile(name: &str) -> Result<Profile> {
     let unknown = || Error::Settings(vec![format!("unknown deployment {name}")]);
     Profile::named(name).ok_or_else(unknown)
--- a/src/load.rs
+++ b/src/load.rs
@@ -1,5 +1,6 @@
 //! Callers of both deployments, which check every answer and measure.
 
+pub mod bench;
 pub mod caller;
 pub mod compare;
 pub mod entry;
@@ -9,5 +10,6 @@
 pub mod reader;
 pub mod report;
 pub mod run;
+pub mod scene;
 pub mod setup;
 pub mod traffic;
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -25,10 +25,7 @@
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Wait between two tries of that.
-pub const READY_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Tries to put the configuration.
-pub const READY_TRIES: usize = 100;
+const READY_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a run does.
 #[derive(Clone, Debug)]
@@ -41,14 +38,27 @@
     pub rate: f64,
     /// How long calls are made.
     pub duration: Duration,
-    /// Calls of this first part do not count for hit rate and times.
+    /// Calls of this first part come at half the rate, so that the empty caches fill, and do not
+    /// count for hit rate and times.
     pub warmup: Duration,
+    /// When the hot prefixes shift, if they do.
+    pub shift: Option<Duration>,
     /// The daemons that callers know.
     pub daemons: Vec<SocketAddr>,
     /// Where the stand-in's platform listens.
     pub platform: SocketAddr,
 }
 
+/// The calls of a run.
+pub struct Ended {
+    /// When the run began.
+    pub started: Instant,
+    /// What was asked, and how it ended.
+    pub calls: Vec<(Call, Done)>,
+    /// The engines' sums at the end of the warm-up.
+    pub before: Totals,
+}
+
 /// Runs, and measures.
 ///
 /// # Errors
@@ -56,48 +66,69 @@
 /// Any [`crate::Error`] of the stand-ins that are asked for their counts.
 pub async fn run(settings: &Settings) -> Result<Report> {
     let client = Client::new();
-    let caller = Arc::new(Caller::new(
-        settings.profile.clone(),
-        settings.daemons.clone(),
-    ));
-    let mut traffic = Traffic::new(settings.profile.clone(), settings.seed);
-    let started = Instant::now();
+    let ended = calls(settings).await?;
+    let after: Totals = client.get(settings.platform, "/measures").await?;
+    let executions = executions(&client, settings.platform).await?;
+    let mut recorder = Recorder::new(settings.profile.name, settings.seed);
+    for (call, done) in &ended.calls {
+        recorder.add(done, done.started >= ended.started + settings.warmup);
+        let Kind::Booking { key, .. } = &call.kind else {
+            continue;
+        };
+        let count = executions.get(key).copied().unwrap_or(0);
+        recorder.booking(key, done, count);
+    }
+    Ok(recorder.finish(&ended.before, &after))
+}
+
+/// Makes the calls of a run, and waits for their ends.
+///
+/// # Errors
+///
+/// Any [`crate::Error`] of the platform when it is asked for the engines' sums.
+pub async fn calls(settings: &Settings) -> Result<Ended> {
+    let client = Client::new();
+    let profile = settings.profile.clone();
+    let caller = Arc::new(Caller::new(profile.clone(), settings.daemons.clone()));
+    let mut traffic = Traffic::new(profile, settings.seed);
     let mut calls = JoinSet::new();
-    let mut ended = Vec::new();
-    let mut before = Totals::default();
-    let mut next = Duration::ZERO;
+    let mut shift = settings.shift;
     let mut measuring = false;
+    let mut next = Duration::ZERO;
+    let mut ended = Ended {
+        started: Instant::now(),
+        calls: Vec::new(),
+        before: Totals::default(),
+    };
     while next < settings.duration {
-        time::sleep_until((started + next).into()).await;
+        time::sleep_until((ended.started + next).into()).await;
         if !measuring && next >= settings.warmup {
             measuring = true;
-            before = client.get(settings.platform, "/measures").await?;
+            ended.before = client.get(settings.platform, "/measures").await?;
+        }
+        if shift.is_some_and(|at| next >= at) {
+            shift = None;
+            traffic.shift();
         }
-        let (call, caller, place) = (traffic.call(), caller.clone(), ended.len() + calls.len());
+        let (call, caller) = (traffic.call(), caller.clone());
+        let place = ended.calls.len() + calls.len();
         calls.spawn(async move {
             let done = caller.call(&call, place).await;
             (call, done)
         });
         while let Some(joined) = calls.try_join_next() {
-            ended.extend(joined.ok());
+            ended.calls.extend(joined.ok());
         }
-        next += Duration::from_secs_f64(traffic.gap(settings.rate));
+        let rate = match next < settings.warmup {
+            true => settings.rate / 2.0,
+            false => settings.rate,
+        };
+        next += Duration::from_secs_f64(traffic.gap(rate));
     }
     while let Some(joined) = calls.join_next().await {
-        ended.extend(joined.ok());
-    }
-    let after: Totals = client.get(settings.platform, "/measures").await?;
-    let executions = executions(&client, settings.platform).await?;
-    let mut recorder = Recorder::new(settings.profile.name, settings.seed);
-    for (call, done) in &ended {
-        recorder.add(done, done.started >= started + settings.warmup);
-        let Kind::Booking { key, .. } = &call.kind else {
-            continue;
-        };
-        let count = executions.get(key).copied().unwrap_or(0);
-        recorder.booking(key, done, count);
+        ended.calls.extend(joined.ok());
     }
-    Ok(recorder.finish(&before, &after))
+    Ok(ended)
 }
 
 /// Waits until each workspace gets an answer from each daemon, and tells whether all did.
