--- a/tests/load.rs
+++ b/tests/load.rs
@@ -18,6 +18,8 @@
     Chunk(u64, u64),
     /// The same, with the end.
     Last(u64, u64),
+    /// The right tokens under the offset of the next one.
+    Misplaced(u64, u64),
     /// Tokens of the answer to another prompt.
     Foreign(u64, u64),
     Comment,
@@ -32,6 +34,7 @@
         match self {
             Event::Chunk(offset, count) => chunk(offset, &own.text(offset, count), ""),
             Event::Last(offset, count) => chunk(offset, &own.text(offset, count), usage),
+            Event::Misplaced(offset, count) => chunk(offset + 1, &own.text(offset, count), ""),
             Event::Foreign(offset, count) => {
                 chunk(offset, &Answer::new("other").text(offset, count), "")
             }
@@ -67,7 +70,7 @@
 
 #[test]
 fn streams() {
-    use Event::{Chunk, Comment, Done, Error, Foreign, Last};
+    use Event::{Chunk, Comment, Done, Error, Foreign, Last, Misplaced};
 
     let case = |name, events, expected| Case {
         name,
@@ -88,6 +91,11 @@
             &[Chunk(0, 2), Chunk(0, 2), Last(2, 2), Done],
             Expected::Wrong,
         ),
+        case(
+            "another offset than the text's",
+            &[Chunk(0, 1), Misplaced(1, 2), Last(3, 1), Done],
+            Expected::Wrong,
+        ),
         case("too short", &[Last(0, 3), Done], Expected::Wrong),
         case("too long", &[Last(0, 5), Done], Expected::Wrong),
         case(
