--- a/src/route/hot.rs
+++ b/src/route/hot.rs
@@ -28,16 +28,8 @@
 /// The time over which demand is averaged.
 pub const DEMAND_WINDOW: Duration = Duration::from_secs(5);
 
-/// How an engine's holding of a prefix is known, in order of trust.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Evidence {
-    /// A cache event told so.
-    Event,
-    /// This daemon sent a request with the prefix there.
-    Sent,
-    /// An answer counted the prefix as cached, or computed it.
-    Answer,
-}
+/// The time after which a new prefix's demand is taken to go on as it began.
+const DEMAND_AGE_MIN: Duration = Duration::from_secs(1);
 
 /// An engine that is known to hold a prefix.
 #[derive(Clone, Copy, Debug)]
@@ -46,10 +38,8 @@
     pub engine: u64,
     /// The run that holds it.
     pub incarnation: Incarnation,
-    /// When it was known last.
+    /// When it was known last, by an own send or an answer.
     pub at: Time,
-    /// How it is known.
-    pub evidence: Evidence,
 }
 
 /// What is known of a prefix.
@@ -57,6 +47,8 @@
 pub struct Entry {
     count: f64,
     counted: Time,
+    /// When it was first counted.
+    first: Option<Time>,
     /// How many homes it has.
     pub homes: Homes,
     holders: [Option<Holder>; HOLDERS],
@@ -115,8 +107,16 @@
         self.count * (-age / DEMAND_WINDOW.as_secs_f64()).exp()
     }
 
+    /// The demand once it will have been counted for the whole window at today's rate.
+    pub fn expected_demand(&self, now: Time) -> f64 {
+        let age = now.since(self.first.unwrap_or(now)).max(DEMAND_AGE_MIN);
+        let counted = 1.0 - (-age.as_secs_f64() / DEMAND_WINDOW.as_secs_f64()).exp();
+        self.demand(now) / counted
+    }
+
     /// Counts a request.
     pub fn count(&mut self, now: Time) {
+        self.first.get_or_insert(now);
         self.count = self.demand(now) + 1.0;
         self.counted = now;
     }
@@ -141,19 +141,9 @@
             .iter()
             .position(|it| it.as_ref().is_some_and(same));
         let place = place.unwrap_or_else(|| self.oldest());
-        if let Some(old) = &mut self.holders[place]
-            && same(old)
-        {
-            if old.incarnation > holder.incarnation {
-                return;
-            }
-            if old.incarnation == holder.incarnation && holder.evidence < old.evidence {
-                // Weaker evidence does not replace stronger, but shows later use.
-                if holder.evidence == Evidence::Sent {
-                    old.at = old.at.max(holder.at);
-                }
-                return;
-            }
+        let old = self.holders[place].filter(same);
+        if old.is_some_and(|old| old.incarnation > holder.incarnation) {
+            return;
         }
         self.holders[place] = Some(holder);
     }
