--- a/tests/system.rs
+++ b/tests/system.rs
@@ -98,12 +98,9 @@
     fleet.take(0).kill();
     fleet.add(7).await;
     for address in fleet.callers() {
-        let done = fleet.complete(address, "Is anything in force?").await;
-        let Outcome::Refused(detail) = &done.outcome else {
-            panic!("served without a configuration: {done:?}");
-        };
-        assert_eq!(detail.run, Execution::NotRun, "{detail:?}");
-        assert!(detail.retry_after_ms.is_some(), "{detail:?}");
+        let refusal = fleet.refused(address, "Is anything in force?").await;
+        assert_eq!(refusal.run, Execution::NotRun, "{refusal:?}");
+        assert!(refusal.retry_after_ms.is_some(), "{refusal:?}");
     }
     assert_eq!(fleet.deployment.ledger.totals().executions, 0);
     fleet.deployment.platform.set_faults(table_down(false));
@@ -129,8 +126,9 @@
     for round in 0..28 {
         let address = fleet.callers()[round % 7];
         let call = fleet.complete(address, "please crash this engine");
-        // Callers give up and ask another daemon.
+        eprintln!("{round} start {}", fleet.deployment.ledger.totals().crashes);
         if let Ok(done) = time::timeout(Duration::from_millis(300), call).await {
+            eprintln!("{round} {:?} {}", done.outcome, fleet.deployment.ledger.totals().crashes);
             answers.push(done.outcome);
         }
     }
--- a/tests/system/fleet.rs
+++ b/tests/system/fleet.rs
@@ -8,10 +8,11 @@
         Credential, Instance, Limits, Target, Template,
         change::{Change, Edit, Id},
     },
-    http::client::Client,
+    http::client::{self, Client},
     kernel::{context::Context, id::Revision},
     load::{
         caller::{Caller, Done},
+        protocol::{Detail, Refusal},
         run,
         traffic::{Call, Kind, Profile},
     },
@@ -205,6 +206,7 @@
             rate: 30.0,
             duration: Duration::from_secs(seconds),
             warmup: Duration::ZERO,
+            shift: None,
             daemons: self.callers(),
             platform: self.deployment.platform.address(),
         };
@@ -217,6 +219,26 @@
         caller.call(&self.completion(prompt), 0).await
     }
 
+    /// Sends a prompt of the first workspace once to a daemon that must refuse it.
+    pub async fn refused(&self, address: SocketAddr, prompt: &str) -> Detail {
+        let body = json!({ "model": self.profile.model, "prompt": prompt, "max_tokens": 8 });
+        let body = body.to_string().into();
+        let request = client::request("POST", address, "/v1/completions", body);
+        let mut request = request.expect("a request");
+        let credential = self
+            .profile
+            .credential(&self.profile.workspaces[0].workspace);
+        let credential = format!("Bearer {credential}").parse().expect("ASCII");
+        request.headers_mut().insert("authorization", credential);
+        let answer = time::timeout(PATIENCE, self.client.send(address, request)).await;
+        let answer = answer.expect("an answer in time").expect("an answer");
+        assert!(!answer.response.status().is_success(), "it was served");
+        let body = self.client.finish(answer).await.expect("a body");
+        serde_json::from_slice::<Refusal>(&body)
+            .expect("a refusal")
+            .error
+    }
+
     /// A call for a completion by the first workspace.
     pub fn completion(&self, prompt: &str) -> Call {
         Call {
