--- a/src/fleet/core.rs
+++ b/src/fleet/core.rs
@@ -15,6 +15,7 @@
     fleet::{
         board::{Board, Key, Value},
         budget::Budget,
+        inquiry::{Inquiry, PAGE_RECORDS},
         member::Member,
         message::{self, Load, Message, Record},
         roster::{BEATS, Change, Roster},
@@ -50,9 +51,6 @@
 /// Records in a message: changed ones, and others in turn.
 const RECORDS: usize = 4;
 
-/// Records for a daemon that knows few.
-const ASKED_RECORDS: usize = 64;
-
 /// One message in so many goes to a seed or a daemon that is silent.
 const PROBE_EVERY: u32 = 8;
 
@@ -63,6 +61,7 @@
     roster: Roster,
     seeds: Vec<SocketAddr>,
     budget: Budget,
+    inquiry: Inquiry,
     started: Time,
     ticked: Option<Time>,
     /// Daemons that were told that this one leaves.
@@ -102,6 +101,7 @@
             roster: Roster::default(),
             seeds: Vec::new(),
             budget: Budget::new(now),
+            inquiry: Inquiry::default(),
             started: now,
             ticked: None,
             told: Set::default(),
@@ -136,6 +136,11 @@
         self.own.leaving && self.roster.live(now).all(|it| self.told.contains(it))
     }
 
+    /// The daemons to ask at the start, all at once: the highest revision among them counts.
+    pub fn greet(&self, rng: &mut dyn Rng) -> Vec<SocketAddr> {
+        self.seeds.iter().copied().sample(rng, FANOUT)
+    }
+
     /// Called every [`TICK`]: the daemon to send a message to.
     pub fn tick(&mut self, now: Time, rng: &mut dyn Rng) -> Option<SocketAddr> {
         let late = self.ticked.map(|it| now.since(it)).unwrap_or_default();
@@ -164,9 +169,25 @@
         live.sample(rng, FANOUT)
     }
 
-    /// The message to send or to answer with now. `asker` is whether the receiver asked for
-    /// more daemons.
-    pub fn message(&mut self, now: Time, own: Own, asker: bool, rng: &mut dyn Rng) -> Message {
+    /// The message to send now.
+    pub fn message(&mut self, now: Time, own: Own, rng: &mut dyn Rng) -> Message {
+        let mut message = self.regular(now, own, rng);
+        message.asks = self.inquiry.next(now, self.roster.len(), self.seeds.len());
+        self.budget.spend(now, message::size(&message));
+        message
+    }
+
+    /// The message to answer another one with.
+    pub fn answer(&mut self, now: Time, own: Own, to: &Message, rng: &mut dyn Rng) -> Message {
+        let mut message = self.regular(now, own, rng);
+        if let (Some(after), false) = (&to.asks, self.budget.is_far_ahead(now)) {
+            message.records = self.roster.after(now, after, PAGE_RECORDS);
+        }
+        self.budget.spend(now, message::size(&message));
+        message
+    }
+
+    fn regular(&mut self, now: Time, own: Own, rng: &mut dyn Rng) -> Message {
         let mut message = self.header(now, own);
         if self.budget.spare(now) > 0 {
             message.beats = self.roster.beats(now, BEATS, rng);
@@ -175,10 +196,6 @@
         } else {
             message.posts = self.board.outgoing_urgent(SHORT_POST_BYTES, message::size);
         }
-        if asker {
-            message.records = self.roster.records(now, ASKED_RECORDS, ASKED_RECORDS);
-        }
-        self.budget.spend(now, message::size(&message));
         message
     }
 
@@ -221,12 +238,18 @@
             let member = &answer.from.member;
             self.told.insert(member.clone());
         }
-        self.receive(now, own, answer)
+        let known = self.roster.len();
+        let received = self.receive(now, own, answer);
+        if sent.asks.is_some() {
+            let has_news = self.roster.len() > known;
+            self.inquiry.answered(now, &answer.records, has_news);
+        }
+        received
     }
 
-    /// Takes note that a message was not answered.
-    pub fn failed(&mut self, address: SocketAddr) {
-        self.roster.failed(address);
+    /// Takes note that an address refused a connection.
+    pub fn refused(&mut self, address: SocketAddr) {
+        self.roster.refused(address);
     }
 
     fn header(&self, now: Time, own: Own) -> Message {
@@ -243,7 +266,7 @@
             from,
             stamp: own.stamp,
             revision: own.revision,
-            asks: self.roster.is_empty(),
+            asks: None,
             beats: Vec::new(),
             records: Vec::new(),
             posts: Vec::new(),
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -15,8 +15,8 @@
         id::{Incarnation, Request},
     },
     route::{
-        hot::{Evidence, Holder},
-        pool::name_hash,
+        hot::Holder,
+        pool::{busy, name_hash},
     },
     upstream::directory::{Directory, Upstream},
 };
@@ -33,25 +33,22 @@
 /// Own sends to an empty engine count this often, since other daemons send there too.
 const EMPTY_SENDS: f64 = 4.0;
 
-/// How far cache events are believed before answers tell more.
-const EVENT_TRUST: f64 = 0.5;
-
-/// How far cache events are believed after a gap, until answers confirm them.
-const GAP_TRUST: f64 = 0.2;
-
-/// Cache events that are believed less are left aside.
-const EVENT_TRUST_MIN: f64 = 0.4;
-
 /// The time that a request is taken to decode before any has ended.
 const DECODE_GUESS: Duration = Duration::from_millis(500);
 
 /// The weight of the newest value in a mean.
 const WEIGHT: f64 = 0.1;
 
+/// The time over which reported loads are averaged.
+const LOAD_WINDOW: Duration = Duration::from_secs(3);
+
+/// The load above which waiting grows in proportion.
+const LOAD_MAX: f64 = 0.95;
+
 /// Engines remembered beyond twice those of the directory.
 const SPARE_ENGINES: usize = 64;
 
-/// All engines that were chosen or told of cache events, by the hash of their names.
+/// All engines that were candidates, by the hash of their names.
 #[derive(Default)]
 pub struct Engines {
     engines: HashMap<u64, Arc<Engine>>,
@@ -75,10 +72,9 @@
     eviction: Duration,
     /// The mean time from first token to end of a request.
     decode: Duration,
-    /// What was known before this is void: the cache was emptied.
-    cleared: Time,
-    event_trust: f64,
-    event_seq: u64,
+    /// Its reported load, averaged over [`LOAD_WINDOW`], and when that report arrived.
+    load: f64,
+    reported: Time,
 }
 
 /// A request on its way.
@@ -132,9 +128,8 @@
             sent: Map::default(),
             eviction: EVICTION_GUESS,
             decode: DECODE_GUESS,
-            cleared: Time::default(),
-            event_trust: EVENT_TRUST,
-            event_seq: 0,
+            load: 0.0,
+            reported: Time::default(),
         }
     }
 }
@@ -146,7 +141,8 @@
     }
 
     /// The time until a request that is sent now would be prefilled if it were all cached.
-    pub fn queue(&self, upstream: &Upstream, now: Time) -> Duration {
+    pub fn queue(&mut self, upstream: &Upstream, now: Time) -> Duration {
+        let used = self.load(upstream);
         let Some(load) = &upstream.load else {
             return Duration::ZERO;
         };
@@ -154,34 +150,42 @@
         let rate = load.prefill_rate.max(1) as f64;
         let done = rate * now.since(taken).as_secs_f64();
         let reported = (load.prefill_tokens as f64 - done).max(0.0);
-        let (mut tokens, mut requests) = (0, 0);
-        for sent in self.sent.values().filter(|it| it.at > taken) {
-            tokens += sent.tokens;
-            requests += 1;
-        }
+        let sent = self.sent.values().filter(|it| it.at > taken);
+        let tokens: u64 = sent.map(|it| it.tokens).sum();
         let sends = if self.is_empty_run(now) {
             EMPTY_SENDS
         } else {
             1.0
         };
         let prefill = (reported + tokens as f64 * sends) / rate;
-        let over = (load.running + load.queued + requests).saturating_sub(load.batch);
-        let slots = self.decode.as_secs_f64() * f64::from(over) / f64::from(load.batch.max(1));
+        let slots = self.decode.as_secs_f64() * turns(used, load.batch);
         Duration::from_secs_f64((prefill + slots).min(3_600.0))
     }
 
+    /// The part of an engine that is in use, averaged over its last reports.
+    pub fn load(&mut self, upstream: &Upstream) -> f64 {
+        let passed = upstream.reported.since(self.reported).as_secs_f64();
+        if passed > 0.0 {
+            let known = self.reported != Time::default();
+            let kept = if known {
+                (-passed / LOAD_WINDOW.as_secs_f64()).exp()
+            } else {
+                0.0
+            };
+            let weight = 1.0 - kept;
+            self.load += weight * (busy(upstream) - self.load);
+            self.reported = upstream.reported;
+        }
+        self.load
+    }
+
     /// How likely it is that the engine still holds a prefix, from 0 to 1.
     pub fn credit(&self, holder: &Holder, now: Time) -> f64 {
-        if holder.incarnation != self.incarnation || holder.at < self.cleared {
+        if holder.incarnation != self.incarnation {
             return 0.0;
         }
         let age = now.since(holder.at).as_secs_f64() / self.eviction.as_secs_f64();
-        let fresh = (2.0 - 2.0 * age).clamp(0.0, 1.0);
-        match holder.evidence {
-            Evidence::Event if self.event_trust < EVENT_TRUST_MIN => 0.0,
-            Evidence::Event => fresh * self.event_trust,
-            Evidence::Sent | Evidence::Answer => fresh,
-        }
+        (2.0 - 2.0 * age).clamp(0.0, 1.0)
     }
 
     /// Whether this run started a short while ago, with an empty cache.
@@ -206,14 +210,6 @@
 
     /// Takes note whether a prefix that was known as `holder` was still there `now`.
     pub fn checked(&mut self, holder: &Holder, hit: bool, now: Time) {
-        if holder.evidence == Evidence::Event {
-            self.event_trust = if hit {
-                self.event_trust + WEIGHT * (1.0 - self.event_trust)
-            } else {
-                self.event_trust / 2.0
-            };
-            return;
-        }
         let age = now.since(holder.at);
         if hit == (age <= self.eviction) {
             return;
@@ -223,19 +219,6 @@
         self.eviction = eviction.clamp(EVICTION.0, EVICTION.1);
     }
 
-    /// Takes note that the cache was emptied, at `at` or later.
-    pub fn cleared(&mut self, at: Time) {
-        self.cleared = self.cleared.max(at);
-    }
-
-    /// Takes note of the number of a cache event.
-    pub fn event(&mut self, seq: u64) {
-        if self.event_seq != 0 && seq > self.event_seq + 1 {
-            self.event_trust = self.event_trust.min(GAP_TRUST);
-        }
-        self.event_seq = self.event_seq.max(seq);
-    }
-
     fn renew(&mut self, incarnation: Incarnation, now: Time) {
         if incarnation <= self.incarnation {
             return;
@@ -250,3 +233,13 @@
         };
     }
 }
+
+/// How long a request waits for one of `slots`, in times that a request holds one, at a mean
+/// `load`. Reports are as old as requests are long, so that only the mean tells anything
+/// (Sakasegawa's approximation of a queue with several servers).
+fn turns(load: f64, slots: u32) -> f64 {
+    let slots = f64::from(slots.max(1));
+    let used = load.min(LOAD_MAX);
+    let waiting = used.powf((2.0 * (slots + 1.0)).sqrt()) / (slots * (1.0 - used));
+    waiting + (load - LOAD_MAX).max(0.0)
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -1,8 +1,9 @@
 //! The time line: a bounded record of state changes in each process.
 
 pub mod decision;
+pub mod merge;
 
-use std::{collections::VecDeque, sync::Mutex};
+use std::{collections::VecDeque, fmt, sync::Mutex};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +44,20 @@
     Workspace(String),
 }
 
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Process => f.write_str("process"),
+            Subject::Request(request) => write!(f, "request {request}"),
+            Subject::Daemon(name) => write!(f, "daemon {name}"),
+            Subject::Upstream(name) => write!(f, "upstream {name}"),
+            Subject::Revision(number) => write!(f, "revision {number}"),
+            Subject::Lease(key) => write!(f, "lease {key}"),
+            Subject::Workspace(name) => write!(f, "workspace {name}"),
+        }
+    }
+}
+
 /// A change of state.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Event {
@@ -101,6 +116,7 @@
             inner.events.pop_front();
         }
         let (kind, detail) = (kind.to_owned(), detail.into());
+        tracing::info!(subject = %subject, kind, detail);
         inner.events.push_back(Event {
             stamp,
             seq,
