Give crashed engines time to come back in the test of suspects

Cause: the callers had ended before any engine was back, so nothing could crash it again. Seen to fail: with the verdict of the suspects ignored, '7 engines crashed'.

--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -318,6 +318,8 @@
         for place in first..first + 20 {
             let answered = router.complete(place % 2, "notary", None, "poison").await;
             assert!(answered.refusal().is_some());
+            // Long enough for crashed engines to come back and load their weights.
+            time::sleep(Duration::from_millis(150)).await;
         }
     };
     let all = async { tokio::join!(neighbours, senders(0), senders(1)) };
