--- a/src/catalog/poll.rs
+++ b/src/catalog/poll.rs
@@ -19,7 +19,7 @@
         context::Context,
         part::{Part, Registration},
     },
-    platform::table::Failure,
+    platform::{table::Failure, vm::Role},
     timeline::Subject,
 };
 
@@ -30,6 +30,9 @@
 /// together stay under 70 a second.
 pub const POLL_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(15);
 
+/// The longest wait for the VM list before the first reading.
+const VM_LIST_WAIT: Duration = Duration::from_millis(100);
+
 inventory::submit! {
     Registration {
         name: "configuration",
@@ -42,6 +45,9 @@
 #[async_trait]
 impl Part for Poll {
     async fn run(&self, context: Arc<Context>, stop: CancellationToken) {
+        let fleet = expected(&context).await;
+        let wait = first_wait(fleet, rand::rng().random_range(0.0..1.0));
+        time::sleep(wait).await;
         loop {
             if let Err(failure) = poll(&context).await {
                 counter!("tealturn_catalog_poll_failures_total").increment(1);
@@ -57,6 +63,25 @@
     }
 }
 
+/// How many daemons may be starting at this moment.
+async fn expected(context: &Context) -> usize {
+    let listed = time::timeout(VM_LIST_WAIT, context.vms.entries()).await;
+    let entries = listed.ok().and_then(Result::ok).unwrap_or_default();
+    let daemons = entries
+        .iter()
+        .filter(|it| matches!(it.role, Role::Daemon { .. }));
+    daemons.count().max(context.settings.seeds.len() + 1)
+}
+
+/// The wait before the first reading. When many daemons start at once, the first ones read all,
+/// and the others have it from them before their turn comes.
+pub fn first_wait(daemons: usize, draw: f64) -> Duration {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+    POLL_INTERVAL_PER_DAEMON
+        .saturating_mul(daemons)
+        .mul_f64(draw)
+}
+
 /// The time until the next poll in a fleet of `daemons`; `draw` is a random number below 1.
 pub fn interval(daemons: usize, draw: f64) -> Duration {
     let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -171,7 +171,8 @@
             self.send((node, number), index(to), false);
         }
         self.later(0, Event::Tick((node, number)));
-        self.later(0, Event::Poll((node, number)));
+        let wait = poll::first_wait(self.nodes.len(), self.rng.random_range(0.0..1.0));
+        self.later(wait.as_micros() as u64, Event::Poll((node, number)));
     }
 
     /// Daemons that all started, and have found each other.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 
 use tealturn::{
+    catalog::{
+        Credential,
+        change::{Change, Edit, Id},
+    },
     fleet::{
         board::{Board, Fact, Key, Post, Value},
         contact::{Contact, ISOLATION},
@@ -17,7 +21,7 @@
     },
     kernel::{
         clock::Time,
-        id::{Daemon, Incarnation},
+        id::{Daemon, Incarnation, Revision},
     },
 };
 use world::World;
@@ -174,6 +178,53 @@
     }
 }
 
+/// Reads a second that the table takes.
+const TABLE_READS: u64 = 2_000;
+
+#[test]
+fn a_herd_does_not_flood_the_table() {
+    for daemons in [7, 350] {
+        let mut world = World::new(1, daemons);
+        world.start(0);
+        for number in 0..40 {
+            world.pass(1_000);
+            world.change(0, credentials(number));
+        }
+        world.pass(1_000);
+        for node in 0..daemons {
+            world.stop(node);
+            world.start(node);
+        }
+        for second in 0..7 {
+            let before = world.table.calls();
+            world.pass(1_000);
+            let calls = world.table.calls() - before;
+            assert!(
+                calls <= TABLE_READS,
+                "{daemons} daemons, second {second}: {calls} calls"
+            );
+        }
+        for (node, run) in world.runs() {
+            assert_eq!(run.keeper.revision(), Some(Revision(40)), "daemon {node}");
+        }
+    }
+}
+
+/// 5,000 credentials in all, as 1,000 workspaces may have them.
+fn credentials(number: u64) -> Change {
+    let edit = |place: u64| {
+        Edit::PutCredential(Credential {
+            digest: format!("{:064x}", number * 125 + place),
+            workspace: "notary".into(),
+        })
+    };
+    Change {
+        id: Id(u128::from(number) + 1),
+        base: Revision(number),
+        edits: (0..125).map(edit).collect(),
+    }
+}
+
 fn demand(node: usize, workspace: u64, report: u64) -> Fact {
     let daemon = Daemon::from(format!("daemon-{node}").as_str());
     Fact {
