--- a/src/load/bench.rs
+++ b/src/load/bench.rs
@@ -5,6 +5,7 @@
 
 use tokio::{
     runtime::{Builder, Runtime},
+    task::JoinHandle,
     time,
 };
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -49,18 +50,35 @@
 
 struct Running {
     bound: Bound,
-    runtime: Option<Runtime>,
+    threads: Threads,
 }
 
-impl Running {
+/// A runtime that may be dropped on another runtime's thread.
+struct Threads(Option<Runtime>);
+
+impl Threads {
+    fn start() -> Result<Threads> {
+        let mut threads = Builder::new_multi_thread();
+        let runtime = threads.worker_threads(THREADS).enable_all().build()?;
+        Ok(Threads(Some(runtime)))
+    }
+
     fn kill(&mut self) {
-        if let Some(runtime) = self.runtime.take() {
+        if let Some(runtime) = self.0.take() {
             runtime.shutdown_background();
         }
     }
+
+    fn spawn<F>(&self, work: F) -> JoinHandle<F::Output>
+    where
+        F: Future<Output: Send> + Send + 'static,
+    {
+        let runtime = self.0.as_ref();
+        runtime.expect("threads that were not killed").spawn(work)
+    }
 }
 
-impl Drop for Running {
+impl Drop for Threads {
     fn drop(&mut self) {
         self.kill();
     }
@@ -114,7 +132,7 @@
     /// [`Error::Io`] if an address cannot be bound again.
     pub async fn restart_daemons(&mut self) -> Result<()> {
         for daemon in &mut self.daemons {
-            daemon.kill();
+            daemon.threads.kill();
         }
         for place in 0..DAEMONS {
             let bound = self.daemons[place].bound;
@@ -140,10 +158,9 @@
     }
 
     async fn start_daemon(&self, place: usize, listen: Listen) -> Result<Running> {
-        let mut threads = Builder::new_multi_thread();
-        let runtime = threads.worker_threads(THREADS).enable_all().build()?;
+        let threads = Threads::start()?;
         let binding = Controller::bind(self.settings(place, listen));
-        let bound = runtime.spawn(binding).await;
+        let bound = threads.spawn(binding).await;
         let mut controller = bound.map_err(std::io::Error::other)??;
         if self.policy == ORACLE {
             let context = Arc::get_mut(&mut controller.context);
@@ -153,11 +170,8 @@
         let entry = entry(&controller);
         self.deployment.platform.list_at_once(entry);
         let bound = controller.context.bound;
-        runtime.spawn(controller.run(CancellationToken::new()));
-        Ok(Running {
-            bound,
-            runtime: Some(runtime),
-        })
+        threads.spawn(controller.run(CancellationToken::new()));
+        Ok(Running { bound, threads })
     }
 
     fn settings(&self, place: usize, listen: Listen) -> Settings {
