Record a lease before the orders given under it

The time line showed orders before the lease that they depend on: events of one decision were recorded outcome by outcome, the lease last. Seen to fail with the old order: 'no lease before ... order_sent fence 5, ... starts a load' (tests/operate.rs).

--- a/src/control/edge.rs
+++ b/src/control/edge.rs
@@ -132,10 +132,11 @@
 
     fn feed(&mut self, event: Event) {
         let outcomes = self.core.step(self.context.now(), rand::random(), event);
+        // A lease comes before the orders given under it.
+        self.report();
         for outcome in outcomes {
             self.carry_out(outcome);
         }
-        self.report();
     }
 
     async fn release(&mut self) {
@@ -188,12 +189,7 @@
                 loads,
                 valid_until,
             } => {
-                let detail = format!(
-                    "fence {}, {} weights{}",
-                    order.fence,
-                    order.weights.len(),
-                    if loads { ", loads" } else { "" },
-                );
+                let detail = describe(&order, loads);
                 let subject = Subject::Upstream(upstream.to_string());
                 context.ring.record(subject, "order_sent", detail);
                 self.calls.spawn(async move {
@@ -268,6 +264,17 @@
         .unwrap_or(Err(Rejection::Lost))
 }
 
+fn describe(order: &Order, loads: bool) -> String {
+    let mut text = format!("fence {}", order.fence);
+    for weights in &order.weights {
+        text.push_str(&format!(", {} {}", weights.model, weights.version));
+    }
+    if loads {
+        text.push_str(", starts a load");
+    }
+    text
+}
+
 fn label(rejection: &Rejection) -> &'static str {
     match rejection {
         Rejection::Fenced => "fenced",
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -145,6 +145,24 @@
     path.to_str().expect("text").to_owned()
 }
 
+/// A daemon starts a load only after it took a load lease.
+fn check_causes(timeline: &str) {
+    let mut loads = 0;
+    let mut slots = Vec::new();
+    for line in timeline.lines() {
+        let daemon = line.split("  ").nth(1).unwrap_or_default();
+        if line.contains("lease control/load") && line.contains("lease_taken") {
+            slots.push(daemon);
+        }
+        if line.contains("starts a load") {
+            let slot = slots.iter().position(|it| *it == daemon);
+            slots.remove(slot.unwrap_or_else(|| panic!("no lease before {line}")));
+            loads += 1;
+        }
+    }
+    assert!(loads >= 4, "one load for each engine: {timeline}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_edit_reaches_daemons_and_engines() {
     let fleet = Fleet::start().await;
@@ -190,7 +208,7 @@
     let timeline = fleet.call(0, &["timeline", "--also", &also]).await;
     let timeline = timeline.expect("a time line");
     assert!(!timeline.contains("gap: "), "{timeline}");
-    assert!(timeline.contains("order_sent"), "{timeline}");
+    check_causes(&timeline);
     let none = fleet
         .call(0, &["explain", "0123456789abcdef0123456789abcdef"])
         .await;
