--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -105,7 +105,7 @@
     headers: &HeaderMap,
     body: Incoming,
 ) -> Result<Prepared, Refusal> {
-    let workspace = caller::workspace(headers, &context.catalog.load())?;
+    let workspace = caller::workspace(headers, context)?;
     let key = caller::key(headers)?;
     let whole = caller::body(context, body).await?;
     let ask = Ask::parse(&whole.bytes)?;
