--- a/src/load/compare.rs
+++ b/src/load/compare.rs
@@ -13,7 +13,7 @@
     platform::vm::{Entry, Role, State},
     route::Policy,
     serve::Controller,
-    settings::{self, Listen, Platform},
+    settings::{self, Listen, Log, Platform},
     standin::{
         deployment::{self, Deployment},
         engine::{Faults, batch::Speed},
@@ -222,6 +222,7 @@
         policy: policy.to_owned(),
         address_lifetime_s: 2,
         weight_loads: standins.weights.at_once as u16,
+        log: Log::default(),
     }
 }
 
