--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -89,6 +89,7 @@
             zone: context.settings.zone.clone(),
             caller: context.bound.caller,
             peer: context.bound.peer,
+            operator: context.bound.operator,
             leaving: false,
         };
         let mut core = Core::new(context.now(), own, context.board.clone());
--- a/src/fleet/member.rs
+++ b/src/fleet/member.rs
@@ -30,6 +30,8 @@
     pub caller: SocketAddr,
     /// Where it listens for other daemons.
     pub peer: SocketAddr,
+    /// Where it listens for operators.
+    pub operator: SocketAddr,
     /// Whether this run takes no new callers.
     pub leaving: bool,
 }
--- a/src/operate/explain.rs
+++ b/src/operate/explain.rs
@@ -16,9 +16,10 @@
     /// The request, as its answer's `x-request-id` names it: 32 hexadecimal digits.
     #[arg(value_name = "REQUEST")]
     request: Request,
-    /// Other daemons to ask, where they listen for operators, separated by commas.
+    /// Other daemons to ask, where they listen for operators, separated by commas; by default
+    /// all live ones that the daemon knows.
     #[arg(long, value_name = "IP:PORT,...", value_delimiter = ',')]
-    also: Vec<SocketAddr>,
+    also: Option<Vec<SocketAddr>>,
 }
 
 struct ExplainVerb;
@@ -36,7 +37,7 @@
         let path = format!("{REQUESTS_PATH}{}", arguments.request);
         let mut text = String::new();
         let mut found = Vec::new();
-        for address in timeline::addresses(session.daemon, &arguments.also) {
+        for address in timeline::addresses(session, arguments.also).await {
             match session.get_from::<Explanation>(address, &path).await {
                 Ok(it) => {
                     found.extend(it.decisions.into_iter().map(|own| (it.daemon.clone(), own)))
--- a/src/operate/timeline.rs
+++ b/src/operate/timeline.rs
@@ -28,9 +28,10 @@
 
 #[derive(Args, Debug)]
 struct Arguments {
-    /// Other daemons to ask, where they listen for operators, separated by commas.
+    /// Other daemons to ask, where they listen for operators, separated by commas; by default
+    /// all live ones that the daemon knows.
     #[arg(long, value_name = "IP:PORT,...", value_delimiter = ',')]
-    also: Vec<SocketAddr>,
+    also: Option<Vec<SocketAddr>>,
     /// The form of the answer.
     #[arg(long, value_enum, default_value = "text")]
     format: Format,
@@ -48,7 +49,7 @@
     async fn run(&self, session: &Session, arguments: &ArgMatches) -> Result<String, Failure> {
         let arguments = Arguments::from_arg_matches(arguments)
             .map_err(|error| Failure::Invalid(vec![error.to_string()]))?;
-        let addresses = addresses(session.daemon, &arguments.also);
+        let addresses = addresses(session, arguments.also).await;
         let pages = addresses.iter().map(|it| source(session, *it));
         let sources = future::join_all(pages).await;
         let mut known = BTreeSet::new();
@@ -68,12 +69,20 @@
     }
 }
 
-/// The daemon itself and the others, each once.
-pub(super) fn addresses(first: SocketAddr, also: &[SocketAddr]) -> Vec<SocketAddr> {
-    let mut addresses = vec![first];
+/// The daemon itself and the others, each once. Those that it knows, if none are given.
+pub(super) async fn addresses(session: &Session, also: Option<Vec<SocketAddr>>) -> Vec<SocketAddr> {
+    let also = match also {
+        Some(also) => also,
+        None => {
+            let status = session.get::<Status>("/v1/status").await;
+            let members = status.map(|it| it.members).unwrap_or_default();
+            members.into_iter().map(|it| it.operator).collect()
+        }
+    };
+    let mut addresses = vec![session.daemon];
     for address in also {
-        if !addresses.contains(address) {
-            addresses.push(*address);
+        if !addresses.contains(&address) {
+            addresses.push(address);
         }
     }
     addresses
--- a/src/report/status.rs
+++ b/src/report/status.rs
@@ -52,6 +52,8 @@
     pub incarnation: Incarnation,
     /// Where it listens for callers.
     pub caller: SocketAddr,
+    /// Where it listens for operators.
+    pub operator: SocketAddr,
     /// It takes no new callers.
     pub leaving: bool,
 }
@@ -97,6 +99,7 @@
             zone: it.member.zone.clone(),
             incarnation: it.member.incarnation,
             caller: it.member.caller,
+            operator: it.member.operator,
             leaving: it.member.leaving,
         });
         Status {
--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -148,6 +148,7 @@
             zone: format!("zone-{}", node % 3).as_str().into(),
             caller: address(node),
             peer: address(node),
+            operator: address(node),
             leaving: false,
         };
         let mut core = Core::new(Time(0), own, board.clone());
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -199,14 +199,14 @@
         })
         .await;
     // Of two daemons only one was asked: the time line says so.
-    let timeline = fleet.call(0, &["timeline"]).await.expect("a time line");
+    let own = fleet.operator(0).to_string();
+    let timeline = fleet.call(0, &["timeline", "--also", &own]).await;
+    let timeline = timeline.expect("a time line");
     assert!(
         timeline.contains("gap: daemon-1 was not asked"),
         "{timeline}"
     );
-    let also = fleet.operator(1).to_string();
-    let timeline = fleet.call(0, &["timeline", "--also", &also]).await;
-    let timeline = timeline.expect("a time line");
+    let timeline = fleet.call(0, &["timeline"]).await.expect("a time line");
     assert!(!timeline.contains("gap: "), "{timeline}");
     check_causes(&timeline);
     let none = fleet
