--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 mod command;
 pub mod core;
 pub mod edge;
+pub mod event;
 pub mod lease;
 pub mod plan;
 pub mod rollout;
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -3,7 +3,8 @@
 use crate::{
     control::{
         charge::{Action, SEND_WITHIN, Situation, VIEW_LONGEST},
-        core::{Asker, Core, Outcome, SLOT_SCAN_EVERY, Scope},
+        core::{Core, SLOT_SCAN_EVERY},
+        event::{Asker, Outcome, Scope},
         lease::Use,
         shard::{self, Name},
         slot::LOAD_LONGEST,
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -1,10 +1,11 @@
 //! The decisions of one daemon about leases and orders: `(state, time, event) -> outcomes`.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     control::{
-        charge::{Charge, Rejection},
+        charge::Charge,
+        event::{Asker, Event, Outcome, Scope, View},
         lease::{self, Change, Holder, Lease},
         plan::{Census, Engine, Need, Plan},
         rollout::Readiness,
@@ -15,8 +16,8 @@
         clock::Time,
         id::{Model, Upstream},
     },
-    platform::table::{self, Row, Transaction},
-    upstream::wire::{Order, State, Weights},
+    platform::table::{self, Row},
+    upstream::wire::Weights,
 };
 
 /// The time between reads of all leases while few daemons do it.
@@ -31,112 +32,6 @@
 /// The time between two shards that a daemon with too many gives up.
 pub const REBALANCE_EVERY: Duration = Duration::from_millis(30_000);
 
-/// Which leases a scan reads.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Scope {
-    /// All.
-    All,
-    /// The load leases.
-    Loads,
-}
-
-/// Who wants to know the state of an engine.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Asker {
-    /// The daemon that gives it orders.
-    Charge,
-    /// The next holder of the load lease that was used for it.
-    Slot,
-}
-
-/// What a daemon knows, all at one time: to act on new engines by an old catalog would be wrong.
-#[derive(Clone, Debug, Default)]
-pub struct View {
-    /// The engines.
-    pub engines: Vec<Engine>,
-    /// How many daemons there are, this one included.
-    pub daemons: usize,
-    /// What the catalog asks for.
-    pub needs: Vec<Need>,
-}
-
-/// What happened.
-#[derive(Debug)]
-pub enum Event {
-    /// Time passed.
-    Tick,
-    /// What is known was looked at again.
-    View(View),
-    /// The answer to a scan; `None` if there was none.
-    Scanned {
-        /// Which leases were read.
-        scope: Scope,
-        /// The rows.
-        rows: Option<Vec<Row>>,
-    },
-    /// The answer to a write.
-    Written {
-        /// The lease.
-        name: Name,
-        /// The answer.
-        result: Result<table::Outcome, table::Failure>,
-    },
-    /// The answer to a read of an engine's state.
-    Observed {
-        /// Who asked.
-        asker: Asker,
-        /// The engine.
-        upstream: Upstream,
-        /// When it was asked.
-        asked: Time,
-        /// The state, if the engine answered.
-        state: Option<State>,
-    },
-    /// The answer to an order.
-    Obeyed {
-        /// The engine.
-        upstream: Upstream,
-        /// Its state, or why it did not obey.
-        result: Result<State, Rejection>,
-    },
-}
-
-/// What to do. Each is answered by an event, whatever happens.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// Read rows of leases.
-    Scan(Scope),
-    /// Write a lease.
-    Write {
-        /// The lease.
-        name: Name,
-        /// The write.
-        transaction: Transaction,
-    },
-    /// Read an engine's state.
-    Read {
-        /// Who asks.
-        asker: Asker,
-        /// The engine.
-        upstream: Upstream,
-        /// Where it serves.
-        address: SocketAddr,
-    },
-    /// Send an order, if it is not yet `valid_until` right before that.
-    Order {
-        /// The engine.
-        upstream: Upstream,
-        /// Where it serves.
-        address: SocketAddr,
-        /// The order.
-        order: Order,
-        /// Whether it starts a load of weights.
-        loads: bool,
-        /// When the right to give it ends.
-        valid_until: Time,
-    },
-}
-
 /// The state of one daemon.
 #[derive(Debug)]
 pub struct Core {
--- a/src/control/edge.rs
+++ b/src/control/edge.rs
@@ -15,7 +15,8 @@
 use crate::{
     control::{
         charge::{FLIGHT, Rejection},
-        core::{Core, Event, Outcome, Scope, View},
+        core::Core,
+        event::{Event, Outcome, Scope, View},
         lease::Holder,
         plan::{self, Engine},
         shard::{self, Name},
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -10,7 +10,8 @@
 use tealturn::{
     control::{
         charge::{FLIGHT, Rejection},
-        core::{Core, Event, Outcome, Scope, View},
+        core::Core,
+        event::{Asker, Event, Outcome, Scope, View},
         lease::{DRIFT_PERCENT, Holder},
         plan::{Engine, Need, Plan, READY_PERCENT},
         shard::Name,
@@ -62,12 +63,7 @@
 enum Reply {
     Scanned(Scope, Option<Vec<Row>>),
     Written(Name, Result<table::Outcome, Failure>),
-    Observed(
-        tealturn::control::core::Asker,
-        Upstream,
-        Time,
-        Option<State>,
-    ),
+    Observed(Asker, Upstream, Time, Option<State>),
     Obeyed(Upstream, Result<State, Rejection>),
 }
 
