--- a/src/control/charge.rs
+++ b/src/control/charge.rs
@@ -6,6 +6,7 @@
     control::{
         lease::Tenure,
         plan::{Census, Engine, Goal, covers},
+        shard::{self, Name},
     },
     kernel::{clock::Time, id::Incarnation},
     platform::table::Version,
@@ -93,6 +94,8 @@
 pub struct Charge {
     /// What is known of it from elsewhere.
     pub engine: Engine,
+    /// The lease under which it gets orders.
+    pub shard: Name,
     observed: Option<Observed>,
     busy: bool,
     sent: Option<Time>,
@@ -110,6 +113,7 @@
     /// An engine that was not asked yet.
     pub fn new(engine: Engine) -> Charge {
         Charge {
+            shard: Name::Shard(shard::shard(&engine.name)),
             engine,
             observed: None,
             busy: false,
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -18,8 +18,7 @@
         let mut waiting = Vec::new();
         let known = now.since(self.viewed) <= VIEW_LONGEST;
         for (upstream, charge) in &mut self.charges {
-            let name = Name::Shard(shard::shard(upstream));
-            let lease = self.leases.get(&name);
+            let lease = self.leases.get(&charge.shard);
             let Some(tenure) = lease.and_then(|it| it.valid(now)) else {
                 continue;
             };
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    collections::Set,
     control::{
         charge::Charge,
         event::{Asker, Event, Outcome, Scope, View},
@@ -189,9 +190,9 @@
             let since = before.remove(model).unwrap_or(now);
             self.settled.insert(model.clone(), since);
         }
-        let engines = &self.engines;
+        let known: Set<_> = self.engines.iter().map(|it| &it.name).collect();
         self.charges
-            .retain(|name, charge| charge.is_busy() || engines.iter().any(|it| it.name == *name));
+            .retain(|name, charge| charge.is_busy() || known.contains(name));
     }
 
     fn scanned(&mut self, now: Time, scope: Scope, rows: Option<&[Row]>) {
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -183,10 +183,12 @@
         let minimum = (places * READY_PERCENT).div_ceil(100);
         // An engine that the plan takes them from does not count: it may drop them next.
         let ready = engines.iter().filter(|it| {
-            let goal = self.goals.get(&it.name);
-            let wanted = goal.is_some_and(|goal| goal.weights.contains(&need.weights));
-            let ready = it.loaded.iter().any(|it| covers(it, &need.weights));
-            wanted && it.open && ready
+            // The look-up comes last, since few engines have these weights.
+            let ready = it.open && it.loaded.iter().any(|it| covers(it, &need.weights));
+            ready && {
+                let goal = self.goals.get(&it.name);
+                goal.is_some_and(|goal| goal.weights.contains(&need.weights))
+            }
         });
         ready.count() >= minimum
     }
