Spread a suspect's mark before it runs again; test the whole fleet failing

Cause: with 7 daemons and 12 engines over sockets, a caller that sent one poisonous request to daemon after daemon crashed 11 engines, 2 at each daemon: a daemon ran its suspect again within milliseconds of the first crash, answered its caller, and the next daemon had not heard yet. Marks waited up to 20 ms to be gathered into a message, and up to 100 ms on the board of the daemon that received them. Ruled out: the table of suspects itself (its seeded run holds, since a run there takes longer than the rerun window), and the callers' early giving up (all answers but two were refusals). Change: a suspect waits 60 ms for its mark to spread before it runs again, and the path of a request reads the board itself. The final answer is not held back: it follows the second crash at once. Test: tests/system.rs, 7 daemons in runtimes of their own: rolling replacements, kills, herds with table down, poison, outage + herd + engine crashes. The table test of the second crash now asks for the wait, then for the run: it is stricter than before. Conclusion: a request crashes at most 3 upstreams over sockets too. Not covered: a caller that gives up before its daemon sees the crash.

--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -32,6 +32,10 @@
 /// How long after a crash the daemon that saw it may start a suspect again.
 pub const RERUN: Duration = Duration::from_millis(200);
 
+/// A suspect is not run again before its mark has had this time to reach the other daemons, so
+/// that none of them runs it for the first time once its caller has an answer from here.
+pub const SPREAD: Duration = Duration::from_millis(60);
+
 /// How long a request is barred after it was last asked for.
 pub const BAR: Duration = Duration::from_secs(600);
 
@@ -60,7 +64,8 @@
         Fingerprint(u64::from_le_bytes(low))
     }
 
-    fn key(self) -> Key {
+    /// What its marks are published under.
+    pub fn key(self) -> Key {
         Key::Suspect(self.0)
     }
 }
@@ -72,8 +77,8 @@
     Run,
     /// It may run, on an upstream that [`Table::occupied`] does not name.
     RunAlone,
-    /// It is a suspect, and the same request is running here. It was not run; it may be asked
-    /// for again.
+    /// It is a suspect, and the same request is running here, or its mark is still spreading. It
+    /// was not run; it may be asked for again.
     Wait {
         /// When to ask again.
         retry_after: Duration,
@@ -131,6 +136,10 @@
                 retry_after: SUSPICION.saturating_sub(marked),
             };
         }
+        if marked < SPREAD {
+            let retry_after = SPREAD - marked;
+            return Verdict::Wait { retry_after };
+        }
         if self
             .running
             .values()
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -78,6 +78,7 @@
         // Locked until the attempt is noted, so that no other suspect gets the same upstream.
         let mut suspects = context.serving.suspects();
         let mut avoid = machine.avoid().to_vec();
+        suspects::learn(context, &mut suspects, self.fingerprint);
         let alone = match suspects.may_run(self.fingerprint, now) {
             Verdict::Run => false,
             Verdict::RunAlone => true,
--- a/src/serve/suspects.rs
+++ b/src/serve/suspects.rs
@@ -14,6 +14,7 @@
         id::{Incarnation, Request, Upstream},
         part::{Part, Registration},
     },
+    request::suspect::{Fingerprint, Table},
     timeline::Subject,
 };
 
@@ -50,6 +51,14 @@
     publish(context, &facts);
 }
 
+/// Takes in what other daemons have told of a request up to now.
+pub fn learn(context: &Context, suspects: &mut Table, fingerprint: Fingerprint) {
+    let key = fingerprint.key();
+    if let Some(value) = context.board.get(&key) {
+        suspects.learn(&Fact { key, value }, context.now());
+    }
+}
+
 fn publish(context: &Context, facts: &[Fact]) {
     for fact in facts {
         context.board.publish(fact);
--- a/tests/suspect.rs
+++ b/tests/suspect.rs
@@ -9,7 +9,9 @@
         clock::Time,
         id::{Incarnation, Request, Upstream, Workspace},
     },
-    request::suspect::{BAR, Fingerprint, MAX_CRASHES, SUSPICION, TABLE_SUSPECTS, Table, Verdict},
+    request::suspect::{
+        BAR, Fingerprint, MAX_CRASHES, SPREAD, SUSPICION, TABLE_SUSPECTS, Table, Verdict,
+    },
 };
 
 const DAEMONS: usize = 7;
@@ -232,7 +234,16 @@
 fn a_second_crash_bars_and_asking_prolongs_the_bar() {
     let now = Time::from_millis(1_000);
     let (mut table, _) = marked(now);
-    assert_eq!(table.may_run(fingerprint(1), now), Verdict::RunAlone);
+    let spreading = table.may_run(fingerprint(1), now);
+    assert_eq!(
+        spreading,
+        Verdict::Wait {
+            retry_after: SPREAD
+        },
+        "its mark spreads first"
+    );
+    let spread = now + SPREAD;
+    assert_eq!(table.may_run(fingerprint(1), spread), Verdict::RunAlone);
     table.started(Request(2), fingerprint(1), &upstream(2), Incarnation(1));
     assert_eq!(table.occupied(), [upstream(2)]);
     let facts = table.crashed(&upstream(2), Incarnation(1), now);
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -126,9 +126,13 @@
     for round in 0..28 {
         let address = fleet.callers()[round % 7];
         let call = fleet.complete(address, "please crash this engine");
-        eprintln!("{round} start {}", fleet.deployment.ledger.totals().crashes);
+        // Callers give up and ask another daemon.
         if let Ok(done) = time::timeout(Duration::from_millis(300), call).await {
-            eprintln!("{round} {:?} {}", done.outcome, fleet.deployment.ledger.totals().crashes);
+            eprintln!(
+                "{round} {:?} {}",
+                done.outcome,
+                fleet.deployment.ledger.totals().crashes
+            );
             answers.push(done.outcome);
         }
     }
--- a/tests/system/fleet.rs
+++ b/tests/system/fleet.rs
@@ -22,7 +22,7 @@
 };
 use tokio::{
     runtime::{Builder, Runtime},
-    sync::oneshot,
+    sync::{Mutex, MutexGuard, oneshot},
     time,
 };
 use tokio_util::sync::CancellationToken;
@@ -33,6 +33,9 @@
 /// How long callers keep an address list, in seconds.
 const ADDRESS_LIFETIME_S: u64 = 1;
 
+/// One fleet at a time: each takes many threads.
+static TURN: Mutex<()> = Mutex::const_new(());
+
 /// A running daemon. Its runtime ends with it, at once, as a process that is killed.
 pub struct Daemon {
     pub context: Arc<Context>,
@@ -49,6 +52,7 @@
     pub profile: Profile,
     started: usize,
     stop: CancellationToken,
+    _turn: MutexGuard<'static, ()>,
 }
 
 impl Daemon {
@@ -80,6 +84,7 @@
 impl Fleet {
     /// Starts the stand-ins, and no daemon.
     pub async fn new() -> Fleet {
+        let turn = TURN.lock().await;
         let stop = CancellationToken::new();
         let deployment = Deployment::start(&Settings::nortebraco(), stop.clone()).await;
         Fleet {
@@ -89,6 +94,7 @@
             profile: Profile::nortebraco(),
             started: 0,
             stop,
+            _turn: turn,
         }
     }
 
@@ -273,7 +279,7 @@
     let run = controller.run(stop.clone());
     runtime.spawn(async move {
         run.await;
-        drop(sender.send(()));
+        let _ = sender.send(());
     });
     Daemon {
         context,
