Count only results against the bound of results

Cause: the bound of 1,024 results waiting to be written counted all requests under way, so a daemon with more than that would have dropped results, and later callers got 'unknown'. Found by reading; no test brings 1,024 requests about. Change: results have a tracker of their own; both are waited for at a planned stop.

--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -117,13 +117,13 @@
         let Some(transaction) = self.claim.settle(outcome) else {
             return;
         };
-        let tasks = &self.context.serving.tasks;
-        if tasks.len() >= SETTLE_WAITING {
+        let results = &self.context.serving.results;
+        if results.len() >= SETTLE_WAITING {
             counter!("tealturn_results_dropped_total").increment(1);
             return;
         }
         let context = self.context.clone();
-        tasks.spawn(async move { write(&context, &transaction).await });
+        results.spawn(async move { write(&context, &transaction).await });
     }
 
     /// The outcome of an attempt of which nothing was sent.
@@ -175,8 +175,11 @@
                 tokio::spawn(async move { prune(&context, now).await });
             }
         }
-        context.serving.tasks.close();
-        context.serving.tasks.wait().await;
+        let serving = &context.serving;
+        for tasks in [&serving.tasks, &serving.results] {
+            tasks.close();
+            tasks.wait().await;
+        }
     }
 }
 
--- a/src/serve/state.rs
+++ b/src/serve/state.rs
@@ -30,8 +30,10 @@
     retries: Mutex<Budgets<Workspace>>,
     /// The memory for bodies, in KiB.
     pub bodies: Arc<Semaphore>,
-    /// Work that must end before the process does.
+    /// Requests under way, which must end before the process does.
     pub tasks: TaskTracker,
+    /// Results of keyed requests being written, likewise.
+    pub results: TaskTracker,
 }
 
 impl State {
@@ -45,6 +47,7 @@
             retries: Mutex::default(),
             bodies: Arc::new(Semaphore::new(BODIES_BYTES / 1024)),
             tasks: TaskTracker::new(),
+            results: TaskTracker::new(),
         }
     }
 
