Test that a call refused as not run is run when it is sent again

Cause: the test of that name ended at the refusal. Change: the service comes back, and the call is sent again at another daemon until it is settled: it is run, once.

--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -265,7 +265,7 @@
     for plain in &router.deployment.plains {
         plain.set_faults(plain::Faults {
             crash: true,
-            restart_ms: 60_000,
+            restart_ms: 2_000,
             ..plain::Faults::default()
         });
     }
@@ -276,6 +276,9 @@
     assert_eq!(refusal.run, Execution::NotRun);
     assert!(first.headers.contains_key("retry-after"));
     assert_eq!(router.deployment.executed("filing-2"), 0);
+    let again = router.settled(1, FILING, "notary", "filing-2", "fee").await;
+    assert_eq!(again.refusal(), None);
+    assert_eq!(router.deployment.executed("filing-2"), 1);
 }
 
 /// A prompt that crashes each engine that computes it, sent again and again at all daemons.
