--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -106,7 +106,7 @@
             refusals: Vec::new(),
         };
         let mut last = None;
-        while started.elapsed() < PATIENCE {
+        while started.elapsed() + MARGIN < PATIENCE {
             let addresses = self.entry.addresses(&call.zone).await;
             let Some(address) = pick(&addresses, last, random + done.retries as usize) else {
                 time::sleep(RETRY_INTERVAL).await;
@@ -142,7 +142,7 @@
                     RETRY_INTERVAL
                 }
             };
-            if started.elapsed() + wait >= PATIENCE {
+            if started.elapsed() + wait + MARGIN >= PATIENCE {
                 return done;
             }
             time::sleep(wait).await;
--- a/src/load/scene.rs
+++ b/src/load/scene.rs
@@ -62,6 +62,10 @@
     pub whole: u64,
     /// Calls that ended with a refusal.
     pub refused: u64,
+    /// These refusals by kind.
+    pub refusals: BTreeMap<String, u64>,
+    /// Refusals that were followed by another attempt, by kind.
+    pub retried: BTreeMap<String, u64>,
     /// Calls that got a wrong answer, or none.
     pub wrong_or_lost: u64,
 }
@@ -154,6 +158,9 @@
     let mut times = histogram();
     let (mut prompt, mut cached) = (0, 0);
     for done in calls {
+        for refusal in &done.refusals {
+            *sums.retried.entry(refusal.kind.clone()).or_default() += 1;
+        }
         match &done.outcome {
             Outcome::Whole(whole) => {
                 sums.whole += 1;
@@ -164,7 +171,10 @@
                 prompt += whole.usage.prompt_tokens;
                 cached += whole.usage.prompt_tokens_details.cached_tokens;
             }
-            Outcome::Refused(_) => sums.refused += 1,
+            Outcome::Refused(detail) => {
+                sums.refused += 1;
+                *sums.refusals.entry(detail.kind.clone()).or_default() += 1;
+            }
             Outcome::Wrong(_) | Outcome::Lost(_) => sums.wrong_or_lost += 1,
         }
     }
