--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -148,6 +148,7 @@
             zone: format!("zone-{}", node % 3).as_str().into(),
             caller: address(node),
             peer: address(node),
+            operator: address(node),
             leaving: false,
         };
         let mut core = Core::new(Time(0), own, board.clone());
@@ -171,7 +172,8 @@
             self.send((node, number), index(to), false);
         }
         self.later(0, Event::Tick((node, number)));
-        self.later(0, Event::Poll((node, number)));
+        let wait = poll::first_wait(self.nodes.len(), self.rng.random_range(0.0..1.0));
+        self.later(wait.as_micros() as u64, Event::Poll((node, number)));
     }
 
     /// Daemons that all started, and have found each other.
@@ -304,7 +306,7 @@
                 let message = message::open("test", &envelope, MAX_MESSAGE_BYTES);
                 let message: Message = message.expect("a good message");
                 let received = run.core.receive(now, own, &message);
-                let answer = run.core.message(now, own, message.asks, rng);
+                let answer = run.core.answer(now, own, &message, rng);
                 run.sent_bytes += message::size(&answer);
                 let reply = Event::Reply(from, id, sent, message::seal("test", &answer));
                 self.carry(node, from.0, reply);
@@ -355,7 +357,7 @@
         };
         let message = match urgent {
             true => run.core.urgent(now, own),
-            false => run.core.message(now, own, false, &mut self.rng),
+            false => run.core.message(now, own, &mut self.rng),
         };
         run.sent_bytes += message::size(&message);
         run.messages += 1;
