--- a/src/route.rs
+++ b/src/route.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod homes;
 pub mod hot;
+pub mod import;
 pub mod level;
 pub mod pool;
 pub mod prefix;
--- /dev/null
+++ b/tests/import.rs
@@ -0,0 +1,149 @@
+//! KV imports: whose blocks may be used, and when it is worth while.
+
+use std::{sync::Arc, time::Duration};
+
+use tealturn::{
+    kernel::{
+        clock::Time,
+        id::{Adapter, Incarnation, Version},
+    },
+    platform::vm::Role,
+    prefix::Owner,
+    route::import::{Cost, Decision, Exported, Need, Reason},
+    upstream::directory::{Directory, Upstream},
+};
+
+const BLOCKS: u64 = 100;
+
+fn owner() -> Owner {
+    Owner {
+        workspace: "w".into(),
+        model: "m".into(),
+        adapter: None,
+        version: Version(2),
+    }
+}
+
+fn exporter() -> Upstream {
+    Upstream {
+        name: "e1".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        role: Role::Engine {
+            model: "m".into(),
+            fenced: true,
+        },
+        incarnation: Incarnation(5),
+        alive: true,
+        leaving: false,
+        since: Time::default(),
+        load: None,
+        reported: Time::default(),
+    }
+}
+
+fn exported() -> Exported {
+    Exported {
+        owner: owner(),
+        exporter: "e1".into(),
+        incarnation: Incarnation(5),
+        blocks: BLOCKS,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    exported: fn(&mut Exported),
+    exporter: fn(&mut Upstream),
+    held: u64,
+    /// Milliseconds that the measured import of as many blocks took.
+    import_ms: u64,
+    decision: Decision,
+}
+
+const CASE: Case = Case {
+    name: "cheaper than prefill",
+    exported: |_| {},
+    exporter: |_| {},
+    held: 0,
+    import_ms: 10,
+    decision: Decision::Import(BLOCKS),
+};
+
+const CASES: &[Case] = &[
+    CASE,
+    Case {
+        name: "another workspace",
+        exported: |it| it.owner.workspace = "v".into(),
+        decision: Decision::Prefill(Reason::Workspace),
+        ..CASE
+    },
+    Case {
+        name: "older weights",
+        exported: |it| it.owner.version = Version(1),
+        decision: Decision::Prefill(Reason::Weights),
+        ..CASE
+    },
+    Case {
+        name: "another adapter",
+        exported: |it| it.owner.adapter = Some(Adapter::from("law")),
+        decision: Decision::Prefill(Reason::Weights),
+        ..CASE
+    },
+    Case {
+        name: "a dead engine",
+        exporter: |it| it.alive = false,
+        decision: Decision::Prefill(Reason::Dead),
+        ..CASE
+    },
+    Case {
+        name: "an engine that started again",
+        exporter: |it| it.incarnation = Incarnation(6),
+        decision: Decision::Prefill(Reason::Dead),
+        ..CASE
+    },
+    Case {
+        name: "an unknown engine",
+        exporter: |it| it.name = "e2".into(),
+        decision: Decision::Prefill(Reason::Dead),
+        ..CASE
+    },
+    Case {
+        name: "held already",
+        held: BLOCKS,
+        decision: Decision::Prefill(Reason::Held),
+        ..CASE
+    },
+    Case {
+        name: "dearer than prefill",
+        import_ms: 100,
+        decision: Decision::Prefill(Reason::Cost),
+        ..CASE
+    },
+    Case {
+        name: "dearer than the few missing blocks",
+        held: BLOCKS - 5,
+        decision: Decision::Prefill(Reason::Cost),
+        ..CASE
+    },
+];
+
+#[test]
+fn blocks_are_imported_only_where_they_may_and_where_it_is_cheaper() {
+    for case in CASES {
+        let (mut exported, mut exporter) = (exported(), exporter());
+        (case.exported)(&mut exported);
+        (case.exporter)(&mut exporter);
+        let directory = Directory::new(vec![Arc::new(exporter)]);
+        let mut cost = Cost::default();
+        cost.imported(BLOCKS, Duration::from_millis(case.import_ms));
+        let need = Need {
+            owner: &owner(),
+            shared: BLOCKS,
+            held: case.held,
+            prefill_rate: 100_000,
+        };
+        let decision = cost.decide(&need, &exported, &directory);
+        assert_eq!(decision, case.decision, "{}", case.name);
+    }
+}
