--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -148,6 +148,7 @@
             zone: format!("zone-{}", node % 3).as_str().into(),
             caller: address(node),
             peer: address(node),
+            operator: address(node),
             leaving: false,
         };
         let mut core = Core::new(Time(0), own, board.clone());
@@ -171,7 +172,8 @@
             self.send((node, number), index(to), false);
         }
         self.later(0, Event::Tick((node, number)));
-        self.later(0, Event::Poll((node, number)));
+        let wait = poll::first_wait(self.nodes.len(), self.rng.random_range(0.0..1.0));
+        self.later(wait.as_micros() as u64, Event::Poll((node, number)));
     }
 
     /// Daemons that all started, and have found each other.
