Fill the memory for bodies one body after another in its test

Cause: bodies_take_bounded_memory failed once in four runs of the suite ('8192 KiB are free', then 'the memory is taken: Elapsed'): bodies were sent side by side, so the last two could refuse each other and leave exactly one body's memory free, which the test took for a fault. As strict: it now also checks the refusal.

--- a/tests/serve/input.rs
+++ b/tests/serve/input.rs
@@ -203,21 +203,23 @@
     let head = format!(
         "{POST}host: x\r\nauthorization: Bearer secret-notary\r\ncontent-length: {MAX_BODY_BYTES}\r\n\r\n"
     );
+    let free = || router.contexts[0].serving.bodies.available_permits();
+    let all = BODIES_BYTES / MAX_BODY_BYTES;
     let mut stopped = Vec::new();
-    for _ in 0..BODIES_BYTES / MAX_BODY_BYTES + 2 {
+    for count in 1..=all {
         let mut stream = TcpStream::connect(router.caller(0))
             .await
             .expect("it listens");
         stream.write_all(head.as_bytes()).await.expect("written");
-        // One that is refused may be closed before it was read.
-        let _ = time::timeout(PATIENCE, stream.write_all(&body))
-            .await
-            .expect("it reads");
+        stream.write_all(&body).await.expect("written");
         stopped.push(stream);
+        let taken = || free() == (all - count) * MAX_BODY_BYTES / 1024;
+        router.until("the memory is taken", taken).await;
     }
-    let free = || router.contexts[0].serving.bodies.available_permits();
-    let taken = || free() < MAX_BODY_BYTES / 1024;
-    router.until("the memory is taken", taken).await;
+    let refused = router.complete(0, "notary", None, "page").await;
+    let refusal = refused.refusal().expect("a refusal");
+    assert_eq!(refusal.kind, Kind::Overloaded);
+    assert!(refusal.retry_after_ms.is_some());
     drop(stopped);
     let all = || free() == BODIES_BYTES / 1024;
     router.until("all memory is given back", all).await;
