--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -19,7 +19,7 @@
 use tealturn::{
     catalog::{
         Credential,
-        change::{Change, Edit, Id, Verdict},
+        change::{Applied, Change, Edit, Id, Verdict},
         page,
     },
     fleet::{
@@ -249,3 +249,29 @@
     .await;
     assert!(relay.passed.load(Ordering::Acquire), "by the relay");
 }
+
+#[tokio::test]
+async fn new_daemons_without_the_table_wait_for_it() {
+    let table = Arc::new(Memory::default());
+    table.set(Fault::Down);
+    let one = Node::start(spec("one", vec![], table.clone()), None).await;
+    let seeds = vec![one.context.bound.peer];
+    let two = Node::start(spec("two", seeds, table.clone()), None).await;
+    until("they know each other", || two.context.members.count() == 2).await;
+    for node in [&one, &two] {
+        assert!(
+            !node.context.ready.load(Ordering::Acquire),
+            "ready without a configuration"
+        );
+        let verdict = page::apply(&node.context, change(1, 0)).await;
+        let refused = matches!(&verdict, Verdict::Unavailable(it) if it.applied == Applied::No);
+        assert!(refused, "{verdict:?}");
+    }
+    table.set(Fault::None);
+    for node in [&one, &two] {
+        until("ready when the table is back", || {
+            node.context.ready.load(Ordering::Acquire)
+        })
+        .await;
+    }
+}
