--- a/src/upstream/poll.rs
+++ b/src/upstream/poll.rs
@@ -36,7 +36,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Probes a second, over all upstreams.
-const PROBES_PER_SECOND: u32 = 400;
+const PROBES_PER_SECOND: u32 = 100;
 
 /// Probes in progress at once.
 const MAX_PROBES: usize = 128;
