--- a/benches/control.rs
+++ b/benches/control.rs
@@ -29,22 +29,10 @@
 }
 
 const SIZES: &[Size] = &[
-    Size {
-        engines: 18,
-        daemons: 7,
-    },
-    Size {
-        engines: 100,
-        daemons: 7,
-    },
-    Size {
-        engines: 1_000,
-        daemons: 35,
-    },
-    Size {
-        engines: 11_000,
-        daemons: 350,
-    },
+    Size { engines: 18, daemons: 7 },
+    Size { engines: 100, daemons: 7 },
+    Size { engines: 1_000, daemons: 35 },
+    Size { engines: 11_000, daemons: 350 },
 ];
 
 fn weights(number: usize) -> Weights {
@@ -64,10 +52,7 @@
         open: true,
         loaded: vec![weights(number)],
     };
-    let need = |number| Need {
-        weights: weights(number),
-        replicas: 0,
-    };
+    let need = |number| Need { weights: weights(number), replicas: 0 };
     View {
         engines: (0..size.engines).map(engine).collect(),
         daemons: size.daemons,
@@ -77,10 +62,7 @@
 
 /// A daemon that holds its share of the leases.
 fn holder(size: &Size) -> (Core, Time) {
-    let me = Holder {
-        daemon: "daemon-1".into(),
-        incarnation: Incarnation(1),
-    };
+    let me = Holder { daemon: "daemon-1".into(), incarnation: Incarnation(1) };
     let now = Time::from_millis(1_000);
     let mut core = Core::new(me, 2);
     core.step(now, 1, Event::View(view(size)));
@@ -116,15 +98,12 @@
         let mut changed = [known.clone(), known];
         changed[1].engines[0].open = false;
         let mut turn = 0;
-        group.bench_function(
-            BenchmarkId::new("engine_changes", size.engines),
-            |bencher| {
-                bencher.iter(|| {
-                    turn = 1 - turn;
-                    black_box(core.step(now, 1, Event::View(changed[turn].clone())))
-                });
-            },
-        );
+        group.bench_function(BenchmarkId::new("engine_changes", size.engines), |bencher| {
+            bencher.iter(|| {
+                turn = 1 - turn;
+                black_box(core.step(now, 1, Event::View(changed[turn].clone())))
+            });
+        });
     }
     group.finish();
 }
--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -33,11 +33,7 @@
 const GAP: Duration = Duration::from_millis(35);
 
 fn engine(place: usize) -> Arc<Upstream> {
-    let weights = Weights {
-        model: Model::from("m"),
-        version: Version(1),
-        adapters: Vec::new(),
-    };
+    let weights = Weights { model: Model::from("m"), version: Version(1), adapters: Vec::new() };
     let load = Load {
         incarnation: Incarnation(1),
         age_ms: 100,
@@ -59,10 +55,7 @@
         name: format!("engine-{place}").as_str().into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z".into(),
-        role: vm::Role::Engine {
-            model: "m".into(),
-            fenced: true,
-        },
+        role: vm::Role::Engine { model: "m".into(), fenced: true },
         incarnation: Incarnation(1),
         alive: true,
         leaving: false,
@@ -87,9 +80,7 @@
     let mut hashes = Vec::new();
     let ids = [prompt % 2, prompt % 10, prompt % 120, prompt];
     for block in 0..BLOCKS {
-        if let Some(level) = [0, LEVELS[0], LEVELS[1], LEVELS[2]]
-            .iter()
-            .position(|it| *it == block)
+        if let Some(level) = [0, LEVELS[0], LEVELS[1], LEVELS[2]].iter().position(|it| *it == block)
         {
             key = mix(key ^ mix(ids[level] as u64));
         }
@@ -150,27 +141,17 @@
             zone: &self.zone,
         };
         let random = mix(self.next as u64);
-        let choice = self
-            .policy
-            .choose(&query, &self.directory, self.now, random);
+        let choice = self.policy.choose(&query, &self.directory, self.now, random);
         let choice = black_box(choice.expect("a choice"));
         if !observe {
             return;
         }
         let choice = &choice;
-        self.policy
-            .observe(&Event::Sent { query, choice }, self.now);
-        let first = Event::First {
-            request,
-            incarnation: choice.incarnation,
-            cached_tokens: None,
-        };
+        self.policy.observe(&Event::Sent { query, choice }, self.now);
+        let first = Event::First { request, incarnation: choice.incarnation, cached_tokens: None };
         self.policy.observe(&first, self.now);
         let cached_tokens = Some(choice.cached_tokens);
-        let ended = Event::Ended {
-            request,
-            cached_tokens,
-        };
+        let ended = Event::Ended { request, cached_tokens };
         self.policy.observe(&ended, self.now);
     }
 }
@@ -210,11 +191,7 @@
         let owner = owner(0);
         let id = BenchmarkId::from_parameter(upstreams);
         group.bench_function(id, |it| {
-            it.iter(|| {
-                Directory::new(engines.clone())
-                    .pool(&owner)
-                    .map(|it| it.open())
-            });
+            it.iter(|| Directory::new(engines.clone()).pool(&owner).map(|it| it.open()));
         });
     }
     group.finish();
@@ -229,10 +206,7 @@
             it.iter(|| {
                 number += 1;
                 let now = Time::from_millis(number as u64);
-                own.offer(
-                    &ticket(number, &names[number as usize % workspaces], now),
-                    now,
-                );
+                own.offer(&ticket(number, &names[number as usize % workspaces], now), now);
                 black_box(own.finish(Request(number), 100, now));
             });
         });
@@ -274,11 +248,7 @@
     Ticket {
         request: Request(number),
         workspace,
-        limits: Limits {
-            priority: 1,
-            concurrency: 1_000_000,
-            tokens_per_second: 1 << 40,
-        },
+        limits: Limits { priority: 1, concurrency: 1_000_000, tokens_per_second: 1 << 40 },
         tokens: 100,
         deadline: now + Duration::from_secs(3_600),
         priority: 1,
--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -62,11 +62,7 @@
 
 impl Size {
     const fn new(daemons: usize, upstreams: usize, workspaces: usize) -> Size {
-        Size {
-            daemons,
-            upstreams,
-            workspaces,
-        }
+        Size { daemons, upstreams, workspaces }
     }
 }
 
@@ -122,12 +118,7 @@
         run.keeper.revision() == Some(Revision(changes as u64 + 1))
     });
     let fact = upstream(usize::MAX, true);
-    world.nodes[0]
-        .run
-        .as_ref()
-        .expect("it is up")
-        .board
-        .publish(&fact);
+    world.nodes[0].run.as_ref().expect("it is up").board.publish(&fact);
     world.push(0);
     let leaving = until(&mut world, |world, node, _| {
         let run = world.nodes[node].run.as_ref().expect("it is up");
@@ -138,10 +129,7 @@
         let Some(run) = &world.nodes[node].run else {
             return true;
         };
-        run.core
-            .roster()
-            .live(local)
-            .all(|it| it.daemon.as_str() != "daemon-1")
+        run.core.roster().live(local).all(|it| it.daemon.as_str() != "daemon-1")
     });
     println!(
         "{:7} {:9} {:10} {:8.0} {:8.0} {:11} {:10} {:7} {:12} {:7.1}",
@@ -188,10 +176,7 @@
         for place in 0..served {
             let workspace = (node * 7 + place * 31) % size.workspaces;
             run.board.publish(&Fact {
-                key: Key::Demand(
-                    daemon.clone(),
-                    format!("workspace-{workspace}").as_str().into(),
-                ),
+                key: Key::Demand(daemon.clone(), format!("workspace-{workspace}").as_str().into()),
                 value: Value::Demand {
                     report: u128::from(second + 1),
                     requests: 3,
@@ -205,10 +190,7 @@
 fn upstream(place: usize, leaving: bool) -> Fact {
     Fact {
         key: Key::Upstream(format!("engine-{place}").as_str().into()),
-        value: Value::Upstream {
-            incarnation: Incarnation(1),
-            leaving,
-        },
+        value: Value::Upstream { incarnation: Incarnation(1), leaving },
     }
 }
 
@@ -230,11 +212,7 @@
             version: Version(1),
             billable: false,
         },
-        limits: Limits {
-            priority: 1,
-            concurrency: 8,
-            tokens_per_second: 1_000,
-        },
+        limits: Limits { priority: 1, concurrency: 8, tokens_per_second: 1_000 },
         replicas: 0,
     }
 }
@@ -242,9 +220,7 @@
 /// Daemons with real connections in this process, for ten seconds.
 fn real() {
     println!("daemons sent_B/s_with_tarpc cpu_us/s");
-    let handle = PrometheusBuilder::new()
-        .install_recorder()
-        .expect("the first recorder");
+    let handle = PrometheusBuilder::new().install_recorder().expect("the first recorder");
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
@@ -270,11 +246,7 @@
         runtime.block_on(async { tokio::time::sleep(Duration::from_secs(10)).await });
         let (bytes, cpu) = (sent(&handle.render()) - bytes, processor_micros() - cpu);
         let daemon_seconds = 10.0 * daemons as f64;
-        println!(
-            "{daemons:7} {:21.0} {:8.0}",
-            bytes / daemon_seconds,
-            cpu / daemon_seconds
-        );
+        println!("{daemons:7} {:21.0} {:8.0}", bytes / daemon_seconds, cpu / daemon_seconds);
     }
 }
 
@@ -289,10 +261,7 @@
 fn processor_micros() -> f64 {
     let stat = fs::read_to_string("/proc/self/stat").expect("Linux");
     let rest = stat.rsplit(')').next().unwrap_or_default();
-    let fields: Vec<f64> = rest
-        .split_whitespace()
-        .map(|it| it.parse().unwrap_or(0.0))
-        .collect();
+    let fields: Vec<f64> = rest.split_whitespace().map(|it| it.parse().unwrap_or(0.0)).collect();
     (fields[11] + fields[12]) * 10_000.0
 }
 
@@ -313,11 +282,7 @@
     }
     let before = resident_kib();
     let boards: Vec<Board> = (0..20).map(|_| full()).collect();
-    println!(
-        "full_board {:11} {:6.0}",
-        "",
-        (resident_kib() - before) / boards.len() as f64
-    );
+    println!("full_board {:11} {:6.0}", "", (resident_kib() - before) / boards.len() as f64);
 }
 
 fn full() -> Board {
@@ -326,22 +291,11 @@
         board.publish(&upstream(place, true));
         board.publish(&Fact {
             key: Key::Suspect(place as u64),
-            value: Value::Suspect {
-                crashes: 1,
-                barred: true,
-                lifts: 0,
-            },
+            value: Value::Suspect { crashes: 1, barred: true, lifts: 0 },
         });
         board.publish(&Fact {
-            key: Key::Demand(
-                "daemon".into(),
-                format!("workspace-{place}").as_str().into(),
-            ),
-            value: Value::Demand {
-                report: 1,
-                requests: 1,
-                tokens_per_second: 1,
-            },
+            key: Key::Demand("daemon".into(), format!("workspace-{place}").as_str().into()),
+            value: Value::Demand { report: 1, requests: 1, tokens_per_second: 1 },
         });
     }
     board
@@ -375,9 +329,6 @@
 
 fn resident_kib() -> f64 {
     let statm = fs::read_to_string("/proc/self/statm").expect("Linux");
-    let pages = statm
-        .split_whitespace()
-        .nth(1)
-        .and_then(|it| it.parse::<f64>().ok());
+    let pages = statm.split_whitespace().nth(1).and_then(|it| it.parse::<f64>().ok());
     pages.unwrap_or(0.0) * 4.0
 }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -293,11 +293,7 @@
         if let Some(account) = self.accounts.get_mut(workspace) {
             account.admit(tokens);
         }
-        let running = Running {
-            workspace: workspace.clone(),
-            tokens,
-            since: now,
-        };
+        let running = Running { workspace: workspace.clone(), tokens, since: now };
         let twice = self.running.insert(request, running);
         assert!(twice.is_none(), "request {request} admitted twice");
     }
@@ -337,10 +333,7 @@
         let slots = self.slots(ticket.workspace, &ticket.limits, now);
         let mut wait = Duration::ZERO;
         if account.running() + own > slots as usize {
-            wait = self
-                .service
-                .mean()
-                .mul_f64(own as f64 / f64::from(slots.max(1)));
+            wait = self.service.mean().mul_f64(own as f64 / f64::from(slots.max(1)));
         }
         if self.running.len() >= self.own_capacity() {
             let ahead = self.queue.ahead(ticket.workspace, ticket.priority);
@@ -372,10 +365,7 @@
 }
 
 fn refuse(reason: Reason, wait: Duration) -> Decision {
-    Decision::Refused {
-        reason,
-        retry_after: clamp(wait),
-    }
+    Decision::Refused { reason, retry_after: clamp(wait) }
 }
 
 fn clamp(wait: Duration) -> Duration {
--- a/src/admission/account.rs
+++ b/src/admission/account.rs
@@ -27,11 +27,7 @@
 impl Default for Account {
     fn default() -> Account {
         Account {
-            limits: Limits {
-                priority: 0,
-                concurrency: 0,
-                tokens_per_second: 0,
-            },
+            limits: Limits { priority: 0, concurrency: 0, tokens_per_second: 0 },
             running: 0,
             bucket: Bucket::default(),
             offered: 0,
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -99,9 +99,7 @@
 
     /// The workspace whose turn it is.
     pub fn next(&self) -> Option<Workspace> {
-        self.turns
-            .first()
-            .map(|(_, _, workspace)| workspace.clone())
+        self.turns.first().map(|(_, _, workspace)| workspace.clone())
     }
 
     /// Takes out the first request of a workspace, which has had its turn then.
@@ -153,8 +151,7 @@
     /// Ends the blocking of all workspaces.
     pub fn wake_all(&mut self) {
         let (clock, idle) = (self.clock, self.places.is_empty());
-        self.lines
-            .retain(|_, it| !it.entries.is_empty() || (it.turn > clock && !idle));
+        self.lines.retain(|_, it| !it.entries.is_empty() || (it.turn > clock && !idle));
         for (workspace, line) in &mut self.lines {
             if !line.blocked {
                 continue;
--- a/src/admission/retry.rs
+++ b/src/admission/retry.rs
@@ -18,9 +18,7 @@
 
 impl Default for Budget {
     fn default() -> Budget {
-        Budget {
-            retries: RETRIES_MAX,
-        }
+        Budget { retries: RETRIES_MAX }
     }
 }
 
@@ -53,9 +51,7 @@
 
 impl<K> Default for Budgets<K> {
     fn default() -> Budgets<K> {
-        Budgets {
-            budgets: Map::default(),
-        }
+        Budgets { budgets: Map::default() }
     }
 }
 
--- a/src/admission/service.rs
+++ b/src/admission/service.rs
@@ -20,10 +20,7 @@
 
 impl Default for Service {
     fn default() -> Service {
-        Service {
-            mean: GUESS,
-            deviation: Duration::ZERO,
-        }
+        Service { mean: GUESS, deviation: Duration::ZERO }
     }
 }
 
--- a/src/admission/share.rs
+++ b/src/admission/share.rs
@@ -82,10 +82,7 @@
     fn coarse(self) -> Demand {
         let bits = u64::BITS - self.tokens_per_second.leading_zeros();
         let step = 1 << bits.saturating_sub(DEMAND_BITS);
-        Demand {
-            tokens_per_second: self.tokens_per_second.next_multiple_of(step),
-            ..self
-        }
+        Demand { tokens_per_second: self.tokens_per_second.next_multiple_of(step), ..self }
     }
 }
 
@@ -115,12 +112,7 @@
             let Key::Demand(daemon, workspace) = &fact.key else {
                 continue;
             };
-            let Value::Demand {
-                requests,
-                tokens_per_second,
-                ..
-            } = fact.value
-            else {
+            let Value::Demand { requests, tokens_per_second, .. } = fact.value else {
                 continue;
             };
             if *daemon == self.daemon || !fleet.daemons.contains(daemon) {
@@ -134,8 +126,7 @@
             let tokens = &mut line.peers.tokens_per_second;
             *tokens = tokens.saturating_add(tokens_per_second);
         }
-        self.lines
-            .retain(|_, it| !it.own.is_empty() || it.peers != Demand::default());
+        self.lines.retain(|_, it| !it.own.is_empty() || it.peers != Demand::default());
     }
 
     /// Takes note of this daemon's demand, and makes the fact to publish, if it is news.
@@ -151,10 +142,7 @@
 
     /// As [`Ledger::publish`], for the demand over all workspaces.
     pub fn publish_total(&mut self, requests: u32, now: Time) -> Option<Fact> {
-        let demand = Demand {
-            requests,
-            tokens_per_second: 0,
-        };
+        let demand = Demand { requests, tokens_per_second: 0 };
         let news = self.total.publish(demand, now);
         news.then(|| self.fact(TOTAL.into(), demand))
     }
@@ -166,17 +154,13 @@
 
     /// This daemon's share of a concurrency limit, in requests.
     pub fn slots(&self, workspace: &Workspace, limit: u32, now: Time) -> u32 {
-        let share = self.share(workspace, f64::from(limit), now, |it| {
-            f64::from(it.requests)
-        });
+        let share = self.share(workspace, f64::from(limit), now, |it| f64::from(it.requests));
         share.floor() as u32
     }
 
     /// This daemon's share of a token budget, in tokens a second.
     pub fn rate(&self, workspace: &Workspace, limit: u64, now: Time) -> f64 {
-        self.share(workspace, limit as f64, now, |it| {
-            it.tokens_per_second as f64
-        })
+        self.share(workspace, limit as f64, now, |it| it.tokens_per_second as f64)
     }
 
     /// This daemon's share of the upstreams' capacity, in requests; at least one. Upstreams
@@ -197,12 +181,7 @@
         let Some(line) = self.lines.get(workspace) else {
             return equal;
         };
-        let share = divide(
-            limit,
-            line.settled(now, part),
-            part(&line.peers),
-            self.daemons,
-        );
+        let share = divide(limit, line.settled(now, part), part(&line.peers), self.daemons);
         if self.silent > 0 {
             return share.min(equal);
         }
--- a/src/bin/tealturn-load/main.rs
+++ b/src/bin/tealturn-load/main.rs
@@ -87,9 +87,7 @@
 
 async fn overhead(arguments: Overhead) -> Result<bool> {
     let profile = profile(&arguments.deployment)?;
-    let Overhead {
-        daemon, platform, ..
-    } = arguments;
+    let Overhead { daemon, platform, .. } = arguments;
     let measured = overhead::measure(&profile, daemon, platform, arguments.questions).await?;
     print(&measured, arguments.json)?;
     Ok(true)
--- a/src/bin/tealturn-standin/main.rs
+++ b/src/bin/tealturn-standin/main.rs
@@ -58,9 +58,7 @@
         name: arguments.name,
         address: arguments.caller,
         zone: Zone::from(arguments.zone.as_str()),
-        role: Role::Daemon {
-            peer: arguments.peer,
-        },
+        role: Role::Daemon { peer: arguments.peer },
         state: State::Live,
     };
     let body = serde_json::to_vec(&entry).map_err(io::Error::other)?;
--- a/src/bin/tealturnctl/main.rs
+++ b/src/bin/tealturnctl/main.rs
@@ -27,9 +27,7 @@
     let app = App::from_arg_matches(arguments).unwrap_or_else(|error| error.exit());
     let Some(daemon) = app.daemon else {
         let message = "--daemon IP:PORT is required";
-        app::command()
-            .error(ErrorKind::MissingRequiredArgument, message)
-            .exit()
+        app::command().error(ErrorKind::MissingRequiredArgument, message).exit()
     };
     let session = Session::new(daemon);
     for verb in operate::verbs() {
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -126,20 +126,12 @@
 impl Snapshot {
     /// Arranges `catalog`. An instance whose template is unknown grants nothing.
     pub fn new(catalog: &Catalog) -> Snapshot {
-        let mut snapshot = Snapshot {
-            revision: catalog.revision,
-            ..Snapshot::default()
-        };
+        let mut snapshot = Snapshot { revision: catalog.revision, ..Snapshot::default() };
         for credential in &catalog.credentials {
-            snapshot
-                .credentials
-                .insert(credential.digest.clone(), credential.workspace.clone());
+            snapshot.credentials.insert(credential.digest.clone(), credential.workspace.clone());
         }
         for instance in &catalog.instances {
-            let template = catalog
-                .templates
-                .iter()
-                .find(|it| it.name == instance.template);
+            let template = catalog.templates.iter().find(|it| it.name == instance.template);
             let Some(template) = template else { continue };
             snapshot.insert(instance, template);
         }
@@ -179,11 +171,7 @@
         if let (Target::Model { version, .. }, Some(own)) = (&mut target, instance.version) {
             *version = own;
         }
-        let grant = Grant {
-            workspace: workspace.clone(),
-            target,
-            limits,
-        };
+        let grant = Grant { workspace: workspace.clone(), target, limits };
         match &grant.target {
             Target::Model { model, .. } => {
                 self.models.insert((workspace, model.clone()), grant);
--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -95,17 +95,12 @@
         match self {
             Edit::PutTemplate(it) => Item::Template(it.name.clone()),
             Edit::DeleteTemplate(name) => Item::Template(name.clone()),
-            Edit::PutInstance(it) => Item::Instance {
-                workspace: it.workspace.clone(),
-                template: it.template.clone(),
-            },
-            Edit::DeleteInstance {
-                workspace,
-                template,
-            } => Item::Instance {
-                workspace: workspace.clone(),
-                template: template.clone(),
-            },
+            Edit::PutInstance(it) => {
+                Item::Instance { workspace: it.workspace.clone(), template: it.template.clone() }
+            }
+            Edit::DeleteInstance { workspace, template } => {
+                Item::Instance { workspace: workspace.clone(), template: template.clone() }
+            }
             Edit::PutCredential(it) => Item::Credential(it.digest.clone()),
             Edit::DeleteCredential { digest } => Item::Credential(digest.clone()),
         }
--- a/src/catalog/edit.rs
+++ b/src/catalog/edit.rs
@@ -146,10 +146,7 @@
                 revision: store::decode::<Head>(row)?.revision,
                 version: Some(row.version),
             },
-            None => Position {
-                revision: Revision(0),
-                version: None,
-            },
+            None => Position { revision: Revision(0), version: None },
         };
         self.head = Some(position);
         let own = self.catalog.as_ref().map(|it| it.revision);
@@ -195,10 +192,7 @@
     fn check(&mut self, head: Position) -> Step {
         let base = self.change.base;
         if base > head.revision {
-            let error = format!(
-                "base: {base} given, the current revision is {}",
-                head.revision
-            );
+            let error = format!("base: {base} given, the current revision is {}", head.revision);
             return self.invalid(vec![error]);
         }
         if base < head.revision {
@@ -259,14 +253,8 @@
             writes.extend(store::removal(&old));
         }
         let checks = vec![
-            Check {
-                key: HEAD.to_owned(),
-                version: self.head.and_then(|it| it.version),
-            },
-            Check {
-                key: store::change_key(entry.change),
-                version: None,
-            },
+            Check { key: HEAD.to_owned(), version: self.head.and_then(|it| it.version) },
+            Check { key: store::change_key(entry.change), version: None },
         ];
         let transaction = Transaction { checks, writes };
         self.sends = 1;
@@ -324,10 +312,8 @@
     fn nested(&self, step: sync::Step) -> Step {
         match step {
             sync::Step::Call(call) => Step::Call(call),
-            _ => self.failed(
-                &Failure::Unavailable("a reading without a call".to_owned()),
-                Applied::No,
-            ),
+            _ => self
+                .failed(&Failure::Unavailable("a reading without a call".to_owned()), Applied::No),
         }
     }
 
@@ -340,10 +326,7 @@
     }
 
     fn failed(&self, failure: &Failure, applied: Applied) -> Step {
-        self.done(Verdict::Unavailable(Unavailable {
-            error: failure.to_string(),
-            applied,
-        }))
+        self.done(Verdict::Unavailable(Unavailable { error: failure.to_string(), applied }))
     }
 
     /// `rivals` are the changes since the base; `None` if they are no longer kept, in which case
@@ -356,24 +339,13 @@
             if rivals.is_some() && theirs.is_none() {
                 continue;
             }
-            items.push(Clash {
-                item,
-                theirs,
-                yours: yours.clone(),
-            });
+            items.push(Clash { item, theirs, yours: yours.clone() });
         }
-        self.done(Verdict::Conflict(Conflict {
-            base: self.change.base,
-            current,
-            items,
-        }))
+        self.done(Verdict::Conflict(Conflict { base: self.change.base, current, items }))
     }
 
     fn done(&self, verdict: Verdict) -> Step {
-        Step::Done(Done {
-            verdict,
-            updates: self.updates.clone(),
-        })
+        Step::Done(Done { verdict, updates: self.updates.clone() })
     }
 }
 
--- a/src/catalog/keeper.rs
+++ b/src/catalog/keeper.rs
@@ -135,13 +135,10 @@
         match edit {
             Edit::PutTemplate(it) => put(&mut self.templates, it, |it| it.name.clone()),
             Edit::DeleteTemplate(name) => self.templates.retain(|it| it.name != *name),
-            Edit::PutInstance(it) => put(&mut self.instances, it, |it| {
-                (it.workspace.clone(), it.template.clone())
-            }),
-            Edit::DeleteInstance {
-                workspace,
-                template,
-            } => {
+            Edit::PutInstance(it) => {
+                put(&mut self.instances, it, |it| (it.workspace.clone(), it.template.clone()))
+            }
+            Edit::DeleteInstance { workspace, template } => {
                 let other = |it: &Instance| it.workspace != *workspace || it.template != *template;
                 self.instances.retain(other);
             }
--- a/src/catalog/page.rs
+++ b/src/catalog/page.rs
@@ -119,10 +119,7 @@
 }
 
 fn unavailable(error: &str) -> Response<Body> {
-    answer(&Verdict::Unavailable(Unavailable {
-        error: error.to_owned(),
-        applied: Applied::No,
-    }))
+    answer(&Verdict::Unavailable(Unavailable { error: error.to_owned(), applied: Applied::No }))
 }
 
 fn unavailable_after_send(error: &str) -> Response<Body> {
--- a/src/catalog/poll.rs
+++ b/src/catalog/poll.rs
@@ -67,9 +67,7 @@
 async fn expected(context: &Context) -> usize {
     let listed = time::timeout(VM_LIST_WAIT, context.vms.entries()).await;
     let entries = listed.ok().and_then(Result::ok).unwrap_or_default();
-    let daemons = entries
-        .iter()
-        .filter(|it| matches!(it.role, Role::Daemon { .. }));
+    let daemons = entries.iter().filter(|it| matches!(it.role, Role::Daemon { .. }));
     daemons.count().max(context.settings.seeds.len() + 1)
 }
 
@@ -77,9 +75,7 @@
 /// and the others have it from them before their turn comes.
 pub fn first_wait(daemons: usize, draw: f64) -> Duration {
     let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
-    POLL_INTERVAL_PER_DAEMON
-        .saturating_mul(daemons)
-        .mul_f64(draw)
+    POLL_INTERVAL_PER_DAEMON.saturating_mul(daemons).mul_f64(draw)
 }
 
 /// The time until the next poll in a fleet of `daemons`; `draw` is a random number below 1.
--- a/src/catalog/shared.rs
+++ b/src/catalog/shared.rs
@@ -20,10 +20,7 @@
 
 impl Default for Shared {
     fn default() -> Shared {
-        Shared {
-            keeper: Mutex::default(),
-            news: watch::Sender::new(None),
-        }
+        Shared { keeper: Mutex::default(), news: watch::Sender::new(None) }
     }
 }
 
--- a/src/catalog/store.rs
+++ b/src/catalog/store.rs
@@ -98,9 +98,7 @@
 
 /// The writes of an accepted change.
 pub fn writes(entry: &Entry) -> Result<Vec<Write>, Failure> {
-    let head = encode(&Head {
-        revision: entry.revision,
-    })?;
+    let head = encode(&Head { revision: entry.revision })?;
     let mut writes = vec![
         put(HEAD.to_owned(), head.clone()),
         put(change_key(entry.change), head),
@@ -144,10 +142,7 @@
 fn item_key(item: &Item) -> String {
     match item {
         Item::Template(name) => format!("{ITEMS}template/{name}"),
-        Item::Instance {
-            workspace,
-            template,
-        } => format!("{ITEMS}instance/{workspace}/{template}"),
+        Item::Instance { workspace, template } => format!("{ITEMS}instance/{workspace}/{template}"),
         Item::Credential(digest) => format!("{ITEMS}credential/{digest}"),
     }
 }
@@ -163,11 +158,7 @@
 /// The writes that remove a change from the log.
 pub fn removal(entry: &Entry) -> [Write; 2] {
     [
-        Write::Delete {
-            key: log_key(entry.revision),
-        },
-        Write::Delete {
-            key: change_key(entry.change),
-        },
+        Write::Delete { key: log_key(entry.revision) },
+        Write::Delete { key: change_key(entry.change) },
     ]
 }
--- a/src/catalog/sync.rs
+++ b/src/catalog/sync.rs
@@ -50,25 +50,15 @@
             Some(after) => Stage::Log { after },
             None => Stage::Head,
         };
-        Sync {
-            stage,
-            catalog: None,
-            entries: Vec::new(),
-        }
+        Sync { stage, catalog: None, entries: Vec::new() }
     }
 
     /// The first call.
     pub fn start(&self) -> Step {
         Step::Call(match &self.stage {
             Stage::Head => Call::Get(HEAD.to_owned()),
-            Stage::Items { after } => Call::Scan {
-                prefix: ITEMS,
-                after: after.clone(),
-            },
-            Stage::Log { after } => Call::Scan {
-                prefix: LOG,
-                after: store::log_key(*after),
-            },
+            Stage::Items { after } => Call::Scan { prefix: ITEMS, after: after.clone() },
+            Stage::Log { after } => Call::Scan { prefix: LOG, after: store::log_key(*after) },
         })
     }
 
@@ -83,10 +73,7 @@
             (Stage::Head, Answer::Got(None)) => return Ok(Step::Whole(Catalog::default())),
             (Stage::Head, Answer::Got(Some(row))) => {
                 let head: Head = store::decode(&row)?;
-                self.catalog = Some(Catalog {
-                    revision: head.revision,
-                    ..Catalog::default()
-                });
+                self.catalog = Some(Catalog { revision: head.revision, ..Catalog::default() });
                 let after = String::new();
                 self.stage = Stage::Items { after };
             }
@@ -96,12 +83,8 @@
                     catalog.edit(&store::item(row)?);
                 }
                 self.stage = match rows.last() {
-                    Some(row) if rows.len() >= PAGE_ROWS => Stage::Items {
-                        after: row.key.clone(),
-                    },
-                    _ => Stage::Log {
-                        after: catalog.revision,
-                    },
+                    Some(row) if rows.len() >= PAGE_ROWS => Stage::Items { after: row.key.clone() },
+                    _ => Stage::Log { after: catalog.revision },
                 };
             }
             (Stage::Log { after }, Answer::Scanned(rows)) => {
--- a/src/catalog/validate.rs
+++ b/src/catalog/validate.rs
@@ -23,10 +23,7 @@
         faults.push("edits: none given".to_owned());
     }
     if edits.len() > MAX_EDITS {
-        faults.push(format!(
-            "edits: {} given, at most {MAX_EDITS} allowed",
-            edits.len()
-        ));
+        faults.push(format!("edits: {} given, at most {MAX_EDITS} allowed", edits.len()));
     }
     let mut items = Set::default();
     for (place, edit) in edits.iter().enumerate() {
@@ -51,10 +48,7 @@
                 check_limits(at, limits, faults);
             }
         }
-        Edit::DeleteInstance {
-            workspace,
-            template,
-        } => {
+        Edit::DeleteInstance { workspace, template } => {
             check_name(at, "workspace", workspace.as_str(), faults);
             check_name(at, "template", template.as_str(), faults);
         }
@@ -85,9 +79,7 @@
         faults.push(format!("{at}: limits.concurrency: 0 given, at least 1"));
     }
     if limits.tokens_per_second == 0 {
-        faults.push(format!(
-            "{at}: limits.tokens_per_second: 0 given, at least 1"
-        ));
+        faults.push(format!("{at}: limits.tokens_per_second: 0 given, at least 1"));
     }
 }
 
@@ -126,9 +118,8 @@
         };
         let earlier = served.insert((&instance.workspace, target.clone()), &instance.template);
         if let Some(earlier) = earlier {
-            faults.push(format!(
-                "{name}: the workspace has {target} by template {earlier} already"
-            ));
+            faults
+                .push(format!("{name}: the workspace has {target} by template {earlier} already"));
         }
     }
 }
--- a/src/control/charge.rs
+++ b/src/control/charge.rs
@@ -193,11 +193,7 @@
     pub fn decide(&self, situation: &Situation<'_>) -> Action {
         let Situation { now, tenure, .. } = *situation;
         // An engine that ignores fencing numbers may still get an order of the holder before.
-        let flight = if self.engine.fenced {
-            Duration::ZERO
-        } else {
-            FLIGHT
-        };
+        let flight = if self.engine.fenced { Duration::ZERO } else { FLIGHT };
         let quiet_until = self.quiet_until.max(tenure.taken + flight);
         if self.busy || !self.engine.open || now < quiet_until {
             return Action::Wait;
@@ -243,11 +239,7 @@
 fn claim(state: &State, fence: Version) -> Action {
     let weights = state.loaded.iter().chain(&state.loading);
     Action::Send {
-        order: Order {
-            fence,
-            weights: weights.cloned().collect(),
-            role: state.role,
-        },
+        order: Order { fence, weights: weights.cloned().collect(), role: state.role },
         loads: false,
     }
 }
@@ -290,14 +282,7 @@
     if !loads && role == state.role && is_same(&weights, state) {
         return Action::Wait;
     }
-    Action::Send {
-        order: Order {
-            fence: situation.tenure.fence,
-            weights,
-            role,
-        },
-        loads,
-    }
+    Action::Send { order: Order { fence: situation.tenure.fence, weights, role }, loads }
 }
 
 fn is_same(weights: &[Weights], state: &State) -> bool {
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -29,11 +29,7 @@
                 now,
                 tenure,
                 goal: self.plan.goal(upstream),
-                settled: self
-                    .settled
-                    .get(&charge.engine.model)
-                    .copied()
-                    .filter(|_| known),
+                settled: self.settled.get(&charge.engine.model).copied().filter(|_| known),
                 census: &self.census,
                 slot: load.is_some(),
             });
@@ -84,14 +80,9 @@
                 short = true;
                 break;
             };
-            let usage = Use {
-                upstream,
-                address: charge.engine.address,
-            };
-            outcomes.push(Outcome::Write {
-                name: *name,
-                transaction: lease.take(now, Some(usage)),
-            });
+            let usage = Use { upstream, address: charge.engine.address };
+            outcomes
+                .push(Outcome::Write { name: *name, transaction: lease.take(now, Some(usage)) });
         }
         if short && !self.scanning && now >= self.slot_scan_at {
             self.slot_scan_at = now + SLOT_SCAN_EVERY;
@@ -161,10 +152,7 @@
         outcomes: &mut Vec<Outcome>,
     ) {
         let shard = Name::Shard(shard::shard(upstream));
-        let commanded = self
-            .leases
-            .get(&shard)
-            .is_some_and(|it| it.valid(now).is_some());
+        let commanded = self.leases.get(&shard).is_some_and(|it| it.valid(now).is_some());
         let Some(charge) = self.charges.get_mut(upstream) else {
             return;
         };
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -97,9 +97,7 @@
 
     /// Whether it holds no lease.
     pub fn is_idle(&self) -> bool {
-        self.leases
-            .values()
-            .all(|it| it.tenure().is_none() && !it.is_busy())
+        self.leases.values().all(|it| it.tenure().is_none() && !it.is_busy())
     }
 
     /// Takes an event and returns what to do. `random` is a fresh random number.
@@ -121,23 +119,13 @@
             Event::View(view) => self.view(now, view),
             Event::Scanned { scope, rows } => self.scanned(now, scope, rows.as_deref()),
             Event::Written { name, result } => self.written(now, name, &result),
-            Event::Observed {
-                asker: Asker::Slot,
-                upstream,
-                asked,
-                state,
-            } => {
+            Event::Observed { asker: Asker::Slot, upstream, asked, state } => {
                 let idle = state.is_some_and(|it| it.loading.is_empty());
                 for slot in self.slots.values_mut().filter(|_| idle) {
                     slot.drained(&upstream, asked);
                 }
             }
-            Event::Observed {
-                asker: Asker::Charge,
-                upstream,
-                asked,
-                state,
-            } => {
+            Event::Observed { asker: Asker::Charge, upstream, asked, state } => {
                 if let Some(charge) = self.charges.get_mut(&upstream) {
                     charge.observe(now, asked, state);
                 }
@@ -174,10 +162,7 @@
             self.leases.entry(name).or_insert_with(lease);
             match self.charges.get_mut(&engine.name) {
                 Some(charge) => charge.engine = engine.clone(),
-                None => drop(
-                    self.charges
-                        .insert(engine.name.clone(), Charge::new(engine.clone())),
-                ),
+                None => drop(self.charges.insert(engine.name.clone(), Charge::new(engine.clone()))),
             }
         }
         let mut before = std::mem::take(&mut self.settled);
@@ -191,8 +176,7 @@
             self.settled.insert(model.clone(), since);
         }
         let known: Set<_> = self.engines.iter().map(|it| &it.name).collect();
-        self.charges
-            .retain(|name, charge| charge.is_busy() || known.contains(name));
+        self.charges.retain(|name, charge| charge.is_busy() || known.contains(name));
     }
 
     fn scanned(&mut self, now: Time, scope: Scope, rows: Option<&[Row]>) {
@@ -262,10 +246,7 @@
     fn hold(&mut self, now: Time, outcomes: &mut Vec<Outcome>) {
         for (name, lease) in &mut self.leases {
             if let Some(transaction) = lease.renew(now) {
-                outcomes.push(Outcome::Write {
-                    name: *name,
-                    transaction,
-                });
+                outcomes.push(Outcome::Write { name: *name, transaction });
             }
         }
     }
@@ -323,10 +304,7 @@
             let Some(transaction) = lease.release(now) else {
                 continue;
             };
-            outcomes.push(Outcome::Write {
-                name: *name,
-                transaction,
-            });
+            outcomes.push(Outcome::Write { name: *name, transaction });
             self.rebalance_at = now + REBALANCE_EVERY;
             if !self.stopping {
                 return;
--- a/src/control/edge.rs
+++ b/src/control/edge.rs
@@ -83,10 +83,8 @@
 
 impl Driver {
     fn new(context: Arc<Context>) -> Driver {
-        let me = Holder {
-            daemon: context.settings.daemon.clone(),
-            incarnation: context.incarnation,
-        };
+        let me =
+            Holder { daemon: context.settings.daemon.clone(), incarnation: context.incarnation };
         Driver {
             core: Core::new(me, context.settings.weight_loads),
             context,
@@ -166,11 +164,7 @@
                     Event::Written { name, result }
                 });
             }
-            Outcome::Read {
-                asker,
-                upstream,
-                address,
-            } => {
+            Outcome::Read { asker, upstream, address } => {
                 self.calls.spawn(async move {
                     let asked = context.now();
                     let read = context.client.get(address, "/v1/state");
@@ -183,13 +177,7 @@
                     }
                 });
             }
-            Outcome::Order {
-                upstream,
-                address,
-                order,
-                loads,
-                valid_until,
-            } => {
+            Outcome::Order { upstream, address, order, loads, valid_until } => {
                 let detail = describe(&order, loads);
                 let subject = Subject::Upstream(upstream.to_string());
                 context.ring.record(subject, "order_sent", detail);
@@ -260,9 +248,7 @@
         }
     };
     // Dropping the exchange closes its connection.
-    time::timeout(FLIGHT, exchange)
-        .await
-        .unwrap_or(Err(Rejection::Lost))
+    time::timeout(FLIGHT, exchange).await.unwrap_or(Err(Rejection::Lost))
 }
 
 fn describe(order: &Order, loads: bool) -> String {
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -208,10 +208,7 @@
 
     /// The write that takes the lease. Call it only if [`Lease::is_open`].
     pub fn take(&mut self, now: Time, usage: Option<Use>) -> Transaction {
-        let value = Value {
-            holder: Some(self.me.clone()),
-            usage,
-        };
+        let value = Value { holder: Some(self.me.clone()), usage };
         self.before = match self.state {
             State::Other { .. } => self.usage.clone(),
             _ => None,
@@ -225,10 +222,7 @@
         if !due || self.call.is_some() || now < self.not_before {
             return None;
         }
-        let value = Value {
-            holder: Some(self.me.clone()),
-            usage: self.usage.clone(),
-        };
+        let value = Value { holder: Some(self.me.clone()), usage: self.usage.clone() };
         Some(self.write(Purpose::Renew, now, value))
     }
 
@@ -283,9 +277,7 @@
         // A value that cannot be read counts as another holder's.
         let value = serde_json::from_str::<Value>(&row.value).ok();
         let held = self.tenure().is_some();
-        let own = value
-            .as_ref()
-            .is_some_and(|it| it.holder.as_ref() == Some(&self.me));
+        let own = value.as_ref().is_some_and(|it| it.holder.as_ref() == Some(&self.me));
         let free = value.as_ref().is_some_and(|it| it.holder.is_none());
         self.usage = value.and_then(|it| it.usage);
         if own {
@@ -352,26 +344,12 @@
     }
 
     fn write(&mut self, purpose: Purpose, now: Time, value: Value) -> Transaction {
-        assert!(
-            self.call.is_none(),
-            "{} has a write on its way already",
-            self.key
-        );
+        assert!(self.call.is_none(), "{} has a write on its way already", self.key);
         let text = serde_json::to_string(&value).unwrap_or_default();
-        self.call = Some(Call {
-            purpose,
-            started: now,
-            usage: value.usage,
-        });
+        self.call = Some(Call { purpose, started: now, usage: value.usage });
         Transaction {
-            checks: vec![Check {
-                key: self.key.clone(),
-                version: self.version,
-            }],
-            writes: vec![Write::Put {
-                key: self.key.clone(),
-                value: text,
-            }],
+            checks: vec![Check { key: self.key.clone(), version: self.version }],
+            writes: vec![Write::Put { key: self.key.clone(), value: text }],
         }
     }
 }
--- a/src/control/plan.rs
+++ b/src/control/plan.rs
@@ -89,13 +89,7 @@
 pub fn needs(catalog: &Catalog) -> Vec<Need> {
     let mut found: BTreeMap<(Model, Version), (Vec<Adapter>, usize)> = BTreeMap::new();
     for template in &catalog.templates {
-        let Target::Model {
-            model,
-            adapter,
-            version,
-            ..
-        } = &template.target
-        else {
+        let Target::Model { model, adapter, version, .. } = &template.target else {
             continue;
         };
         let instances = catalog.instances.iter();
@@ -115,11 +109,7 @@
         .map(|((model, version), (mut adapters, replicas))| {
             adapters.sort();
             adapters.dedup();
-            let weights = Weights {
-                model,
-                version,
-                adapters,
-            };
+            let weights = Weights { model, version, adapters };
             Need { weights, replicas }
         })
         .collect()
@@ -151,10 +141,7 @@
     /// Whether every need of `model` is ready on [`READY_PERCENT`] of its engines, so that
     /// weights outside the plan may go. `is_ready` tells whether an engine has weights ready.
     pub fn is_settled(&self, model: &Model, engines: &[Engine]) -> bool {
-        let own = self
-            .places
-            .iter()
-            .filter(|(need, _)| need.weights.model == *model);
+        let own = self.places.iter().filter(|(need, _)| need.weights.model == *model);
         for (need, places) in own {
             if !self.is_enough(need, *places, engines) {
                 return false;
@@ -195,10 +182,7 @@
 
     fn divide(&mut self, needs: &[&Need], engines: &[&Engine]) {
         for engine in engines {
-            let standby = Goal {
-                weights: Vec::new(),
-                role: Role::Standby,
-            };
+            let standby = Goal { weights: Vec::new(), role: Role::Standby };
             self.goals.insert(engine.name.clone(), standby);
         }
         if engines.is_empty() {
--- a/src/control/rollout.rs
+++ b/src/control/rollout.rs
@@ -45,13 +45,7 @@
 impl Rollout {
     /// Puts into a grant what its workspace is served by now.
     pub fn resolve(&self, grant: &mut Grant) {
-        let Target::Model {
-            model,
-            adapter,
-            version,
-            ..
-        } = &mut grant.target
-        else {
+        let Target::Model { model, adapter, version, .. } = &mut grant.target else {
             return;
         };
         let served = self.served.load();
@@ -72,20 +66,11 @@
         let mut table = Table::default();
         let mut waiting = Vec::new();
         for grant in catalog.grants() {
-            let Target::Model {
-                model,
-                adapter,
-                version,
-                ..
-            } = &grant.target
-            else {
+            let Target::Model { model, adapter, version, .. } = &grant.target else {
                 continue;
             };
             let key = (grant.workspace.clone(), model.clone());
-            let asked = Served {
-                adapter: adapter.clone(),
-                version: *version,
-            };
+            let asked = Served { adapter: adapter.clone(), version: *version };
             let served = match before.get(&key) {
                 Some(old) if must_wait(model, old, &asked, &readiness) => {
                     waiting.push(grant.workspace.clone());
--- a/src/control/slot.rs
+++ b/src/control/slot.rs
@@ -40,14 +40,7 @@
 impl Slot {
     /// A slot that was just taken; `before` is the use of a holder that let it run out.
     pub fn new(upstream: Upstream, taken: Time, before: Option<Use>) -> Slot {
-        Slot {
-            upstream,
-            taken,
-            before,
-            used: None,
-            run: None,
-            probe_at: taken + FLIGHT,
-        }
+        Slot { upstream, taken, before, used: None, run: None, probe_at: taken + FLIGHT }
     }
 
     /// The engine whose state must be read at `now`, to see that its load has ended.
@@ -61,10 +54,7 @@
 
     /// Takes note that an engine loaded nothing when it was asked for its state at `asked`.
     pub fn drained(&mut self, engine: &Upstream, asked: Time) {
-        let own = self
-            .before
-            .as_ref()
-            .is_some_and(|it| it.upstream == *engine);
+        let own = self.before.as_ref().is_some_and(|it| it.upstream == *engine);
         // An order of the holder before may be on its way until then.
         if own && asked >= self.taken + FLIGHT {
             self.before = None;
--- a/src/fleet/address.rs
+++ b/src/fleet/address.rs
@@ -77,14 +77,11 @@
     if let (Some(workspace), true) = (&caller.workspace, candidates.len() > NEAR + FAR) {
         ranked.sort_by_key(|it| Reverse(rank(workspace, &it.address.daemon)));
     }
-    let (near, far): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
-        .partition(|it| Some(&it.address.zone) == caller.zone.as_ref());
+    let (near, far): (Vec<_>, Vec<_>) =
+        ranked.into_iter().partition(|it| Some(&it.address.zone) == caller.zone.as_ref());
     let far = in_turn(&far);
     // Where one part is short, the other fills up.
-    let nears = near
-        .len()
-        .min(NEAR.max((NEAR + FAR).saturating_sub(far.len())));
+    let nears = near.len().min(NEAR.max((NEAR + FAR).saturating_sub(far.len())));
     let fars = NEAR + FAR - nears;
     let chosen = near.iter().take(nears).chain(far.iter().take(fars));
     chosen.map(|it| it.address.clone()).collect()
@@ -95,9 +92,7 @@
     let sum: u64 = candidates.iter().map(|it| u64::from(it.requests)).sum();
     let mean = sum / candidates.len().max(1) as u64;
     let limit = mean * 2 + CROWD_REQUESTS;
-    let rest = candidates
-        .iter()
-        .filter(|it| u64::from(it.requests) <= limit);
+    let rest = candidates.iter().filter(|it| u64::from(it.requests) <= limit);
     let rest: Vec<_> = rest.collect();
     let is_enough =
         rest.len() >= ENOUGH && (zones(rest.iter().copied()) > 1 || zones(candidates) == 1);
--- a/src/fleet/board.rs
+++ b/src/fleet/board.rs
@@ -164,12 +164,7 @@
             }
         };
         self.change += 1;
-        let slot = Slot {
-            value,
-            origin,
-            change: self.change,
-            sends: 0,
-        };
+        let slot = Slot { value, origin, change: self.change, sends: 0 };
         let news = slot.fact(&fact.key);
         self.remove(&fact.key);
         self.insert(fact.key.clone(), slot);
@@ -221,11 +216,7 @@
     }
 
     fn outgoing(&mut self, bytes: usize, urgent: bool, size: impl Fn(&Post) -> usize) -> Vec<Post> {
-        let mut filling = Filling {
-            left: bytes,
-            posts: Vec::new(),
-            chosen: Vec::new(),
-        };
+        let mut filling = Filling { left: bytes, posts: Vec::new(), chosen: Vec::new() };
         self.fill(&mut filling, URGENT..URGENT + 1, &size);
         if !urgent {
             self.in_turn(&mut filling, &size);
@@ -308,18 +299,12 @@
 
 impl Slot {
     fn fact(&self, key: &Key) -> Fact {
-        Fact {
-            key: key.clone(),
-            value: self.value,
-        }
+        Fact { key: key.clone(), value: self.value }
     }
 
     fn post(&self, key: &Key, now: Time) -> Post {
         let age = now.since(self.origin).as_secs();
-        Post {
-            fact: self.fact(key),
-            age_s: u32::try_from(age).unwrap_or(u32::MAX),
-        }
+        Post { fact: self.fact(key), age_s: u32::try_from(age).unwrap_or(u32::MAX) }
     }
 
     /// Its place among the fresh facts.
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -22,10 +22,7 @@
 impl Budget {
     /// A full budget.
     pub fn new(now: Time) -> Budget {
-        Budget {
-            bytes: MAX_SAVED_BYTES,
-            at: now,
-        }
+        Budget { bytes: MAX_SAVED_BYTES, at: now }
     }
 
     /// The bytes that may be sent now; none after too much was sent.
--- a/src/fleet/core.rs
+++ b/src/fleet/core.rs
@@ -256,10 +256,7 @@
         let from = Record {
             member: self.own.clone(),
             beat: now.since(self.started).as_millis() as u64 + 1,
-            load: Load {
-                ready: own.ready,
-                requests: self.requests(),
-            },
+            load: Load { ready: own.ready, requests: self.requests() },
             quiet_ms: 0,
         };
         Message {
--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -257,10 +257,7 @@
         let core = self.core();
         let mut live = Vec::new();
         for (member, load) in core.roster().loads(now) {
-            live.push(Live {
-                member: member.clone(),
-                load,
-            });
+            live.push(Live { member: member.clone(), load });
         }
         let is_left = core.is_left(now);
         self.context.members.set_requests(core.requests());
--- a/src/fleet/fact.rs
+++ b/src/fleet/fact.rs
@@ -138,31 +138,13 @@
     pub fn merge(&self, other: &Value) -> Value {
         match (self, other) {
             (
-                Value::Upstream {
-                    incarnation: a,
-                    leaving: x,
-                },
-                Value::Upstream {
-                    incarnation: b,
-                    leaving: y,
-                },
+                Value::Upstream { incarnation: a, leaving: x },
+                Value::Upstream { incarnation: b, leaving: y },
             ) => (*a, *x).max((*b, *y)).into_upstream(),
             (
-                Value::Suspect {
-                    crashes: a,
-                    barred: x,
-                    lifts: l,
-                },
-                Value::Suspect {
-                    crashes: b,
-                    barred: y,
-                    lifts: m,
-                },
-            ) if l == m => Value::Suspect {
-                crashes: *a.max(b),
-                barred: *x || *y,
-                lifts: *l,
-            },
+                Value::Suspect { crashes: a, barred: x, lifts: l },
+                Value::Suspect { crashes: b, barred: y, lifts: m },
+            ) if l == m => Value::Suspect { crashes: *a.max(b), barred: *x || *y, lifts: *l },
             (Value::Suspect { lifts: l, .. }, Value::Suspect { lifts: m, .. }) => {
                 if l > m {
                     *self
@@ -189,9 +171,6 @@
 
 impl IntoUpstream for (Incarnation, bool) {
     fn into_upstream(self) -> Value {
-        Value::Upstream {
-            incarnation: self.0,
-            leaving: self.1,
-        }
+        Value::Upstream { incarnation: self.0, leaving: self.1 }
     }
 }
--- a/src/fleet/inquiry.rs
+++ b/src/fleet/inquiry.rs
@@ -27,11 +27,7 @@
 
 impl Default for Inquiry {
     fn default() -> Inquiry {
-        Inquiry {
-            after: Daemon::from(""),
-            has_news: false,
-            next: Time(0),
-        }
+        Inquiry { after: Daemon::from(""), has_news: false, next: Time(0) }
     }
 }
 
@@ -52,9 +48,6 @@
             return;
         }
         let wait = if self.has_news { SHORT_WAIT } else { LONG_WAIT };
-        *self = Inquiry {
-            next: now + wait,
-            ..Inquiry::default()
-        };
+        *self = Inquiry { next: now + wait, ..Inquiry::default() };
     }
 }
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -72,10 +72,7 @@
         let lost = |reason: String| Error::Lost { address, reason };
         match answer {
             Some(Ok(Ok(envelope))) => Ok(envelope),
-            Some(Ok(Err(refusal))) => Err(Error::Refused {
-                address,
-                reason: refusal.to_string(),
-            }),
+            Some(Ok(Err(refusal))) => Err(Error::Refused { address, reason: refusal.to_string() }),
             Some(Err(error)) => Err(lost(error.to_string())),
             None => Err(lost("the connection is silent".to_owned())),
         }
@@ -95,10 +92,7 @@
 
     async fn open(&self, now: Time, address: SocketAddr) -> Result<ExchangeClient> {
         let client = service::connect(address).await?;
-        let link = Link {
-            client: client.clone(),
-            used: now,
-        };
+        let link = Link { client: client.clone(), used: now };
         self.lock().insert(address, link);
         Ok(client)
     }
--- a/src/fleet/message.rs
+++ b/src/fleet/message.rs
@@ -119,11 +119,7 @@
 pub fn seal<T: Serialize>(deployment: &str, message: &T) -> Envelope {
     // Messages have neither maps nor sequences of unknown length, so that encoding cannot fail.
     let payload = options().serialize(message).unwrap_or_default();
-    Envelope {
-        deployment: deployment.to_owned(),
-        protocol: PROTOCOL,
-        payload,
-    }
+    Envelope { deployment: deployment.to_owned(), protocol: PROTOCOL, payload }
 }
 
 /// Takes a message of at most `limit` bytes out of its envelope.
@@ -143,15 +139,10 @@
         });
     }
     if envelope.protocol != PROTOCOL {
-        return Err(Refusal::Protocol {
-            own: PROTOCOL,
-            theirs: envelope.protocol,
-        });
+        return Err(Refusal::Protocol { own: PROTOCOL, theirs: envelope.protocol });
     }
     let bounded = options().with_limit(limit as u64);
-    bounded
-        .deserialize(&envelope.payload)
-        .map_err(|error| Refusal::Malformed(error.to_string()))
+    bounded.deserialize(&envelope.payload).map_err(|error| Refusal::Malformed(error.to_string()))
 }
 
 /// The bytes that a part of a message takes.
--- a/src/fleet/page.rs
+++ b/src/fleet/page.rs
@@ -32,10 +32,7 @@
 #[async_trait]
 impl Page for Addresses {
     async fn answer(&self, context: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
-        let caller = Caller {
-            zone: zone(&request),
-            workspace: workspace(&context, &request),
-        };
+        let caller = Caller { zone: zone(&request), workspace: workspace(&context, &request) };
         let candidates = candidates(&context);
         let list = List {
             addresses: address::choose(&caller, &candidates, &mut rand::rng()),
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -21,11 +21,7 @@
 impl Stream {
     /// Joins the two directions.
     pub fn new(send: SendStream<Bytes>, receive: RecvStream) -> Stream {
-        Stream {
-            send,
-            receive,
-            unread: Bytes::new(),
-        }
+        Stream { send, receive, unread: Bytes::new() }
     }
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -59,10 +59,7 @@
             Some(sender) => sender,
             None => connect(address).await?,
         };
-        let lost = |error: hyper::Error| Error::Lost {
-            address,
-            reason: error.to_string(),
-        };
+        let lost = |error: hyper::Error| Error::Lost { address, reason: error.to_string() };
         let response = match sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
@@ -74,11 +71,7 @@
                 None => return Err(lost(error.into_error())),
             },
         };
-        Ok(Answer {
-            response,
-            address,
-            sender,
-        })
+        Ok(Answer { response, address, sender })
     }
 
     /// Sends a request over a new connection, since an idle one may have gone silent.
@@ -93,15 +86,8 @@
     ) -> Result<Answer> {
         let mut sender = connect(address).await?;
         let sent = sender.send_request(request).await;
-        let response = sent.map_err(|error| Error::Lost {
-            address,
-            reason: error.to_string(),
-        })?;
-        Ok(Answer {
-            response,
-            address,
-            sender,
-        })
+        let response = sent.map_err(|error| Error::Lost { address, reason: error.to_string() })?;
+        Ok(Answer { response, address, sender })
     }
 
     /// Sends a request over a new connection if `may_send` says so once that is open. `None`
@@ -121,15 +107,8 @@
             return Ok(None);
         }
         let sent = sender.send_request(request).await;
-        let response = sent.map_err(|error| Error::Lost {
-            address,
-            reason: error.to_string(),
-        })?;
-        Ok(Some(Answer {
-            response,
-            address,
-            sender,
-        }))
+        let response = sent.map_err(|error| Error::Lost { address, reason: error.to_string() })?;
+        Ok(Some(Answer { response, address, sender }))
     }
 
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
@@ -146,11 +125,7 @@
         }
         let quote = &body[..body.len().min(MAX_QUOTE_BYTES)];
         let body = String::from_utf8_lossy(quote).into_owned();
-        Err(Error::Status {
-            address,
-            status: status.as_u16(),
-            body,
-        })
+        Err(Error::Status { address, status: status.as_u16(), body })
     }
 
     /// Sends `GET path` and decodes the JSON answer.
@@ -185,16 +160,12 @@
     ///
     /// [`Error::Lost`] if the answer broke off.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
-        let Answer {
-            response,
-            address,
-            sender,
-        } = answer;
+        let Answer { response, address, sender } = answer;
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let collected = body.collect().await.map_err(|error| Error::Lost {
-            address,
-            reason: error.to_string(),
-        })?;
+        let collected = body
+            .collect()
+            .await
+            .map_err(|error| Error::Lost { address, reason: error.to_string() })?;
         self.keep(address, sender);
         Ok(collected.to_bytes())
     }
@@ -248,19 +219,14 @@
     path: &str,
     body: Bytes,
 ) -> Result<Request<Full<Bytes>>> {
-    let mut builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", address.to_string());
+    let mut builder =
+        Request::builder().method(method).uri(path).header("host", address.to_string());
     if !body.is_empty() {
         builder = builder.header("content-type", "application/json");
     }
     builder
         .body(Full::new(body))
-        .map_err(|error| Error::Malformed {
-            what: "request",
-            reason: error.to_string(),
-        })
+        .map_err(|error| Error::Malformed { what: "request", reason: error.to_string() })
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender> {
@@ -283,8 +249,5 @@
 }
 
 fn malformed(error: &serde_json::Error) -> Error {
-    Error::Malformed {
-        what: "JSON body",
-        reason: error.to_string(),
-    }
+    Error::Malformed { what: "JSON body", reason: error.to_string() }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -50,11 +50,7 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        connections.spawn(connection(
-            TokioIo::new(stream),
-            handler.clone(),
-            stop.clone(),
-        ));
+        connections.spawn(connection(TokioIo::new(stream), handler.clone(), stop.clone()));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -62,15 +58,11 @@
 
 /// An answer with a whole body.
 pub fn answer(status: StatusCode, content_type: &str, body: impl Into<Bytes>) -> Response<Body> {
-    let body = Full::new(body.into())
-        .map_err(|never: Infallible| match never {})
-        .boxed();
+    let body = Full::new(body.into()).map_err(|never: Infallible| match never {}).boxed();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     if let Ok(value) = content_type.parse() {
-        response
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, value);
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, value);
     }
     response
 }
@@ -79,11 +71,7 @@
 pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(body) => answer(status, "application/json", body),
-        Err(error) => answer(
-            StatusCode::INTERNAL_SERVER_ERROR,
-            "text/plain",
-            error.to_string(),
-        ),
+        Err(error) => answer(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", error.to_string()),
     }
 }
 
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -61,9 +61,7 @@
 impl System {
     /// A clock whose origin is now.
     pub fn new() -> System {
-        System {
-            origin: Instant::now(),
-        }
+        System { origin: Instant::now() }
     }
 }
 
@@ -79,9 +77,7 @@
     }
 
     fn wall_micros(&self) -> u64 {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         since.as_micros() as u64
     }
 }
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -127,10 +127,8 @@
 impl Context {
     /// A context that knows nothing of configuration, upstreams and peers yet.
     pub fn new(setup: Setup) -> Context {
-        let received = Now {
-            time: setup.clock.now(),
-            wall_s: setup.clock.wall_micros() / 1_000_000,
-        };
+        let received =
+            Now { time: setup.clock.now(), wall_s: setup.clock.wall_micros() / 1_000_000 };
         let serving = State::new(setup.settings.daemon.clone(), setup.incarnation, received);
         Context {
             settings: setup.settings,
--- a/src/load/bench.rs
+++ b/src/load/bench.rs
@@ -108,11 +108,7 @@
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         for place in 0..DAEMONS {
-            let listen = Listen {
-                caller: any,
-                peer: any,
-                operator: any,
-            };
+            let listen = Listen { caller: any, peer: any, operator: any };
             let daemon = bench.start_daemon(place, listen).await?;
             bench.daemons.push(daemon);
         }
@@ -136,11 +132,8 @@
         }
         for place in 0..DAEMONS {
             let bound = self.daemons[place].bound;
-            let listen = Listen {
-                caller: bound.caller,
-                peer: bound.peer,
-                operator: bound.operator,
-            };
+            let listen =
+                Listen { caller: bound.caller, peer: bound.peer, operator: bound.operator };
             self.daemons[place] = self.start_again(place, listen).await?;
         }
         Ok(())
@@ -186,10 +179,7 @@
             daemon: Daemon::from(format!("daemon-{place}").as_str()),
             zone: self.standins.zone(place),
             listen,
-            platform: Platform {
-                table: platform,
-                vms: platform,
-            },
+            platform: Platform { table: platform, vms: platform },
             seeds: Vec::new(),
             policy: policy.to_owned(),
             address_lifetime_s: 2,
@@ -218,9 +208,7 @@
         name: context.settings.daemon.as_str().to_owned(),
         address: context.bound.caller,
         zone: context.settings.zone.clone(),
-        role: Role::Daemon {
-            peer: context.bound.peer,
-        },
+        role: Role::Daemon { peer: context.bound.peer },
         state: State::Live,
     }
 }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -88,11 +88,7 @@
 impl Caller {
     /// Callers that know these daemons from their settings.
     pub fn new(profile: Profile, daemons: Vec<SocketAddr>) -> Caller {
-        Caller {
-            profile,
-            entry: Entry::new(daemons),
-            client: Client::new(),
-        }
+        Caller { profile, entry: Entry::new(daemons), client: Client::new() }
     }
 
     /// Makes a call, and repeats it as far as that is allowed: when nothing was run, when it may
@@ -168,9 +164,7 @@
             return self.refused(answer).await;
         }
         match &call.kind {
-            Kind::Completion {
-                prompt, max_tokens, ..
-            } => {
+            Kind::Completion { prompt, max_tokens, .. } => {
                 let reader = Reader::new(prompt, *max_tokens);
                 self.stream(answer, reader, started).await
             }
@@ -189,11 +183,7 @@
         left: Duration,
     ) -> Result<Request<Full<Bytes>>> {
         let (path, body) = match &call.kind {
-            Kind::Completion {
-                prompt,
-                levels,
-                max_tokens,
-            } => {
+            Kind::Completion { prompt, levels, max_tokens } => {
                 let completion = Completion {
                     model: self.profile.model.as_str(),
                     prompt,
@@ -271,10 +261,9 @@
             Err(_) => return Attempt::Cut("silent in the answer".to_owned()),
         };
         match serde_json::from_slice::<Echo>(&body) {
-            Ok(echo) if echo == *expected => Attempt::Whole(Whole {
-                first: started.elapsed(),
-                usage: Usage::default(),
-            }),
+            Ok(echo) if echo == *expected => {
+                Attempt::Whole(Whole { first: started.elapsed(), usage: Usage::default() })
+            }
             Ok(echo) => Attempt::Wrong(format!("the answer to another call: {echo:?}")),
             Err(error) => Attempt::Wrong(error.to_string()),
         }
@@ -308,8 +297,5 @@
 }
 
 fn header(text: &str) -> Result<hyper::header::HeaderValue> {
-    text.parse().map_err(|_| Error::Malformed {
-        what: "header",
-        reason: text.to_owned(),
-    })
+    text.parse().map_err(|_| Error::Malformed { what: "header", reason: text.to_owned() })
 }
--- a/src/load/compare.rs
+++ b/src/load/compare.rs
@@ -22,11 +22,7 @@
 pub const POLICIES: [&str; 5] = ["prefix", "random", "least_load", "session_hash", ORACLE];
 
 /// Engines slow enough that the load on them, and not this machine, sets the times.
-pub const SPEED: Speed = Speed {
-    batch: 8,
-    step: Duration::from_millis(16),
-    prefill_rate: 25_000,
-};
+pub const SPEED: Speed = Speed { batch: 8, step: Duration::from_millis(16), prefill_rate: 25_000 };
 
 /// Calls a second that one such engine can take when 94 of 100 prompt tokens are cached: 16
 /// steps for an answer, in batches of 8, and 420 tokens to prefill.
@@ -81,11 +77,8 @@
 ///
 /// [`Error::Settings`] for an unknown deployment or policy, and any other [`Error`] of a run.
 pub async fn compare(settings: &Settings) -> Result<Table> {
-    let mut table = Table {
-        load_percent: settings.load_percent,
-        events: settings.events,
-        reports: Vec::new(),
-    };
+    let mut table =
+        Table { load_percent: settings.load_percent, events: settings.events, reports: Vec::new() };
     for deployment in &settings.deployments {
         for seed in &settings.seeds {
             for policy in &settings.policies {
@@ -155,23 +148,14 @@
         return Err(Error::Unavailable { reason });
     }
     let report = run::run(&settings).await?;
-    Ok(Report {
-        policy: Some(policy.to_owned()),
-        ..report
-    })
+    Ok(Report { policy: Some(policy.to_owned()), ..report })
 }
 
 fn faults(events: Events) -> Faults {
     let usual = Faults::default();
     match events {
         Events::Usual => usual,
-        Events::Absent => Faults {
-            event_drop_percent: 100,
-            ..usual
-        },
-        Events::Wrong => Faults {
-            event_wrong_percent: 50,
-            ..usual
-        },
+        Events::Absent => Faults { event_drop_percent: 100, ..usual },
+        Events::Wrong => Faults { event_wrong_percent: 50, ..usual },
     }
 }
--- a/src/load/entry.rs
+++ b/src/load/entry.rs
@@ -29,11 +29,7 @@
 impl Entry {
     /// Callers that know these daemons from their settings.
     pub fn new(seeds: Vec<SocketAddr>) -> Entry {
-        Entry {
-            client: Client::new(),
-            seeds,
-            lists: Mutex::default(),
-        }
+        Entry { client: Client::new(), seeds, lists: Mutex::default() }
     }
 
     /// The daemons to use from a zone. Those of an old list, or from the settings, if no daemon
@@ -47,11 +43,7 @@
         }
         let mut known = kept.map_or_else(Vec::new, |it| it.addresses);
         known.extend(
-            self.seeds
-                .iter()
-                .filter(|it| !known.contains(it))
-                .copied()
-                .collect::<Vec<_>>(),
+            self.seeds.iter().filter(|it| !known.contains(it)).copied().collect::<Vec<_>>(),
         );
         for address in &known {
             let Some(list) = self.ask(*address, zone).await else {
--- a/src/load/oracle.rs
+++ b/src/load/oracle.rs
@@ -35,10 +35,7 @@
     /// An oracle for these engines.
     pub fn new(engines: &[Arc<Engine>]) -> Oracle {
         let engines = engines.iter().map(|it| (it.address(), it.clone()));
-        Oracle {
-            engines: engines.collect(),
-            sent: Mutex::default(),
-        }
+        Oracle { engines: engines.collect(), sent: Mutex::default() }
     }
 
     /// How many of the prompt's blocks will be in the engine's cache when the prompt gets there.
@@ -48,10 +45,8 @@
         let Some(sent) = sent.get(&address) else {
             return held;
         };
-        let is_coming = |it: &&Hash| {
-            sent.get(*it)
-                .is_some_and(|time| now.since(*time) < SENT_LIFETIME)
-        };
+        let is_coming =
+            |it: &&Hash| sent.get(*it).is_some_and(|time| now.since(*time) < SENT_LIFETIME);
         let coming = query.chain.0[held..].iter().take_while(is_coming);
         held + coming.count()
     }
--- a/src/load/overhead.rs
+++ b/src/load/overhead.rs
@@ -89,11 +89,7 @@
         let time = first(&client, daemon, question).await?;
         routed.saturating_record(time.as_micros() as u64);
     }
-    Ok(Overhead {
-        questions,
-        direct: Quantiles::new(&direct),
-        routed: Quantiles::new(&routed),
-    })
+    Ok(Overhead { questions, direct: Quantiles::new(&direct), routed: Quantiles::new(&routed) })
 }
 
 /// Time until the first bytes of the answer with a token.
@@ -167,10 +163,7 @@
     let mut request = client::request("POST", address, "/v1/completions", Bytes::from(body))?;
     let credential = profile.credential(&profile.workspaces[0].workspace);
     let value = format!("Bearer {credential}").parse();
-    let value = value.map_err(|_| Error::Malformed {
-        what: "header",
-        reason: credential,
-    })?;
+    let value = value.map_err(|_| Error::Malformed { what: "header", reason: credential })?;
     request.headers_mut().insert("authorization", value);
     Ok(request)
 }
--- a/src/load/reader.rs
+++ b/src/load/reader.rs
@@ -91,10 +91,7 @@
     fn chunk(&mut self, chunk: &Chunk) -> State {
         let offset = chunk.offset as usize * TOKEN_BYTES;
         if offset != self.received {
-            return State::Wrong(format!(
-                "a chunk at byte {offset} after {} bytes",
-                self.received
-            ));
+            return State::Wrong(format!("a chunk at byte {offset} after {} bytes", self.received));
         }
         for choice in &chunk.choices {
             let rest = &self.expected[self.received..];
@@ -115,10 +112,7 @@
                 self.expected.len()
             ));
         }
-        self.usage.map_or_else(
-            || State::Wrong("ended without usage".to_owned()),
-            State::Whole,
-        )
+        self.usage.map_or_else(|| State::Wrong("ended without usage".to_owned()), State::Whole)
     }
 }
 
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -83,11 +83,7 @@
     /// Nothing yet.
     pub fn new(deployment: &str, seed: u64) -> Recorder {
         Recorder {
-            report: Report {
-                deployment: deployment.to_owned(),
-                seed,
-                ..Report::default()
-            },
+            report: Report { deployment: deployment.to_owned(), seed, ..Report::default() },
             times: histogram(),
             prompt_tokens: 0,
             cached_tokens: 0,
@@ -99,11 +95,7 @@
         self.report.calls += 1;
         self.report.retries += u64::from(done.retries);
         for refusal in &done.refusals {
-            *self
-                .report
-                .refusals
-                .entry(refusal.kind.clone())
-                .or_default() += 1;
+            *self.report.refusals.entry(refusal.kind.clone()).or_default() += 1;
         }
         match &done.outcome {
             Outcome::Whole(whole) => {
@@ -144,10 +136,7 @@
         };
         if untrue {
             self.report.untrue += 1;
-            self.fault(format!(
-                "{key} was run {executions} times: {:?}",
-                done.outcome
-            ));
+            self.fault(format!("{key} was run {executions} times: {:?}", done.outcome));
         }
     }
 
@@ -180,11 +169,7 @@
     /// The quantiles of times in microseconds.
     pub fn new(times: &Histogram<u64>) -> Quantiles {
         let millis = |quantile| times.value_at_quantile(quantile) as f64 / MILLI_MICROS;
-        Quantiles {
-            p50_ms: millis(0.50),
-            p95_ms: millis(0.95),
-            p99_ms: millis(0.99),
-        }
+        Quantiles { p50_ms: millis(0.50), p95_ms: millis(0.95), p99_ms: millis(0.99) }
     }
 }
 
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -95,11 +95,7 @@
     let mut shift = settings.shift;
     let mut measuring = false;
     let mut next = Duration::ZERO;
-    let mut ended = Ended {
-        started: Instant::now(),
-        calls: Vec::new(),
-        before: Totals::default(),
-    };
+    let mut ended = Ended { started: Instant::now(), calls: Vec::new(), before: Totals::default() };
     while next < settings.duration {
         time::sleep_until((ended.started + next).into()).await;
         if !measuring && next >= settings.warmup {
--- a/src/load/scene.rs
+++ b/src/load/scene.rs
@@ -113,27 +113,21 @@
     faults?;
     let ended = calls?;
     let done = ended.calls.iter().map(|(_, done)| done);
-    Ok(Scene {
-        deployment: name.to_owned(),
-        seed,
-        seconds: seconds(done, started),
-    })
+    Ok(Scene { deployment: name.to_owned(), seed, seconds: seconds(done, started) })
 }
 
 async fn faults(bench: &mut Bench, started: Instant) -> Result<()> {
     let at = |second| time::sleep_until((started + Duration::from_secs(second)).into());
     at(CRASH_S).await;
-    bench.deployment.engines[0].set_faults(engine::Faults {
-        crash: true,
-        ..engine::Faults::default()
-    });
+    bench.deployment.engines[0]
+        .set_faults(engine::Faults { crash: true, ..engine::Faults::default() });
     at(HERD_S).await;
     bench.restart_daemons().await?;
     at(OUTAGE_S).await;
-    bench.deployment.platform.set_faults(platform::Faults {
-        table_down: true,
-        ..platform::Faults::default()
-    });
+    bench
+        .deployment
+        .platform
+        .set_faults(platform::Faults { table_down: true, ..platform::Faults::default() });
     at(RETURN_S).await;
     let usual = platform::Faults::default();
     bench.deployment.platform.set_faults(usual);
@@ -151,10 +145,7 @@
 }
 
 fn sum(second: u64, calls: &[&Done]) -> Second {
-    let mut sums = Second {
-        second,
-        ..Second::default()
-    };
+    let mut sums = Second { second, ..Second::default() };
     let mut times = histogram();
     let (mut prompt, mut cached) = (0, 0);
     for done in calls {
--- a/src/load/setup.rs
+++ b/src/load/setup.rs
@@ -15,11 +15,7 @@
 };
 
 /// Limits that the load does not reach.
-const LIMITS: Limits = Limits {
-    priority: 1,
-    concurrency: 1_024,
-    tokens_per_second: 10_000_000,
-};
+const LIMITS: Limits = Limits { priority: 1, concurrency: 1_024, tokens_per_second: 10_000_000 };
 
 /// Puts templates, instances and credentials for all workspaces through the operators' page of
 /// a daemon.
@@ -33,11 +29,7 @@
     let name = format!("{} {}", profile.name, catalog.revision);
     let mut id = [0; 16];
     id.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..16]);
-    let change = Change {
-        id: Id(u128::from_le_bytes(id)),
-        base: catalog.revision,
-        edits,
-    };
+    let change = Change { id: Id(u128::from_le_bytes(id)), base: catalog.revision, edits };
     client.post(operator, "/v1/catalog/changes", &change).await
 }
 
@@ -49,14 +41,9 @@
         version: VERSION,
         billable: false,
     };
-    let service = Target::Service {
-        service: profile.service.clone(),
-    };
+    let service = Target::Service { service: profile.service.clone() };
     let mut edits = Vec::new();
-    let targets = [
-        (profile.model.as_str(), model),
-        (profile.service.as_str(), service),
-    ];
+    let targets = [(profile.model.as_str(), model), (profile.service.as_str(), service)];
     for (name, target) in targets {
         edits.push(Edit::PutTemplate(Template {
             name: id::Template::from(name),
--- a/src/load/traffic.rs
+++ b/src/load/traffic.rs
@@ -249,10 +249,7 @@
         let page = self.skewed(self.profile.pages);
         let edition = if handbook == 0 { self.edition } else { 0 };
         let shared = [
-            (
-                Text::Handbook(workspace, handbook, edition),
-                HANDBOOK_TOKENS,
-            ),
+            (Text::Handbook(workspace, handbook, edition), HANDBOOK_TOKENS),
             (Text::Conventions(workspace), CONVENTIONS_TOKENS),
             (Text::Page(workspace, handbook, page), PAGE_TOKENS),
         ];
@@ -267,9 +264,7 @@
         Kind::Completion {
             prompt,
             levels,
-            max_tokens: self
-                .random
-                .random_range(MIN_ANSWER_TOKENS..=MAX_ANSWER_TOKENS),
+            max_tokens: self.random.random_range(MIN_ANSWER_TOKENS..=MAX_ANSWER_TOKENS),
         }
     }
 
@@ -308,9 +303,7 @@
 }
 
 fn shares(shares: &[(&str, u32)]) -> Vec<Share> {
-    let share = |(name, weight): &(&str, u32)| Share {
-        workspace: Workspace::from(*name),
-        weight: *weight,
-    };
+    let share =
+        |(name, weight): &(&str, u32)| Share { workspace: Workspace::from(*name), weight: *weight };
     shares.iter().map(share).collect()
 }
--- a/src/operate/apply.rs
+++ b/src/operate/apply.rs
@@ -90,15 +90,8 @@
     fn edits(self) -> Result<Vec<Edit>, Failure> {
         let mut edits = Vec::new();
         let remove = self.remove;
-        for InstanceKey {
-            workspace,
-            template,
-        } in remove.instances
-        {
-            edits.push(Edit::DeleteInstance {
-                workspace,
-                template,
-            });
+        for InstanceKey { workspace, template } in remove.instances {
+            edits.push(Edit::DeleteInstance { workspace, template });
         }
         edits.extend(remove.templates.into_iter().map(Edit::DeleteTemplate));
         let digests = remove.credentials.into_iter();
@@ -109,9 +102,9 @@
         for (place, secret) in self.credentials.into_iter().enumerate() {
             match secret.credential() {
                 Some(credential) => edits.push(Edit::PutCredential(credential)),
-                None => faults.push(format!(
-                    "credentials[{place}]: give either `secret` or `digest`"
-                )),
+                None => {
+                    faults.push(format!("credentials[{place}]: give either `secret` or `digest`"))
+                }
             }
         }
         if edits.is_empty() && faults.is_empty() {
@@ -131,10 +124,7 @@
             (None, Some(digest)) => digest,
             _ => return None,
         };
-        Some(Credential {
-            digest,
-            workspace: self.workspace,
-        })
+        Some(Credential { digest, workspace: self.workspace })
     }
 }
 
@@ -159,11 +149,7 @@
             Some(base) => Revision(base),
             None => session.get::<Catalog>("/v1/catalog").await?.revision,
         };
-        let change = Change {
-            id: Id(rand::random()),
-            base,
-            edits: document.edits()?,
-        };
+        let change = Change { id: Id(rand::random()), base, edits: document.edits()? };
         submit(session, &change).await
     }
 }
@@ -226,28 +212,15 @@
 
 /// Both sides of a conflict.
 fn describe(conflict: &Conflict) -> String {
-    let Conflict {
-        base,
-        current,
-        items,
-    } = conflict;
+    let Conflict { base, current, items } = conflict;
     let mut text =
         format!("made on revision {base}, but {current} is in force; nothing was applied");
     if items.is_empty() {
         text.push_str("\nno item was changed by both: apply the file again");
     }
-    for Clash {
-        item,
-        theirs,
-        yours,
-    } in items
-    {
+    for Clash { item, theirs, yours } in items {
         let theirs = theirs.as_ref().map_or("no longer known".to_owned(), json);
-        text.push_str(&format!(
-            "\n{}\n  theirs: {theirs}\n  yours:  {}",
-            json(item),
-            json(yours)
-        ));
+        text.push_str(&format!("\n{}\n  theirs: {theirs}\n  yours:  {}", json(item), json(yours)));
     }
     text
 }
--- a/src/operate/session.rs
+++ b/src/operate/session.rs
@@ -34,10 +34,7 @@
 impl Session {
     /// A conversation with the daemon at `daemon`.
     pub fn new(daemon: SocketAddr) -> Session {
-        Session {
-            daemon,
-            client: Client::new(),
-        }
+        Session { daemon, client: Client::new() }
     }
 
     /// Sends `GET path` and decodes the answer.
@@ -66,10 +63,8 @@
     ///
     /// [`Error::Connect`] if nothing was sent, [`Error::Lost`] if it may have arrived.
     pub async fn post<B: Serialize>(&self, path: &str, body: &B) -> Result<Reply> {
-        let body = serde_json::to_vec(body).map_err(|error| Error::Malformed {
-            what: "request",
-            reason: error.to_string(),
-        })?;
+        let body = serde_json::to_vec(body)
+            .map_err(|error| Error::Malformed { what: "request", reason: error.to_string() })?;
         let request = client::request("POST", self.daemon, path, Bytes::from(body))?;
         let exchange = async {
             let answer = self.client.send(self.daemon, request).await?;
@@ -84,8 +79,5 @@
 }
 
 fn lost(address: SocketAddr, elapsed: time::error::Elapsed) -> Error {
-    Error::Lost {
-        address,
-        reason: elapsed.to_string(),
-    }
+    Error::Lost { address, reason: elapsed.to_string() }
 }
--- a/src/operate/status.rs
+++ b/src/operate/status.rs
@@ -56,10 +56,8 @@
         (true, true) => "leaving",
         (true, false) => "live",
     };
-    let mut line = format!(
-        "  {} {} in {}: {state}",
-        upstream.name, upstream.address, upstream.zone
-    );
+    let mut line =
+        format!("  {} {} in {}: {state}", upstream.name, upstream.address, upstream.zone);
     if let (Some(running), Some(queued)) = (upstream.running, upstream.queued) {
         line.push_str(&format!(", {running} running, {queued} queued"));
     }
--- a/src/operate/timeline.rs
+++ b/src/operate/timeline.rs
@@ -90,10 +90,7 @@
 
 async fn source(session: &Session, address: SocketAddr) -> Source {
     let page = session.get_from::<Page>(address, "/v1/timeline").await;
-    Source {
-        address,
-        page: page.map_err(|error| error.to_string()),
-    }
+    Source { address, page: page.map_err(|error| error.to_string()) }
 }
 
 fn json(value: &impl serde::Serialize) -> Result<String, Failure> {
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -77,9 +77,7 @@
         let entries = self.client.get(self.vms, "/vms");
         match time::timeout(ANSWER_TIMEOUT, entries).await {
             Ok(entries) => entries,
-            Err(elapsed) => Err(Error::Unavailable {
-                reason: elapsed.to_string(),
-            }),
+            Err(elapsed) => Err(Error::Unavailable { reason: elapsed.to_string() }),
         }
     }
 }
@@ -89,19 +87,16 @@
 fn failure(error: Error) -> Failure {
     match error {
         Error::Status { status: 404, .. } => Failure::Unavailable(NOT_FOUND.to_owned()),
-        Error::Connect { .. }
-        | Error::Status {
-            status: 429 | 503, ..
-        } => Failure::Unavailable(error.to_string()),
+        Error::Connect { .. } | Error::Status { status: 429 | 503, .. } => {
+            Failure::Unavailable(error.to_string())
+        }
         other => Failure::Lost(other.to_string()),
     }
 }
 
 fn encode(value: &impl Serialize) -> Result<Bytes, Failure> {
     let bytes = serde_json::to_vec(value);
-    bytes
-        .map(Bytes::from)
-        .map_err(|error| Failure::Unavailable(error.to_string()))
+    bytes.map(Bytes::from).map_err(|error| Failure::Unavailable(error.to_string()))
 }
 
 /// Percent-encodes all bytes that are not unreserved in a query.
--- a/src/prefix.rs
+++ b/src/prefix.rs
@@ -47,12 +47,7 @@
         let adapter = self.adapter.as_ref().map_or("", Adapter::as_str);
         let version = self.version.to_string();
         let mut hasher = blake3::Hasher::new();
-        for field in [
-            self.workspace.as_str(),
-            self.model.as_str(),
-            adapter,
-            &version,
-        ] {
+        for field in [self.workspace.as_str(), self.model.as_str(), adapter, &version] {
             hasher.update(&(field.len() as u64).to_le_bytes());
             hasher.update(field.as_bytes());
         }
--- a/src/report/metric.rs
+++ b/src/report/metric.rs
@@ -20,9 +20,8 @@
 };
 
 /// Upper bounds of the buckets of histograms, in seconds.
-const BUCKETS_S: &[f64] = &[
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
-];
+const BUCKETS_S: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
 
 /// The time between rounds of upkeep, which bounds the memory of histograms.
 const UPKEEP_EVERY: Duration = Duration::from_secs(5);
--- a/src/request/assembler.rs
+++ b/src/request/assembler.rs
@@ -157,20 +157,13 @@
             Some(Finish::Cancelled) => return Err(Fault::Cancelled),
             Some(finish) => Some(End {
                 finish,
-                usage: chunk
-                    .usage
-                    .filter(|it| it.completion_tokens == end)
-                    .ok_or(Fault::Count)?,
+                usage: chunk.usage.filter(|it| it.completion_tokens == end).ok_or(Fault::Count)?,
             }),
         };
         if tokens == 0 && end.is_none() {
             return Ok(None);
         }
-        Ok(Some(Piece {
-            offset: self.next,
-            text: choice.text.clone(),
-            end,
-        }))
+        Ok(Some(Piece { offset: self.next, text: choice.text.clone(), end }))
     }
 
     fn check_source(&self, chunk: &Chunk) -> Result<(), Fault> {
@@ -184,11 +177,7 @@
             Some(pinned) => chunk.incarnation == pinned,
             None => chunk.incarnation >= self.expected.incarnation,
         };
-        if right {
-            Ok(())
-        } else {
-            Err(Fault::Incarnation)
-        }
+        if right { Ok(()) } else { Err(Fault::Incarnation) }
     }
 }
 
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -162,10 +162,7 @@
             Some(assembler) => assembler.restart(expected),
             None => self.assembler = Some(Assembler::new(expected, self.rules.max_tokens)),
         }
-        self.current = Some(Current {
-            upstream,
-            resuming: false,
-        });
+        self.current = Some(Current { upstream, resuming: false });
         self.runs += 1;
         self.breaks = 0;
         self.silences = 0;
--- a/src/request/once.rs
+++ b/src/request/once.rs
@@ -94,19 +94,13 @@
 impl Awake {
     /// A process that starts now.
     pub fn new(now: Now) -> Awake {
-        Awake {
-            last: now,
-            pause: None,
-        }
+        Awake { last: now, pause: None }
     }
 
     /// The process runs; to be told much more often than every [`PAUSE`].
     pub fn tick(&mut self, now: Now) {
         if now.since(self.last) > PAUSE {
-            self.pause = Some(Pause {
-                from: self.last,
-                to: now,
-            });
+            self.pause = Some(Pause { from: self.last, to: now });
         }
         self.last = now;
     }
@@ -248,12 +242,7 @@
 impl Claim {
     /// An attempt of which the table knows nothing, and its first step.
     pub fn new(call: Call) -> (Claim, Step) {
-        let mut claim = Claim {
-            call,
-            over: None,
-            tries: 0,
-            held: None,
-        };
+        let mut claim = Claim { call, over: None, tries: 0, held: None };
         let step = claim.take();
         (claim, step)
     }
@@ -300,10 +289,7 @@
             Outcome::Unknown => return None,
         };
         Some(Transaction {
-            checks: vec![Check {
-                key: self.call.row(),
-                version: Some(version),
-            }],
+            checks: vec![Check { key: self.call.row(), version: Some(version) }],
             writes: vec![self.put(state)],
         })
     }
@@ -315,13 +301,8 @@
     fn take(&mut self) -> Step {
         self.tries += 1;
         let age = age(self.call.received.wall_s, self.call.token);
-        let mut writes = vec![
-            self.put(State::Pending),
-            Write::Put {
-                key: age,
-                value: quote(&self.call.row()),
-            },
-        ];
+        let mut writes =
+            vec![self.put(State::Pending), Write::Put { key: age, value: quote(&self.call.row()) }];
         if let Some(over) = &self.over {
             let key = over.age.clone();
             writes.push(Write::Delete { key });
@@ -350,11 +331,7 @@
 
     fn found(&mut self, row: &Row) -> Step {
         let Ok(record) = serde_json::from_str::<Record>(&row.value) else {
-            return refuse(
-                Kind::Unsettled,
-                Execution::Unknown,
-                "the key's row is unreadable",
-            );
+            return refuse(Kind::Unsettled, Execution::Unknown, "the key's row is unreadable");
         };
         if record.token == self.call.token {
             return self.hold(row.version);
@@ -381,10 +358,8 @@
                 refuse(Kind::Unsettled, Execution::Unknown, message)
             }
             State::NotRun { .. } if self.tries < MAX_TRIES => {
-                self.over = Some(Over {
-                    version: row.version,
-                    age: age(record.taken_s, record.token),
-                });
+                self.over =
+                    Some(Over { version: row.version, age: age(record.taken_s, record.token) });
                 self.take()
             }
             State::NotRun { .. } => self.unavailable(),
@@ -445,16 +420,8 @@
     }
     let row = serde_json::from_str::<String>(&age.value).ok()?;
     Some(Transaction {
-        checks: vec![Check {
-            key: age.key.clone(),
-            version: Some(age.version),
-        }],
-        writes: vec![
-            Write::Delete {
-                key: age.key.clone(),
-            },
-            Write::Delete { key: row },
-        ],
+        checks: vec![Check { key: age.key.clone(), version: Some(age.version) }],
+        writes: vec![Write::Delete { key: age.key.clone() }, Write::Delete { key: row }],
     })
 }
 
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -95,20 +95,12 @@
 impl Refusal {
     /// A refusal of a request that was not run and should not come back as it is.
     pub fn not_run(kind: Kind, message: impl Into<String>) -> Refusal {
-        Refusal {
-            kind,
-            message: message.into(),
-            run: Execution::NotRun,
-            retry_after: None,
-        }
+        Refusal { kind, message: message.into(), run: Execution::NotRun, retry_after: None }
     }
 
     /// The same refusal with a time to come back.
     pub fn retry_after(self, wait: Duration) -> Refusal {
-        Refusal {
-            retry_after: Some(wait),
-            ..self
-        }
+        Refusal { retry_after: Some(wait), ..self }
     }
 
     /// The refusal of a request with an idempotency key, when the key's row was not looked at:
@@ -118,10 +110,7 @@
         if form || self.run != Execution::NotRun {
             return self;
         }
-        Refusal {
-            run: Execution::Unknown,
-            ..self
-        }
+        Refusal { run: Execution::Unknown, ..self }
     }
 
     /// The JSON form.
--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -132,19 +132,13 @@
         }
         let marked = now.since(suspect.marked);
         if !suspect.own || marked >= RERUN {
-            return Verdict::Barred {
-                retry_after: SUSPICION.saturating_sub(marked),
-            };
+            return Verdict::Barred { retry_after: SUSPICION.saturating_sub(marked) };
         }
         if marked < SPREAD {
             let retry_after = SPREAD - marked;
             return Verdict::Wait { retry_after };
         }
-        if self
-            .running
-            .values()
-            .any(|it| it.fingerprint == fingerprint)
-        {
+        if self.running.values().any(|it| it.fingerprint == fingerprint) {
             return Verdict::Wait { retry_after: WAIT };
         }
         Verdict::RunAlone
@@ -165,11 +159,7 @@
         upstream: &Upstream,
         incarnation: Incarnation,
     ) {
-        let run = Run {
-            fingerprint,
-            upstream: upstream.clone(),
-            incarnation,
-        };
+        let run = Run { fingerprint, upstream: upstream.clone(), incarnation };
         self.running.insert(request, run);
     }
 
@@ -223,27 +213,14 @@
         };
         let fingerprint = Fingerprint(fingerprint);
         let old = self.suspects.get(&fingerprint).copied();
-        let merged = old.map_or(fact.value, |old| {
-            old.fact(fingerprint).value.merge(&fact.value)
-        });
+        let merged = old.map_or(fact.value, |old| old.fact(fingerprint).value.merge(&fact.value));
         if old.is_some_and(|old| old.fact(fingerprint).value == merged) {
             return false;
         }
-        let Value::Suspect {
-            crashes,
-            barred,
-            lifts,
-        } = merged
-        else {
+        let Value::Suspect { crashes, barred, lifts } = merged else {
             return false;
         };
-        let suspect = Suspect {
-            crashes,
-            barred,
-            lifts,
-            own: false,
-            marked: now,
-        };
+        let suspect = Suspect { crashes, barred, lifts, own: false, marked: now };
         self.suspects.insert(fingerprint, suspect);
         self.prune();
         true
@@ -284,10 +261,7 @@
 
     fn prune(&mut self) {
         while self.suspects.len() > TABLE_SUSPECTS {
-            let oldest = self
-                .suspects
-                .iter()
-                .min_by_key(|(_, it)| (it.crashes > 0, it.marked));
+            let oldest = self.suspects.iter().min_by_key(|(_, it)| (it.crashes > 0, it.marked));
             let Some(oldest) = oldest.map(|(key, _)| *key) else {
                 break;
             };
@@ -312,11 +286,7 @@
     fn fact(&self, fingerprint: Fingerprint) -> Fact {
         Fact {
             key: fingerprint.key(),
-            value: Value::Suspect {
-                crashes: self.crashes,
-                barred: self.barred,
-                lifts: self.lifts,
-            },
+            value: Value::Suspect { crashes: self.crashes, barred: self.barred, lifts: self.lifts },
         }
     }
 }
--- a/src/route.rs
+++ b/src/route.rs
@@ -133,10 +133,7 @@
 /// Makes the policy that is registered under `name`.
 pub fn policy(name: &str) -> Option<Box<dyn Policy>> {
     let registered = inventory::iter::<Registration>.into_iter();
-    registered
-        .into_iter()
-        .find(|it| it.name == name)
-        .map(|it| (it.make)())
+    registered.into_iter().find(|it| it.name == name).map(|it| (it.make)())
 }
 
 /// The names of all registered policies.
--- a/src/route/baseline.rs
+++ b/src/route/baseline.rs
@@ -11,20 +11,11 @@
     upstream::directory::{Directory, Upstream},
 };
 
-inventory::submit!(Registration {
-    name: "random",
-    make: || Box::new(Random),
-});
+inventory::submit!(Registration { name: "random", make: || Box::new(Random) });
 
-inventory::submit!(Registration {
-    name: "least_load",
-    make: || Box::new(LeastLoad),
-});
+inventory::submit!(Registration { name: "least_load", make: || Box::new(LeastLoad) });
 
-inventory::submit!(Registration {
-    name: "session_hash",
-    make: || Box::new(SessionHash),
-});
+inventory::submit!(Registration { name: "session_hash", make: || Box::new(SessionHash) });
 
 /// Any open engine, with equal chances.
 struct Random;
@@ -83,10 +74,7 @@
 /// The least loaded member; of equals a random one.
 fn least<'a>(pool: &'a Pool, query: &Query<'_>, random: u64) -> Option<&'a Member> {
     let load = |it: &Upstream| it.load.as_ref().map_or(0, |it| it.running + it.queued);
-    let open = pool
-        .members()
-        .iter()
-        .filter(|it| query.allows(&it.upstream));
+    let open = pool.members().iter().filter(|it| query.allows(&it.upstream));
     let mut random = random;
     open.min_by_key(|it| {
         random = mix(random);
--- a/src/route/engine.rs
+++ b/src/route/engine.rs
@@ -93,10 +93,7 @@
 
     /// One engine, remembered from now on.
     pub fn remember(&self, engine: u64) -> Arc<Engine> {
-        self.engines
-            .pin()
-            .get_or_insert_with(engine, Arc::default)
-            .clone()
+        self.engines.pin().get_or_insert_with(engine, Arc::default).clone()
     }
 
     /// Forgets engines that are not in the directory, when there are many of them.
@@ -152,11 +149,7 @@
         let reported = (load.prefill_tokens as f64 - done).max(0.0);
         let sent = self.sent.values().filter(|it| it.at > taken);
         let tokens: u64 = sent.map(|it| it.tokens).sum();
-        let sends = if self.is_empty_run(now) {
-            EMPTY_SENDS
-        } else {
-            1.0
-        };
+        let sends = if self.is_empty_run(now) { EMPTY_SENDS } else { 1.0 };
         let prefill = (reported + tokens as f64 * sends) / rate;
         let slots = self.decode.as_secs_f64() * turns(used, load.batch);
         Duration::from_secs_f64((prefill + slots).min(3_600.0))
@@ -167,11 +160,7 @@
         let passed = upstream.reported.since(self.reported).as_secs_f64();
         if passed > 0.0 {
             let known = self.reported != Time::default();
-            let kept = if known {
-                (-passed / LOAD_WINDOW.as_secs_f64()).exp()
-            } else {
-                0.0
-            };
+            let kept = if known { (-passed / LOAD_WINDOW.as_secs_f64()).exp() } else { 0.0 };
             let weight = 1.0 - kept;
             self.load += weight * (busy(upstream) - self.load);
             self.reported = upstream.reported;
--- a/src/route/hot.rs
+++ b/src/route/hot.rs
@@ -61,9 +61,7 @@
 
 impl Default for Table {
     fn default() -> Table {
-        Table {
-            shards: array::from_fn(|_| Mutex::new(Recent::new(SHARD_PREFIXES))),
-        }
+        Table { shards: array::from_fn(|_| Mutex::new(Recent::new(SHARD_PREFIXES))) }
     }
 }
 
@@ -128,18 +126,14 @@
 
     /// What is known of one engine's holding it.
     pub fn holder(&self, engine: u64, incarnation: Incarnation) -> Option<&Holder> {
-        self.holders()
-            .find(|it| it.engine == engine && it.incarnation == incarnation)
+        self.holders().find(|it| it.engine == engine && it.incarnation == incarnation)
     }
 
     /// Takes note of a holder. An older run of the same engine is forgotten; with no room, the
     /// holder that was known least lately is.
     pub fn hold(&mut self, holder: Holder) {
         let same = |it: &Holder| it.engine == holder.engine;
-        let place = self
-            .holders
-            .iter()
-            .position(|it| it.as_ref().is_some_and(same));
+        let place = self.holders.iter().position(|it| it.as_ref().is_some_and(same));
         let place = place.unwrap_or_else(|| self.oldest());
         let old = self.holders[place].filter(same);
         if old.is_some_and(|old| old.incarnation > holder.incarnation) {
--- a/src/route/level.rs
+++ b/src/route/level.rs
@@ -58,10 +58,7 @@
             return;
         }
         self.len = (self.len + 1).min(LEVELS);
-        self.levels[self.len - 1] = Some(Level {
-            hash: *hash,
-            blocks,
-        });
+        self.levels[self.len - 1] = Some(Level { hash: *hash, blocks });
     }
 
     /// Looks for the lengths after which the demand falls. The first block is always a level,
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -87,11 +87,8 @@
             for loaded in &load.state.loaded {
                 let adapters = loaded.adapters.iter().cloned().map(Some);
                 for adapter in adapters.chain([None]) {
-                    let weights = Weights {
-                        model: loaded.model.clone(),
-                        adapter,
-                        version: loaded.version,
-                    };
+                    let weights =
+                        Weights { model: loaded.model.clone(), adapter, version: loaded.version };
                     pools.pools.entry(weights).or_default().add(upstream);
                 }
             }
@@ -167,10 +164,8 @@
     }
 
     fn add(&mut self, upstream: &Arc<Upstream>) {
-        self.members.push(Member {
-            hash: name_hash(upstream.name.as_str()),
-            upstream: upstream.clone(),
-        });
+        self.members
+            .push(Member { hash: name_hash(upstream.name.as_str()), upstream: upstream.clone() });
         if upstream.is_open() {
             self.open += 1;
             self.busy += busy(upstream);
@@ -227,9 +222,7 @@
 /// The time to prefill what waits at an engine, in seconds.
 fn backlog(upstream: &Upstream) -> f64 {
     let load = upstream.load.as_ref();
-    load.map_or(0.0, |it| {
-        it.prefill_tokens as f64 / it.prefill_rate.max(1) as f64
-    })
+    load.map_or(0.0, |it| it.prefill_tokens as f64 / it.prefill_rate.max(1) as f64)
 }
 
 /// The place of rank `rank` among `count` places, in an order of its own for each `key`. One
--- a/src/route/prefix.rs
+++ b/src/route/prefix.rs
@@ -35,15 +35,9 @@
 /// Requests in one generation of a shard, should their ends never be told.
 const SHARD_REQUESTS: usize = 4_096;
 
-inventory::submit!(Registration {
-    name: "prefix",
-    make: || Box::new(Prefix::new(true)),
-});
+inventory::submit!(Registration { name: "prefix", make: || Box::new(Prefix::new(true)) });
 
-inventory::submit!(Registration {
-    name: "rendezvous",
-    make: || Box::new(Prefix::new(false)),
-});
+inventory::submit!(Registration { name: "rendezvous", make: || Box::new(Prefix::new(false)) });
 
 /// Chooses by the prefixes of the prompt.
 pub struct Prefix {
@@ -96,16 +90,10 @@
         let engine = name_hash(choice.upstream.as_str());
         let tokens = query.prompt_tokens.saturating_sub(choice.cached_tokens);
         let state = self.engines.remember(engine);
-        state
-            .run(choice.incarnation, now)
-            .sent(query.request, tokens, now);
+        state.run(choice.incarnation, now).sent(query.request, tokens, now);
         let levels = Levels::new(query, &self.table, now);
         self.count(query, &levels, now);
-        let holder = Holder {
-            engine,
-            incarnation: choice.incarnation,
-            at: now,
-        };
+        let holder = Holder { engine, incarnation: choice.incarnation, at: now };
         let mut prefixes = [None; LEVELS];
         for (prefix, level) in prefixes.iter_mut().zip(levels.iter()) {
             let before = self.table.update(level.hash, |entry| {
@@ -113,10 +101,7 @@
                 entry.hold(holder);
                 before
             });
-            *prefix = Some(Sent {
-                level: *level,
-                before,
-            });
+            *prefix = Some(Sent { level: *level, before });
         }
         let pending = Pending {
             engine,
@@ -140,8 +125,7 @@
             return;
         }
         for blocks in checkpoints(query.chain.0.len()) {
-            self.table
-                .update(query.chain.0[blocks - 1], |it| it.count(now));
+            self.table.update(query.chain.0[blocks - 1], |it| it.count(now));
         }
     }
 
@@ -224,11 +208,8 @@
     ) -> Option<Choice> {
         let pool = directory.pool(query.owner)?;
         self.engines.prune(directory);
-        let knowledge = Knowledge {
-            table: &self.table,
-            engines: &self.engines,
-            caches: self.caches,
-        };
+        let knowledge =
+            Knowledge { table: &self.table, engines: &self.engines, caches: self.caches };
         let choice = Search::new(query, pool, knowledge, now).best(random)?;
         assert!(
             !query.avoid.contains(&choice.upstream),
@@ -241,15 +222,10 @@
     fn observe(&self, event: &Event<'_>, now: Time) {
         match event {
             Event::Sent { query, choice } => self.sent(query, choice, now),
-            Event::First {
-                request,
-                incarnation,
-                cached_tokens,
-            } => self.first(*request, *incarnation, *cached_tokens, now),
-            Event::Ended {
-                request,
-                cached_tokens,
-            } => self.ended(*request, *cached_tokens, now),
+            Event::First { request, incarnation, cached_tokens } => {
+                self.first(*request, *incarnation, *cached_tokens, now)
+            }
+            Event::Ended { request, cached_tokens } => self.ended(*request, *cached_tokens, now),
             Event::Cache { .. } => {}
         }
     }
--- a/src/route/recent.rs
+++ b/src/route/recent.rs
@@ -22,11 +22,7 @@
 impl<K: Eq + Hash, V> Recent<K, V> {
     /// An empty map whose generations hold `limit` entries each.
     pub fn new(limit: usize) -> Recent<K, V> {
-        Recent {
-            limit,
-            young: Map::default(),
-            old: Map::default(),
-        }
+        Recent { limit, young: Map::default(), old: Map::default() }
     }
 
     /// The value of a key. It counts as no use of it.
@@ -45,9 +41,7 @@
             self.old = mem::take(&mut self.young);
         }
         let old = self.old.remove(&key);
-        self.young
-            .entry(key)
-            .or_insert_with(|| old.unwrap_or_else(make))
+        self.young.entry(key).or_insert_with(|| old.unwrap_or_else(make))
     }
 
     /// Takes a value out.
--- a/src/route/search.rs
+++ b/src/route/search.rs
@@ -272,9 +272,7 @@
         let empty = state.is_empty_run(self.now);
         let (mut cached_tokens, mut credit) = (0.0, 0.0_f64);
         for (index, step) in self.steps[..self.len].iter().enumerate().rev() {
-            let holder = step
-                .entry
-                .holder(candidate.member.hash, upstream.incarnation);
+            let holder = step.entry.holder(candidate.member.hash, upstream.incarnation);
             if let Some(holder) = holder.filter(|_| self.knowledge.caches) {
                 credit = credit.max(state.credit(holder, self.now));
             }
@@ -289,10 +287,7 @@
         if upstream.zone != *self.query.zone {
             queue += ZONE_PENALTY;
         }
-        let rate = upstream
-            .load
-            .as_ref()
-            .map_or(1, |it| it.prefill_rate.max(1));
+        let rate = upstream.load.as_ref().map_or(1, |it| it.prefill_rate.max(1));
         let uncached = (self.query.prompt_tokens as f64 - cached_tokens).max(0.0);
         let (queue, prefill) = (queue.as_secs_f64(), uncached / rate as f64);
         let kept = candidate.levels.checked_sub(1);
@@ -320,11 +315,7 @@
         if self.len == CANDIDATES || self.iter().any(|it| it.member.hash == member.hash) {
             return false;
         }
-        self.list[self.len] = Some(Candidate {
-            member,
-            levels,
-            reason,
-        });
+        self.list[self.len] = Some(Candidate { member, levels, reason });
         self.len += 1;
         true
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -59,10 +59,7 @@
             operator: operator.local_addr()?,
         };
         let policy = route::policy(&settings.policy).ok_or_else(|| {
-            Error::Settings(vec![format!(
-                "policy: unknown policy {:?}",
-                settings.policy
-            )])
+            Error::Settings(vec![format!("policy: unknown policy {:?}", settings.policy)])
         })?;
         let clock = Arc::new(System::new());
         let remote = Arc::new(Remote::new(
@@ -80,23 +77,13 @@
             vms: remote,
             policy: Arc::from(policy),
         }));
-        Ok(Controller {
-            context,
-            caller,
-            operator,
-            peer,
-        })
+        Ok(Controller { context, caller, operator, peer })
     }
 
     /// Serves until `stop`; then leaves the address lists, goes on serving until every list that
     /// named this daemon has run out, lets the requests in progress end, and returns.
     pub async fn run(self, stop: CancellationToken) {
-        let Controller {
-            context,
-            caller,
-            operator,
-            peer,
-        } = self;
+        let Controller { context, caller, operator, peer } = self;
         let (closing, ending) = (CancellationToken::new(), CancellationToken::new());
         context.peer_listener.put(peer);
         let mut parts = JoinSet::new();
@@ -148,11 +135,7 @@
 impl Listening {
     /// The addresses of this daemon.
     pub fn new(bound: &Bound) -> Listening {
-        Listening {
-            caller: bound.caller,
-            peer: bound.peer,
-            operator: bound.operator,
-        }
+        Listening { caller: bound.caller, peer: bound.peer, operator: bound.operator }
     }
 
     /// Writes the line to standard output.
--- a/src/serve/answer.rs
+++ b/src/serve/answer.rs
@@ -86,11 +86,7 @@
             object: "text_completion",
             model: self.model.as_str(),
             offset,
-            choices: [Choice {
-                index: 0,
-                text,
-                finish_reason: end.map(|it| it.finish),
-            }],
+            choices: [Choice { index: 0, text, finish_reason: end.map(|it| it.finish) }],
             usage: end.map(|it| Tokens::new(&it.usage)),
         };
         // Only maps with keys that are no strings, and failing writers, give errors.
@@ -125,9 +121,7 @@
             prompt_tokens: usage.prompt_tokens,
             completion_tokens: usage.completion_tokens,
             total_tokens: usage.prompt_tokens + usage.completion_tokens,
-            prompt_tokens_details: Details {
-                cached_tokens: usage.cached_tokens,
-            },
+            prompt_tokens_details: Details { cached_tokens: usage.cached_tokens },
         }
     }
 }
@@ -144,13 +138,7 @@
 impl Events {
     /// The events for `first`, if it has arrived already, and for what follows.
     pub fn new(form: Form, first: Option<Part>, parts: mpsc::Receiver<Part>) -> Events {
-        Events {
-            form,
-            first,
-            parts,
-            heartbeat: time::interval(HEARTBEAT),
-            ended: false,
-        }
+        Events { form, first, parts, heartbeat: time::interval(HEARTBEAT), ended: false }
     }
 }
 
--- a/src/serve/caller.rs
+++ b/src/serve/caller.rs
@@ -65,9 +65,7 @@
         .ok_or_else(|| unauthorized("the authorization header is no bearer credential"))?;
     let catalog = context.catalog.load();
     let workspace = catalog.workspace(credential);
-    workspace
-        .cloned()
-        .ok_or_else(|| unauthorized("the credential is unknown"))
+    workspace.cloned().ok_or_else(|| unauthorized("the credential is unknown"))
 }
 
 /// The request's idempotency key, if it has one.
@@ -133,10 +131,7 @@
         }
         bytes.extend_from_slice(data);
     }
-    Ok(Whole {
-        bytes: bytes.into(),
-        memory,
-    })
+    Ok(Whole { bytes: bytes.into(), memory })
 }
 
 fn reserve(bodies: &Arc<Semaphore>, kib: usize) -> Result<OwnedSemaphorePermit, Refusal> {
@@ -154,9 +149,7 @@
     let mut response = server::json(refusal.kind.status(), &refusal.document());
     if let Some(wait) = refusal.retry_after {
         let seconds = wait.as_millis().div_ceil(1_000) as u64;
-        response
-            .headers_mut()
-            .insert(header::RETRY_AFTER, seconds.into());
+        response.headers_mut().insert(header::RETRY_AFTER, seconds.into());
     }
     name(&mut response, request);
     response
--- a/src/serve/completion.rs
+++ b/src/serve/completion.rs
@@ -118,10 +118,7 @@
         Refusal::not_run(Kind::UnknownModel, message)
     })?;
     context.rollout.resolve(&mut grant);
-    let form = Form {
-        request: id,
-        model: ask.model.clone(),
-    };
+    let form = Form { request: id, model: ask.model.clone() };
     let stream = ask.stream;
     let mut job = job(context, id, &grant, ask)?;
     job.memory = Some(whole.memory);
@@ -143,13 +140,7 @@
 }
 
 fn job(context: &Arc<Context>, id: id::Request, grant: &Grant, ask: Ask) -> Result<Job, Refusal> {
-    let Target::Model {
-        model,
-        adapter,
-        version,
-        billable,
-    } = &grant.target
-    else {
+    let Target::Model { model, adapter, version, billable } = &grant.target else {
         let message = "the name stands for a service";
         return Err(Refusal::not_run(Kind::UnknownModel, message));
     };
@@ -161,9 +152,7 @@
     };
     let salt = owner.salt();
     let chain = Chain::new(&salt, ask.prompt.as_bytes());
-    let wait = ask
-        .deadline_ms
-        .map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let wait = ask.deadline_ms.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let subject = Subject {
         fingerprint: Fingerprint::new(&grant.workspace, ask.prompt.as_bytes()),
         levels: ask.blocks(chain.0.len()),
@@ -189,10 +178,7 @@
             skip_tokens: 0,
         },
         deadline: context.now() + wait,
-        rules: Rules {
-            idempotent: !billable,
-            max_tokens: ask.max_tokens,
-        },
+        rules: Rules { idempotent: !billable, max_tokens: ask.max_tokens },
         key: None,
         memory: None,
     })
@@ -208,9 +194,7 @@
         let invalid = |message: String| Refusal::not_run(Kind::InvalidRequest, message);
         let ask: Ask = serde_json::from_slice(body).map_err(|it| invalid(it.to_string()))?;
         if ask.max_tokens == 0 || ask.max_tokens > MAX_TOKENS {
-            return Err(invalid(format!(
-                "max_tokens: allowed are 1 to {MAX_TOKENS}"
-            )));
+            return Err(invalid(format!("max_tokens: allowed are 1 to {MAX_TOKENS}")));
         }
         if ask.prompt.is_empty() {
             return Err(invalid("prompt: it is empty".to_owned()));
@@ -246,10 +230,9 @@
     let id = form.request;
     let mut response = Response::new(Events::new(form, first, parts).boxed());
     let headers = response.headers_mut();
-    for (name, value) in [
-        (header::CONTENT_TYPE, "text/event-stream"),
-        (header::CACHE_CONTROL, "no-store"),
-    ] {
+    for (name, value) in
+        [(header::CONTENT_TYPE, "text/event-stream"), (header::CACHE_CONTROL, "no-store")]
+    {
         headers.insert(name, header::HeaderValue::from_static(value));
     }
     caller::name(&mut response, id);
@@ -271,10 +254,7 @@
     }
     if end.is_none() {
         let refusal = Refusal::not_run(Kind::Incomplete, "the answer broke off");
-        return Err(Refusal {
-            run: Execution::Unknown,
-            ..refusal
-        });
+        return Err(Refusal { run: Execution::Unknown, ..refusal });
     }
     let document = form.document(0, &text, end);
     let mut response = server::answer(StatusCode::OK, "application/json", document);
--- a/src/serve/dispatch.rs
+++ b/src/serve/dispatch.rs
@@ -38,10 +38,7 @@
     fn find(&self, request: &Request<Incoming>) -> Option<&'static Route> {
         let path = request.uri().path();
         let matches = |route: &&&'static Route| {
-            let method = route
-                .method
-                .as_ref()
-                .is_none_or(|it| it == request.method());
+            let method = route.method.as_ref().is_none_or(|it| it == request.method());
             let prefix = route.path.ends_with('/') && path.starts_with(route.path);
             method && (prefix || path == route.path)
         };
@@ -53,12 +50,7 @@
 impl Handler for Dispatch {
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let Some(route) = self.find(&request) else {
-            return server::json(
-                StatusCode::NOT_FOUND,
-                &NotFound {
-                    error: "no such page",
-                },
-            );
+            return server::json(StatusCode::NOT_FOUND, &NotFound { error: "no such page" });
         };
         route.page.answer(self.context.clone(), request).await
     }
--- a/src/serve/drive.rs
+++ b/src/serve/drive.rs
@@ -42,15 +42,7 @@
     /// A job of which nothing was sent.
     pub fn new(job: Job, holder: Option<Holder>, parts: mpsc::Sender<Part>) -> Drive {
         let machine = Machine::new(job.rules);
-        Drive {
-            job,
-            machine,
-            placed: None,
-            stream: None,
-            parts,
-            holder,
-            kept: Kept::default(),
-        }
+        Drive { job, machine, placed: None, stream: None, parts, holder, kept: Kept::default() }
     }
 
     /// Answers to the end, or until `gone` is closed.
@@ -95,8 +87,7 @@
             Step::Pass(piece) => self.pass(piece).await,
             Step::Fail(refusal) => {
                 self.placed = None;
-                self.job
-                    .note(decision::Step::Failed, refusal.message.clone());
+                self.job.note(decision::Step::Failed, refusal.message.clone());
                 last(&self.parts, Part::Refusal(refusal)).await;
                 None
             }
@@ -239,11 +230,7 @@
         if let Some(placed) = self.placed.take() {
             placed.end(end.usage.cached_tokens);
         }
-        self.job
-            .context
-            .serving
-            .retries()
-            .attempt(&self.job.subject.owner.workspace);
+        self.job.context.serving.retries().attempt(&self.job.subject.owner.workspace);
         self.job.note(decision::Step::Completed, ());
         last(&self.parts, Part::Piece(piece)).await;
         if let Some(stream) = self.stream.take() {
--- a/src/serve/job.rs
+++ b/src/serve/job.rs
@@ -110,15 +110,9 @@
                 self.note(Step::Claimed, ());
                 Ok(Some(holder))
             }
-            Ok(Claimed::Replay(Answer::Completion {
-                text,
-                finish,
-                usage,
-            })) => Err(Part::Piece(Piece {
-                offset: 0,
-                text,
-                end: Some(End { finish, usage }),
-            })),
+            Ok(Claimed::Replay(Answer::Completion { text, finish, usage })) => {
+                Err(Part::Piece(Piece { offset: 0, text, end: Some(End { finish, usage }) }))
+            }
             Ok(Claimed::Replay(Answer::Call { .. })) => {
                 unreachable!("the digest of a call is never that of a completion")
             }
--- a/src/serve/limit.rs
+++ b/src/serve/limit.rs
@@ -55,25 +55,17 @@
         let state = &context.serving;
         let outcome = state.wait(ticket.request);
         // From here on, dropping the future takes the request back.
-        let admitted = Admitted {
-            context: context.clone(),
-            request: ticket.request,
-            used_tokens: None,
-        };
+        let admitted =
+            Admitted { context: context.clone(), request: ticket.request, used_tokens: None };
         let decision = state.admission().offer(ticket, context.now());
         match decision {
             Decision::Admitted => Ok(admitted),
-            Decision::Refused {
-                reason,
-                retry_after,
-            } => Err(refusal(reason, retry_after)),
+            Decision::Refused { reason, retry_after } => Err(refusal(reason, retry_after)),
             Decision::Queued => match outcome.await {
                 Ok(Outcome::Admitted(_)) => Ok(admitted),
-                Ok(Outcome::Refused {
-                    reason,
-                    retry_after,
-                    ..
-                }) => Err(refusal(reason, retry_after)),
+                Ok(Outcome::Refused { reason, retry_after, .. }) => {
+                    Err(refusal(reason, retry_after))
+                }
                 Err(_) => Err(refusal(Reason::Deadline, TICK)),
             },
         }
@@ -142,10 +134,7 @@
         let silent = self.learn(context, now);
         let mut daemons: Vec<_> = self.heard.keys().cloned().collect();
         daemons.push(context.settings.daemon.clone());
-        let fleet = Fleet {
-            daemons: &daemons,
-            silent,
-        };
+        let fleet = Fleet { daemons: &daemons, silent };
         let facts = context.board.facts(|it| matches!(it, Key::Demand(..)));
         let demand = {
             let mut admission = context.serving.admission();
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -128,9 +128,7 @@
 
     /// The outcome of an attempt of which nothing was sent.
     pub fn not_run(&self) -> Outcome {
-        Outcome::NotRun {
-            told_s: state::now(&self.context).wall_s,
-        }
+        Outcome::NotRun { told_s: state::now(&self.context).wall_s }
     }
 }
 
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -87,11 +87,7 @@
                 return Err(Blocked::Event(Event::Barred(retry_after)));
             }
         };
-        let occupied = if alone {
-            suspects.occupied()
-        } else {
-            Vec::new()
-        };
+        let occupied = if alone { suspects.occupied() } else { Vec::new() };
         let waits = !occupied.is_empty();
         avoid.extend(occupied);
         let query = Query {
@@ -104,26 +100,16 @@
             zone: &context.settings.zone,
         };
         let directory = context.directory.load();
-        let choice = context
-            .policy
-            .choose(&query, &directory, now, rand::random());
+        let choice = context.policy.choose(&query, &directory, now, rand::random());
         let Some(choice) = choice else {
             return Err(match waits {
                 true => Blocked::Wait(ALONE_WAIT),
                 false => Blocked::Event(Event::NoUpstream),
             });
         };
-        let sent = route::Event::Sent {
-            query,
-            choice: &choice,
-        };
+        let sent = route::Event::Sent { query, choice: &choice };
         context.policy.observe(&sent, now);
-        suspects.started(
-            attempt,
-            self.fingerprint,
-            &choice.upstream,
-            choice.incarnation,
-        );
+        suspects.started(attempt, self.fingerprint, &choice.upstream, choice.incarnation);
         Ok(Placed {
             context: context.clone(),
             attempt,
@@ -158,11 +144,7 @@
         if self.incarnation.replace(incarnation).is_some() {
             return false;
         }
-        let event = route::Event::First {
-            request: self.attempt,
-            incarnation,
-            cached_tokens: None,
-        };
+        let event = route::Event::First { request: self.attempt, incarnation, cached_tokens: None };
         self.context.policy.observe(&event, self.context.now());
         true
     }
@@ -176,10 +158,8 @@
 
 impl Drop for Placed {
     fn drop(&mut self) {
-        let event = route::Event::Ended {
-            request: self.attempt,
-            cached_tokens: self.cached_tokens,
-        };
+        let event =
+            route::Event::Ended { request: self.attempt, cached_tokens: self.cached_tokens };
         self.context.policy.observe(&event, self.context.now());
         suspects::ended(&self.context, self.attempt, self.ended);
         if self.ended {
--- a/src/serve/service.rs
+++ b/src/serve/service.rs
@@ -133,12 +133,7 @@
         let rest = head.uri.path().strip_prefix(PREFIX).unwrap_or_default();
         let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
         let service = Service::from(service);
-        if context
-            .catalog
-            .load()
-            .service(&workspace, &service)
-            .is_none()
-        {
+        if context.catalog.load().service(&workspace, &service).is_none() {
             let message = format!("the workspace has no service {:?}", service.as_str());
             return Err(Refusal::not_run(Kind::UnknownService, message));
         }
@@ -214,10 +209,7 @@
             }
             Sent::Cut => {
                 holder.settle(Outcome::Run(None));
-                Err(Refusal {
-                    run: Execution::Run,
-                    ..unanswered(true)
-                })
+                Err(Refusal { run: Execution::Run, ..unanswered(true) })
             }
             Sent::Lost => {
                 holder.settle(Outcome::Unknown);
@@ -268,9 +260,7 @@
         let Ok(Ok(body)) = time::timeout(ANSWER_TIMEOUT, finish).await else {
             return Sent::Cut;
         };
-        let content_type = headers
-            .get(header::CONTENT_TYPE)
-            .and_then(|it| it.to_str().ok());
+        let content_type = headers.get(header::CONTENT_TYPE).and_then(|it| it.to_str().ok());
         let kept = std::str::from_utf8(&body).ok().map(|it| Kept::Call {
             status: status.as_u16(),
             content_type: content_type.map(str::to_owned),
@@ -284,12 +274,7 @@
 
     /// An earlier attempt's answer.
     fn replay(&self, answer: Kept) -> Response<Body> {
-        let Kept::Call {
-            status,
-            content_type,
-            body,
-        } = answer
-        else {
+        let Kept::Call { status, content_type, body } = answer else {
             unreachable!("the digest of a completion is never that of a call")
         };
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
--- a/src/serve/state.rs
+++ b/src/serve/state.rs
@@ -98,10 +98,7 @@
 
 /// The time on both clocks.
 pub fn now(context: &Context) -> Now {
-    Now {
-        time: context.now(),
-        wall_s: context.clock.wall_micros() / 1_000_000,
-    }
+    Now { time: context.now(), wall_s: context.clock.wall_micros() / 1_000_000 }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/serve/suspects.rs
+++ b/src/serve/suspects.rs
@@ -30,10 +30,7 @@
 /// Takes note that a run of an upstream has crashed.
 pub fn crashed(context: &Context, upstream: &Upstream, incarnation: Incarnation) {
     let now = context.now();
-    let facts = context
-        .serving
-        .suspects()
-        .crashed(upstream, incarnation, now);
+    let facts = context.serving.suspects().crashed(upstream, incarnation, now);
     if facts.is_empty() {
         return;
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -57,10 +57,7 @@
 
 impl Default for Log {
     fn default() -> Log {
-        Log {
-            format: Format::Text,
-            filter: "info".to_owned(),
-        }
+        Log { format: Format::Text, filter: "info".to_owned() }
     }
 }
 
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -51,19 +51,11 @@
 }
 
 const fn required(key: &'static str, kind: Kind) -> Field {
-    Field {
-        key,
-        required: true,
-        kind,
-    }
+    Field { key, required: true, kind }
 }
 
 const fn optional(key: &'static str, kind: Kind) -> Field {
-    Field {
-        key,
-        required: false,
-        kind,
-    }
+    Field { key, required: false, kind }
 }
 
 const LISTEN: &[Field] = &[
@@ -72,27 +64,14 @@
     required("operator", Kind::Listen),
 ];
 
-const PLATFORM: &[Field] = &[
-    required("table", Kind::Connect),
-    required("vms", Kind::Connect),
-];
+const PLATFORM: &[Field] = &[required("table", Kind::Connect), required("vms", Kind::Connect)];
 
-const LOG: &[Field] = &[
-    optional("format", Kind::OneOf(&["text", "json"])),
-    optional("filter", Kind::Filter),
-];
+const LOG: &[Field] =
+    &[optional("format", Kind::OneOf(&["text", "json"])), optional("filter", Kind::Filter)];
 
-const LIFETIME: Kind = Kind::Number {
-    least: 1,
-    most: MAX_ADDRESS_LIFETIME_S,
-    unit: "seconds",
-};
+const LIFETIME: Kind = Kind::Number { least: 1, most: MAX_ADDRESS_LIFETIME_S, unit: "seconds" };
 
-const LOADS: Kind = Kind::Number {
-    least: 1,
-    most: MAX_WEIGHT_LOADS,
-    unit: "loads at once",
-};
+const LOADS: Kind = Kind::Number { least: 1, most: MAX_WEIGHT_LOADS, unit: "loads at once" };
 
 const DAEMON: &[Field] = &[
     required("deployment", Kind::Name),
@@ -109,10 +88,7 @@
 
 /// All faults of a daemon's settings, each as `FILE:LINE: KEY: found, allowed`.
 pub fn daemon(file: &str, root: &Line) -> Vec<String> {
-    let mut check = Check {
-        file,
-        faults: Vec::new(),
-    };
+    let mut check = Check { file, faults: Vec::new() };
     check.map("", root, DAEMON);
     check.distinct(root);
     check.faults
@@ -209,10 +185,9 @@
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Kind::Name => write!(
-                f,
-                "a name of 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'"
-            ),
+            Kind::Name => {
+                write!(f, "a name of 1 to {MAX_NAME_BYTES} letters, digits, '-', '_' or '.'")
+            }
             Kind::Listen => f.write_str(
                 "IP:PORT with an address of this VM that others can reach, such as 10.0.0.1:7000",
             ),
--- a/src/settings/tree.rs
+++ b/src/settings/tree.rs
@@ -64,10 +64,7 @@
 
 impl From<Spanned<Node>> for Line {
     fn from(spanned: Spanned<Node>) -> Line {
-        Line {
-            number: spanned.referenced.line(),
-            node: spanned.value,
-        }
+        Line { number: spanned.referenced.line(), node: spanned.value }
     }
 }
 
--- a/src/standin/answer.rs
+++ b/src/standin/answer.rs
@@ -20,9 +20,7 @@
         let digest = blake3::hash(prompt.as_bytes());
         let mut seed = [0; 8];
         seed.copy_from_slice(&digest.as_bytes()[..8]);
-        Answer {
-            seed: u64::from_le_bytes(seed),
-        }
+        Answer { seed: u64::from_le_bytes(seed) }
     }
 
     /// The text of `count` tokens, from token `offset` on.
--- a/src/standin/deployment.rs
+++ b/src/standin/deployment.rs
@@ -53,10 +53,7 @@
             service: Service::from("wiki-app"),
             plains: 3,
             kv: "memoria",
-            weights: Speed {
-                load: Duration::from_millis(800),
-                at_once: 2,
-            },
+            weights: Speed { load: Duration::from_millis(800), at_once: 2 },
         }
     }
 
@@ -71,10 +68,7 @@
             service: Service::from("counter-app"),
             plains: 4,
             kv: "promptkeep",
-            weights: Speed {
-                load: Duration::from_millis(1_200),
-                at_once: 3,
-            },
+            weights: Speed { load: Duration::from_millis(1_200), at_once: 3 },
         }
     }
 
@@ -157,13 +151,7 @@
         let kv = Store::start(stop).await?;
         let name = settings.kv.to_owned();
         platform.list_at_once(entry(name, kv.address(), settings.zone(0), Role::Kv));
-        Ok(Deployment {
-            ledger,
-            platform,
-            engines,
-            plains,
-            kv,
-        })
+        Ok(Deployment { ledger, platform, engines, plains, kv })
     }
 
     /// Where everything listens.
@@ -187,11 +175,5 @@
 }
 
 fn entry(name: String, address: SocketAddr, zone: Zone, role: Role) -> Entry {
-    Entry {
-        name,
-        address,
-        zone,
-        role,
-        state: State::Live,
-    }
+    Entry { name, address, zone, role, state: State::Live }
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -49,11 +49,7 @@
 const KEEP_EVENTS: usize = 4_096;
 
 /// The usual speed of an engine.
-pub const SPEED: Speed = Speed {
-    batch: 16,
-    step: Duration::from_millis(4),
-    prefill_rate: 100_000,
-};
+pub const SPEED: Speed = Speed { batch: 16, step: Duration::from_millis(4), prefill_rate: 100_000 };
 
 /// How an engine is set up.
 #[derive(Clone, Debug)]
@@ -201,12 +197,7 @@
             inner: Mutex::new(inner),
         });
         let pages = Arc::new(pages::Pages(engine.clone()));
-        tokio::spawn(port::serve(
-            listener,
-            engine.switch.clone(),
-            pages,
-            stop.clone(),
-        ));
+        tokio::spawn(port::serve(listener, engine.switch.clone(), pages, stop.clone()));
         let running = engine.clone();
         tokio::spawn(async move { stop.run_until_cancelled(running.run()).await });
         engine.take_report();
@@ -253,11 +244,7 @@
     /// Replaces its faults, and acts on those that happen once.
     pub fn set_faults(&self, faults: Faults) {
         let (crash, silence) = (faults.crash, faults.silence);
-        self.lock().faults = Faults {
-            crash: false,
-            silence: false,
-            ..faults
-        };
+        self.lock().faults = Faults { crash: false, silence: false, ..faults };
         if silence {
             self.switch.silence();
         }
@@ -417,10 +404,7 @@
         let is_it = |it: &&Weights| {
             it.model == completion.model
                 && it.version == completion.version
-                && completion
-                    .adapter
-                    .as_ref()
-                    .is_none_or(|adapter| it.adapters.contains(adapter))
+                && completion.adapter.as_ref().is_none_or(|adapter| it.adapters.contains(adapter))
         };
         self.state.role == Role::Serve && self.state.loaded.iter().find(is_it).is_some()
     }
--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -98,10 +98,7 @@
 impl Batch {
     /// Puts a request behind those of its priority.
     pub fn push(&mut self, job: Job) {
-        let before = self
-            .queue
-            .iter()
-            .take_while(|it| it.priority >= job.priority);
+        let before = self.queue.iter().take_while(|it| it.priority >= job.priority);
         let place = before.count();
         self.queue.insert(place, job);
     }
@@ -137,8 +134,7 @@
         if self.running.iter().any(|it| it.poisoned) {
             return Step::Crash;
         }
-        self.running
-            .sort_by_key(|it| std::cmp::Reverse(it.priority));
+        self.running.sort_by_key(|it| std::cmp::Reverse(it.priority));
         let mut budget = PIECE_TOKENS;
         for job in &mut self.running {
             look_up(job, cache);
--- a/src/standin/engine/cache.rs
+++ b/src/standin/engine/cache.rs
@@ -23,13 +23,7 @@
 impl Cache {
     /// An empty cache of `capacity` blocks that keeps an unused block for `idle`.
     pub fn new(capacity: usize, idle: Duration) -> Cache {
-        Cache {
-            capacity,
-            idle,
-            uses: 0,
-            blocks: Map::default(),
-            order: BTreeMap::new(),
-        }
+        Cache { capacity, idle, uses: 0, blocks: Map::default(), order: BTreeMap::new() }
     }
 
     /// How many blocks of `chain`, from the first on, are held.
@@ -44,10 +38,7 @@
         let mut stored = Vec::new();
         for hash in chain.iter().rev() {
             self.uses += 1;
-            let latest = Use {
-                count: self.uses,
-                time: now,
-            };
+            let latest = Use { count: self.uses, time: now };
             match self.blocks.insert(*hash, latest) {
                 Some(earlier) => drop(self.order.remove(&earlier.count)),
                 None => stored.push(*hash),
--- a/src/standin/engine/pages.rs
+++ b/src/standin/engine/pages.rs
@@ -47,9 +47,9 @@
         let answer = match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/load") => Ok(page::json(&engine.load_report())),
             (&Method::GET, "/v1/state") => Ok(page::json(&engine.state())),
-            (&Method::GET, "/v1/events") => Ok(page::json(
-                &engine.events(page::number(&request, "after", 0)),
-            )),
+            (&Method::GET, "/v1/events") => {
+                Ok(page::json(&engine.events(page::number(&request, "after", 0))))
+            }
             (&Method::POST, "/v1/completions") => engine.complete(request).await,
             (&Method::POST, "/v1/orders") => engine.answer_order(request).await,
             (&Method::POST, "/v1/kv/export") => engine.export(request).await,
@@ -142,10 +142,7 @@
             return inner.load(&self.settings);
         };
         let age_ms = now.since(report.time).as_millis() as u64;
-        Load {
-            age_ms,
-            ..report.load.clone()
-        }
+        Load { age_ms, ..report.load.clone() }
     }
 
     fn events(&self, after: u64) -> Events {
@@ -170,10 +167,7 @@
             };
             events.push(Event { seq, change });
         }
-        Events {
-            incarnation: inner.incarnation,
-            events,
-        }
+        Events { incarnation: inner.incarnation, events }
     }
 
     async fn answer_order(
@@ -183,11 +177,9 @@
         let order: Order = page::body(request).await?;
         let state = self.order(order).map_err(|refused| match refused {
             orders::Refused::Fenced => refusal(StatusCode::CONFLICT, "fenced", self.incarnation()),
-            orders::Refused::Faulty => refusal(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "invalid",
-                self.incarnation(),
-            ),
+            orders::Refused::Faulty => {
+                refusal(StatusCode::SERVICE_UNAVAILABLE, "invalid", self.incarnation())
+            }
         })?;
         Ok(page::json(&state))
     }
@@ -199,17 +191,11 @@
             (inner.cache.held(&export.blocks), inner.incarnation)
         };
         time::sleep(TRANSFER_PER_BLOCK * held as u32).await;
-        let write = Write {
-            salt: export.cache_salt,
-            exporter,
-            blocks: export.blocks[..held].to_vec(),
-        };
+        let write =
+            Write { salt: export.cache_salt, exporter, blocks: export.blocks[..held].to_vec() };
         let written = self.client.post(export.store, "/kv/write", &write).await;
         let blocks: u64 = written.map_err(|error| unavailable(&error))?;
-        Ok(page::json(&Exported {
-            incarnation: exporter,
-            blocks,
-        }))
+        Ok(page::json(&Exported { incarnation: exporter, blocks }))
     }
 
     async fn import(&self, request: Request<Incoming>) -> Result<Response<Body>, Refused> {
@@ -271,10 +257,6 @@
     };
     Refused::json(
         status,
-        &Refusal {
-            code: code.to_owned(),
-            message: message.to_owned(),
-            incarnation,
-        },
+        &Refusal { code: code.to_owned(), message: message.to_owned(), incarnation },
     )
 }
--- a/src/standin/engine/stream.rs
+++ b/src/standin/engine/stream.rs
@@ -93,12 +93,7 @@
 /// The stream as server-sent events from token `offset` on. A crash of the engine cuts it.
 pub fn events(stream: Arc<Stream>, offset: u64) -> Response<Body> {
     let progress = stream.progress.subscribe();
-    let reader = Reader {
-        stream,
-        progress,
-        offset,
-        phase: Phase::Text,
-    };
+    let reader = Reader { stream, progress, offset, phase: Phase::Text };
     let frames = stream::unfold(reader, |mut reader| async move {
         let event = reader.next().await?;
         let frame = Frame::data(Bytes::from(format!("data: {event}\n\n")));
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -143,10 +143,9 @@
                 self.set_faults(faults);
                 page::empty()
             }),
-            _ if self.lock().faults.down => Err(Refused::text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the KV store is down",
-            )),
+            _ if self.lock().faults.down => {
+                Err(Refused::text(StatusCode::SERVICE_UNAVAILABLE, "the KV store is down"))
+            }
             (&Method::POST, "/kv/write") => {
                 let write = page::body(request).await;
                 write.map(|it| page::json(&self.write(it)))
--- a/src/standin/page.rs
+++ b/src/standin/page.rs
@@ -21,11 +21,7 @@
 impl Refused {
     /// A refusal in plain text.
     pub fn text(status: StatusCode, text: &str) -> Refused {
-        Refused {
-            status,
-            content_type: "text/plain",
-            body: text.to_owned(),
-        }
+        Refused { status, content_type: "text/plain", body: text.to_owned() }
     }
 
     /// A refusal in JSON.
@@ -60,9 +56,7 @@
 
 /// A number in a request's query, or `default`.
 pub fn number(request: &Request<Incoming>, key: &str, default: u64) -> u64 {
-    query(request, key)
-        .and_then(|it| it.parse().ok())
-        .unwrap_or(default)
+    query(request, key).and_then(|it| it.parse().ok()).unwrap_or(default)
 }
 
 /// Reads a whole body.
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -148,13 +148,9 @@
     pub fn executions(&self) -> Executions {
         let inner = self.lock();
         let executions = inner.executions.iter();
-        let executions = executions.map(|(key, count)| Execution {
-            key: key.clone(),
-            count: *count,
-        });
-        Executions {
-            executions: executions.collect(),
-        }
+        let executions =
+            executions.map(|(key, count)| Execution { key: key.clone(), count: *count });
+        Executions { executions: executions.collect() }
     }
 
     /// Replaces its faults, and acts on those that happen once.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -180,10 +180,7 @@
     /// Calls so far.
     pub fn calls(&self) -> Calls {
         let calls = self.lock().calls;
-        Calls {
-            weights_at_once: self.loads.most() as u64,
-            ..calls
-        }
+        Calls { weights_at_once: self.loads.most() as u64, ..calls }
     }
 
     /// Lists a VM, or takes it from the list. It shows after the list's lag.
@@ -292,11 +289,7 @@
     fn admit_table(&self, commit: bool) -> Result<Duration, Refused> {
         let now = self.clock.now();
         let mut inner = self.lock();
-        let Faults {
-            table_reads,
-            table_writes,
-            ..
-        } = inner.faults;
+        let Faults { table_reads, table_writes, .. } = inner.faults;
         if inner.faults.table_down {
             return Err(unavailable("the table is down"));
         }
@@ -361,9 +354,8 @@
             Method::GET => {
                 let object = self.lock().objects.get(path).cloned();
                 let kind = "application/octet-stream";
-                Ok(object.map_or_else(page::not_found, |it| {
-                    server::answer(StatusCode::OK, kind, it)
-                }))
+                Ok(object
+                    .map_or_else(page::not_found, |it| server::answer(StatusCode::OK, kind, it)))
             }
             Method::PUT => {
                 let object = page::bytes(request).await?;
--- a/src/standin/platform/rate.rs
+++ b/src/standin/platform/rate.rs
@@ -16,10 +16,7 @@
     /// Counts a call, and tells whether it is within `limit` calls a second.
     pub fn admit(&mut self, limit: u64, now: Time) -> bool {
         if now.0 - self.start.0.min(now.0) >= SECOND_MICROS {
-            *self = Window {
-                start: now,
-                calls: 0,
-            };
+            *self = Window { start: now, calls: 0 };
         }
         self.calls += 1;
         self.calls <= limit
--- a/src/standin/platform/table.rs
+++ b/src/standin/platform/table.rs
@@ -51,19 +51,13 @@
         for write in &transaction.writes {
             self.apply(write);
         }
-        Outcome::Committed {
-            version: self.commits,
-        }
+        Outcome::Committed { version: self.commits }
     }
 
     fn apply(&mut self, write: &Write) {
         match write {
             Write::Put { key, value } => {
-                let row = Row {
-                    key: key.clone(),
-                    value: value.clone(),
-                    version: self.commits,
-                };
+                let row = Row { key: key.clone(), value: value.clone(), version: self.commits };
                 self.rows.insert(key.clone(), row);
             }
             Write::Delete { key } => drop(self.rows.remove(key)),
--- a/src/standin/port.rs
+++ b/src/standin/port.rs
@@ -39,10 +39,7 @@
 
 impl Default for Switch {
     fn default() -> Switch {
-        Switch {
-            epoch: AtomicU64::new(0),
-            up: watch::Sender::new(true),
-        }
+        Switch { epoch: AtomicU64::new(0), up: watch::Sender::new(true) }
     }
 }
 
@@ -113,11 +110,7 @@
         if stream.set_nodelay(true).is_err() {
             continue;
         }
-        let stream = Stream {
-            stream,
-            epoch: switch.epoch(),
-            switch: switch.clone(),
-        };
+        let stream = Stream { stream, epoch: switch.epoch(), switch: switch.clone() };
         let handler = handler.clone();
         connections.spawn(async move {
             let service = service_fn(move |request| {
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -98,10 +98,7 @@
 impl Ring {
     /// An empty ring that takes its stamps from `clock`.
     pub fn new(clock: Box<dyn Clock>) -> Ring {
-        Ring {
-            clock,
-            inner: Mutex::default(),
-        }
+        Ring { clock, inner: Mutex::default() }
     }
 
     /// Adds an event and returns its stamp.
@@ -117,13 +114,7 @@
         }
         let (kind, detail) = (kind.to_owned(), detail.into());
         tracing::info!(subject = %subject, kind, detail);
-        inner.events.push_back(Event {
-            stamp,
-            seq,
-            subject,
-            kind,
-            detail,
-        });
+        inner.events.push_back(Event { stamp, seq, subject, kind, detail });
         stamp
     }
 
@@ -151,14 +142,8 @@
 impl Stamp {
     fn next(self, wall_micros: u64) -> Stamp {
         if wall_micros > self.wall_micros {
-            return Stamp {
-                wall_micros,
-                logical: 0,
-            };
-        }
-        Stamp {
-            wall_micros: self.wall_micros,
-            logical: self.logical + 1,
+            return Stamp { wall_micros, logical: 0 };
         }
+        Stamp { wall_micros: self.wall_micros, logical: self.logical + 1 }
     }
 }
--- a/src/timeline/decision.rs
+++ b/src/timeline/decision.rs
@@ -186,20 +186,12 @@
 impl Decisions {
     /// An empty record that takes its stamps from `ring`.
     pub fn new(ring: Arc<Ring>) -> Decisions {
-        Decisions {
-            ring,
-            shards: std::array::from_fn(|_| Mutex::default()),
-        }
+        Decisions { ring, shards: std::array::from_fn(|_| Mutex::default()) }
     }
 
     /// Adds a decision; the oldest of its shard makes room.
     pub fn record(&self, request: Request, step: Step, detail: impl Into<Detail>) {
-        let decision = Decision {
-            request,
-            stamp: self.ring.stamp(),
-            step,
-            detail: detail.into(),
-        };
+        let decision = Decision { request, stamp: self.ring.stamp(), step, detail: detail.into() };
         let mut shard = self.shard(request);
         if shard.len() == SHARD_DECISIONS {
             shard.pop_front();
--- a/src/timeline/merge.rs
+++ b/src/timeline/merge.rs
@@ -87,10 +87,9 @@
                         merged.add(page);
                     }
                 }
-                Err(reason) => merged.gaps.push(Gap::Unreachable {
-                    address: source.address,
-                    reason,
-                }),
+                Err(reason) => {
+                    merged.gaps.push(Gap::Unreachable { address: source.address, reason })
+                }
             }
         }
         for daemon in known {
@@ -143,22 +142,12 @@
             if event.seq != last + 1 {
                 let daemon = daemon.clone();
                 self.gaps.push(match last {
-                    0 => Gap::Overwritten {
-                        daemon,
-                        events: event.seq - 1,
-                    },
-                    after => Gap::Missing {
-                        daemon,
-                        after,
-                        before: event.seq,
-                    },
+                    0 => Gap::Overwritten { daemon, events: event.seq - 1 },
+                    after => Gap::Missing { daemon, after, before: event.seq },
                 });
             }
             last = event.seq;
-            self.entries.push(Entry {
-                daemon: daemon.clone(),
-                event,
-            });
+            self.entries.push(Entry { daemon: daemon.clone(), event });
         }
     }
 }
@@ -166,13 +155,7 @@
 impl fmt::Display for Merged {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for Entry { daemon, event } in &self.entries {
-            let Event {
-                stamp,
-                subject,
-                kind,
-                detail,
-                ..
-            } = event;
+            let Event { stamp, subject, kind, detail, .. } = event;
             write!(f, "{stamp}  {daemon}  {subject}  {kind}")?;
             if !detail.is_empty() {
                 write!(f, "  {detail}")?;
@@ -194,11 +177,9 @@
             Gap::Overwritten { daemon, events } => {
                 write!(f, "{daemon} has overwritten its first {events} events")
             }
-            Gap::Missing {
-                daemon,
-                after,
-                before,
-            } => write!(f, "{daemon} has no events between {after} and {before}"),
+            Gap::Missing { daemon, after, before } => {
+                write!(f, "{daemon} has no events between {after} and {before}")
+            }
         }
     }
 }
--- a/src/upstream/directory.rs
+++ b/src/upstream/directory.rs
@@ -73,11 +73,7 @@
         upstreams.sort_by(|a, b| a.name.cmp(&b.name));
         let names = upstreams.iter().enumerate();
         let index = names.map(|(place, it)| (it.name.clone(), place)).collect();
-        Directory {
-            upstreams,
-            index,
-            pools: OnceLock::new(),
-        }
+        Directory { upstreams, index, pools: OnceLock::new() }
     }
 
     /// All upstreams, ordered by name.
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -170,10 +170,7 @@
     };
     let status = answer.response.status();
     match status {
-        StatusCode::OK => Ok(Stream {
-            answer,
-            decoder: Decoder::default(),
-        }),
+        StatusCode::OK => Ok(Stream { answer, decoder: Decoder::default() }),
         StatusCode::NOT_FOUND => {
             let refusal = refusal(client, answer).await;
             Err(Failure::UnknownStream(refusal.map(|it| it.incarnation)))
--- a/src/upstream/poll.rs
+++ b/src/upstream/poll.rs
@@ -124,10 +124,7 @@
 
     fn tick(&mut self) {
         let now = self.context.now();
-        let facts = self
-            .context
-            .board
-            .facts(|it| matches!(it, Key::Upstream(_)));
+        let facts = self.context.board.facts(|it| matches!(it, Key::Upstream(_)));
         for (name, change) in self.roster.merge(&facts, now) {
             self.record(&name, change);
         }
@@ -152,8 +149,7 @@
     fn probe_due(&mut self) {
         let now = self.context.now();
         let targets = self.roster.targets();
-        self.due
-            .retain(|name, _| targets.iter().any(|it| it.name == *name));
+        self.due.retain(|name, _| targets.iter().any(|it| it.name == *name));
         let share = Duration::from_secs(1) * targets.len() as u32 / PROBES_PER_SECOND;
         let interval = PROBE_INTERVAL.max(share);
         for target in targets {
@@ -209,9 +205,9 @@
     };
     let fetch = client.fetch(target.address, request);
     let probe = match time::timeout(PROBE_TIMEOUT, fetch).await {
-        Ok(Ok(body)) => serde_json::from_slice::<Load>(&body)
-            .map(Probe::Reported)
-            .unwrap_or(Probe::Answered),
+        Ok(Ok(body)) => {
+            serde_json::from_slice::<Load>(&body).map(Probe::Reported).unwrap_or(Probe::Answered)
+        }
         Ok(Err(Error::Status { .. })) => Probe::Answered,
         Ok(Err(_)) | Err(_) => Probe::Failed,
     };
--- a/src/upstream/roster.rs
+++ b/src/upstream/roster.rs
@@ -156,10 +156,7 @@
         }
         Some(Fact {
             key: Key::Upstream(name.clone()),
-            value: Value::Upstream {
-                incarnation: upstream.incarnation,
-                leaving: upstream.leaving,
-            },
+            value: Value::Upstream { incarnation: upstream.incarnation, leaving: upstream.leaving },
         })
     }
 
@@ -217,13 +214,7 @@
             load: None,
             reported: now,
         });
-        let known = Known {
-            upstream,
-            listed: true,
-            retired: leaving,
-            failures: 0,
-            heard: now,
-        };
+        let known = Known { upstream, listed: true, retired: leaving, failures: 0, heard: now };
         self.entries.insert(name.clone(), known);
         self.dirty = true;
         leaving
@@ -270,11 +261,7 @@
     }
 
     fn merge(&mut self, value: &Value, now: Time) -> Vec<Change> {
-        let Value::Upstream {
-            incarnation,
-            leaving,
-        } = value
-        else {
+        let Value::Upstream { incarnation, leaving } = value else {
             return Vec::new();
         };
         if *incarnation < self.upstream.incarnation {
--- a/tests/address.rs
+++ b/tests/address.rs
@@ -116,16 +116,12 @@
 fn lists_are_near_uncrowded_and_survive_a_zone() {
     for case in CASES {
         let candidates = candidates(case.daemons, case.zones, case.crowded);
-        let caller = Caller {
-            zone: case.caller.map(zone),
-            workspace: case.workspace.map(Into::into),
-        };
+        let caller =
+            Caller { zone: case.caller.map(zone), workspace: case.workspace.map(Into::into) };
         for seed in 0..50 {
             let mut rng = SmallRng::seed_from_u64(seed);
             let list = address::choose(&caller, &candidates, &mut rng);
-            let near = list
-                .iter()
-                .filter(|it| Some(&it.zone) == caller.zone.as_ref());
+            let near = list.iter().filter(|it| Some(&it.zone) == caller.zone.as_ref());
             assert_eq!(near.clone().count(), case.near, "{}: near", case.name);
             assert_eq!(list.len(), case.all, "{}: all", case.name);
             let first = list.iter().take(case.near);
@@ -133,21 +129,11 @@
             let names: BTreeSet<_> = list.iter().map(|it| &it.daemon).collect();
             assert_eq!(names.len(), list.len(), "{}: one twice", case.name);
             let zones: BTreeSet<_> = list.iter().map(|it| &it.zone).collect();
-            let spread = case
-                .zones
-                .min(list.len() - case.near + usize::from(case.near > 0));
-            assert!(
-                zones.len() >= spread.min(case.zones),
-                "{}: {zones:?}",
-                case.name
-            );
+            let spread = case.zones.min(list.len() - case.near + usize::from(case.near > 0));
+            assert!(zones.len() >= spread.min(case.zones), "{}: {zones:?}", case.name);
             for lost in 0..case.zones {
                 let left = list.iter().filter(|it| it.zone != zone(lost)).count();
-                assert!(
-                    left >= ENOUGH,
-                    "{}: {left} left without zone {lost}",
-                    case.name
-                );
+                assert!(left >= ENOUGH, "{}: {left} left without zone {lost}", case.name);
             }
         }
     }
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -22,11 +22,7 @@
     },
 };
 
-const FREE: Limits = Limits {
-    priority: 0,
-    concurrency: u32::MAX,
-    tokens_per_second: 1 << 40,
-};
+const FREE: Limits = Limits { priority: 0, concurrency: u32::MAX, tokens_per_second: 1 << 40 };
 
 fn names(count: usize) -> Vec<Daemon> {
     let name = |place| Daemon::from(format!("d{place}").as_str());
@@ -62,11 +58,7 @@
     admitted_tokens: u64,
 }
 
-const SHARED: Limits = Limits {
-    priority: 0,
-    concurrency: 50,
-    tokens_per_second: 20_000,
-};
+const SHARED: Limits = Limits { priority: 0, concurrency: 50, tokens_per_second: 20_000 };
 const TOKENS: u64 = 400;
 const SHARING_S: u64 = 60;
 
@@ -101,9 +93,8 @@
                 }
             }
         }
-        let (due, mail) = std::mem::take(&mut self.mail)
-            .into_iter()
-            .partition(|(at, _, _)| *at <= now);
+        let (due, mail) =
+            std::mem::take(&mut self.mail).into_iter().partition(|(at, _, _)| *at <= now);
         self.mail = mail;
         let due: Vec<(Time, usize, Fact)> = due;
         for (_, other, fact) in due {
@@ -119,10 +110,7 @@
         }
         for place in 0..all.len() {
             let facts: Vec<Fact> = self.heard[place].values().cloned().collect();
-            let fleet = Fleet {
-                daemons: &all,
-                silent: 0,
-            };
+            let fleet = Fleet { daemons: &all, silent: 0 };
             self.daemons[place].shares(&fleet, &facts);
         }
     }
@@ -159,12 +147,7 @@
             let workspace = Workspace::from("w");
             let ticket = Ticket {
                 tokens: TOKENS,
-                ..ticket(
-                    self.requests,
-                    &workspace,
-                    SHARED,
-                    now + Duration::from_secs(3),
-                )
+                ..ticket(self.requests, &workspace, SHARED, now + Duration::from_secs(3))
             };
             let decision = self.daemons[place].offer(&ticket, now);
             if decision == Decision::Admitted {
@@ -183,11 +166,7 @@
         let count = 3 + seed as usize % 5;
         let mut world = Sharing::new(seed, count);
         let workspace = Workspace::from("w");
-        let moves = if seed % 2 == 0 {
-            MOVES_FAST
-        } else {
-            MOVES_SLOW
-        };
+        let moves = if seed % 2 == 0 { MOVES_FAST } else { MOVES_SLOW };
         let mut demand = vec![0; count];
         for step in 0..SHARING_S * 10 {
             let now = Time::from_millis(1_000 + step * 100);
@@ -206,17 +185,11 @@
             }
             let slots = |it: &Admission| it.slots(&workspace, &SHARED, now);
             let slots: u32 = world.daemons.iter().map(slots).sum();
-            assert!(
-                slots <= SHARED.concurrency,
-                "seed {seed}: {slots} slots at {now:?}"
-            );
+            assert!(slots <= SHARED.concurrency, "seed {seed}: {slots} slots at {now:?}");
             let rate = |it: &Admission| it.rate(&workspace, &SHARED, now);
             let rate: f64 = world.daemons.iter().map(rate).sum();
             let limit = SHARED.tokens_per_second as f64;
-            assert!(
-                rate <= limit * 1.000_001,
-                "seed {seed}: {rate} tokens/s at {now:?}"
-            );
+            assert!(rate <= limit * 1.000_001, "seed {seed}: {rate} tokens/s at {now:?}");
             let running: usize = world.running.iter().map(Vec::len).sum();
             let most = 2 * SHARED.concurrency as usize;
             assert!(running <= most, "seed {seed}: {running} run at {now:?}");
@@ -237,16 +210,10 @@
 fn a_daemon_that_hears_nothing_holds_an_equal_share() {
     let mut own = admission();
     let all = names(7);
-    let fleet = Fleet {
-        daemons: &all,
-        silent: 6,
-    };
+    let fleet = Fleet { daemons: &all, silent: 6 };
     own.shares(&fleet, &[]);
     let workspace = Workspace::from("w");
-    let limits = Limits {
-        concurrency: 70,
-        ..FREE
-    };
+    let limits = Limits { concurrency: 70, ..FREE };
     let deadline = Time::from_millis(60_000);
     let now = Time::from_millis(1);
     let mut admitted = 0;
@@ -270,16 +237,9 @@
     let workspace = Workspace::from("w");
     let now = Time::from_millis(1_000);
     let soon = now + Duration::from_millis(600);
-    assert_eq!(
-        own.offer(&ticket(1, &workspace, FREE, soon), now),
-        Decision::Admitted
-    );
+    assert_eq!(own.offer(&ticket(1, &workspace, FREE, soon), now), Decision::Admitted);
     let refused = own.offer(&ticket(2, &workspace, FREE, soon), now);
-    let Decision::Refused {
-        reason,
-        retry_after,
-    } = refused
-    else {
+    let Decision::Refused { reason, retry_after } = refused else {
         panic!("{refused:?}");
     };
     assert_eq!(reason, Reason::Capacity);
@@ -295,18 +255,10 @@
     let now = Time::from_millis(1_000);
     let later = now + Duration::from_secs(3);
     own.offer(&ticket(1, &workspace, FREE, later), now);
-    assert_eq!(
-        own.offer(&ticket(2, &workspace, FREE, later), now),
-        Decision::Queued
-    );
+    assert_eq!(own.offer(&ticket(2, &workspace, FREE, later), now), Decision::Queued);
     assert!(own.tick(now + Duration::from_secs(2)).is_empty());
     let outcomes = own.tick(now + Duration::from_millis(2_600));
-    let [
-        Outcome::Refused {
-            request, reason, ..
-        },
-    ] = outcomes[..]
-    else {
+    let [Outcome::Refused { request, reason, .. }] = outcomes[..] else {
         panic!("{outcomes:?}");
     };
     assert_eq!((request, reason), (Request(2), Reason::Deadline));
@@ -320,10 +272,7 @@
     let now = Time::from_millis(1_000);
     let in_s = |seconds| now + Duration::from_secs(seconds);
     let low = FREE;
-    let high = Limits {
-        priority: 5,
-        ..FREE
-    };
+    let high = Limits { priority: 5, ..FREE };
     own.offer(&ticket(1, &workspace, low, in_s(60)), now);
     for (number, limits, deadline) in [(2, low, 50), (3, low, 40), (4, high, 60), (5, high, 30)] {
         let ticket = ticket(number, &workspace, limits, in_s(deadline));
@@ -422,11 +371,7 @@
         assert!(own.running() <= SLOTS as usize);
         assert!(own.waiting() <= QUEUE_REQUESTS);
         let longest = DEADLINE_MS * u64::from(SLOTS) / SERVICE_MS;
-        assert!(
-            own.waiting() as u64 <= 2 * longest,
-            "{} wait",
-            own.waiting()
-        );
+        assert!(own.waiting() as u64 <= 2 * longest, "{} wait", own.waiting());
     }
     got
 }
@@ -449,10 +394,7 @@
     let capacity = u64::from(SLOTS) * 1_000 / SERVICE_MS;
     let [large, small] = overload([capacity * 2, capacity / 5]);
     println!("large {large:?}, small {small:?}");
-    assert!(
-        small.good * 10 >= small.offered * 9,
-        "{small:?} beside {large:?}"
-    );
+    assert!(small.good * 10 >= small.offered * 9, "{small:?} beside {large:?}");
 }
 
 // Retries.
--- a/tests/assembler.rs
+++ b/tests/assembler.rs
@@ -9,11 +9,7 @@
 const MAX_TOKENS: u32 = 6;
 
 fn expected() -> Expected {
-    Expected {
-        attempt: Request(7),
-        version: Version(3),
-        incarnation: Incarnation(10),
-    }
+    Expected { attempt: Request(7), version: Version(3), incarnation: Incarnation(10) }
 }
 
 /// Tokens `from..to` of the answer, each one character.
@@ -24,11 +20,7 @@
         incarnation: Incarnation(10),
         version: Version(3),
         offset: from,
-        choices: vec![Choice {
-            text,
-            tokens: (to - from) as u32,
-            finish_reason: None,
-        }],
+        choices: vec![Choice { text, tokens: (to - from) as u32, finish_reason: None }],
         usage: None,
     }
 }
@@ -36,11 +28,7 @@
 fn last(from: u64, to: u64, finish: Finish, count: u64) -> Chunk {
     let mut chunk = chunk(from, to);
     chunk.choices[0].finish_reason = Some(finish);
-    chunk.usage = Some(Usage {
-        prompt_tokens: 9,
-        cached_tokens: 4,
-        completion_tokens: count,
-    });
+    chunk.usage = Some(Usage { prompt_tokens: 9, cached_tokens: 4, completion_tokens: count });
     chunk
 }
 
@@ -59,20 +47,10 @@
 
 fn cases() -> Vec<Case> {
     let whole = vec![chunk(0, 2), chunk(2, 4), last(4, 5, Finish::Stop, 5)];
-    let case = |name, chunks, passed, fault| Case {
-        name,
-        chunks,
-        passed,
-        fault,
-    };
+    let case = |name, chunks, passed, fault| Case { name, chunks, passed, fault };
     vec![
         case("whole", whole.clone(), "abcde.", None),
-        case(
-            "length",
-            vec![last(0, 6, Finish::Length, 6)],
-            "abcdef.",
-            None,
-        ),
+        case("length", vec![last(0, 6, Finish::Length, 6)], "abcdef.", None),
         case(
             "end mark without tokens",
             vec![chunk(0, 3), last(3, 3, Finish::Stop, 3)],
@@ -85,24 +63,9 @@
             "abcd",
             None,
         ),
-        case(
-            "gap",
-            vec![chunk(0, 2), chunk(3, 4)],
-            "ab",
-            Some(Fault::Gap),
-        ),
-        case(
-            "a first chunk that is not the first",
-            vec![chunk(2, 4)],
-            "",
-            Some(Fault::Gap),
-        ),
-        case(
-            "overlap",
-            vec![chunk(0, 2), chunk(1, 4)],
-            "ab",
-            Some(Fault::Overlap),
-        ),
+        case("gap", vec![chunk(0, 2), chunk(3, 4)], "ab", Some(Fault::Gap)),
+        case("a first chunk that is not the first", vec![chunk(2, 4)], "", Some(Fault::Gap)),
+        case("overlap", vec![chunk(0, 2), chunk(1, 4)], "ab", Some(Fault::Overlap)),
         case(
             "end mark with tokens that were passed on",
             vec![chunk(0, 2), last(1, 2, Finish::Stop, 2)],
@@ -141,19 +104,11 @@
         ),
         case(
             "the engine restarted in mid-stream",
-            vec![
-                chunk(0, 2),
-                with(chunk(2, 4), |it| it.incarnation = Incarnation(11)),
-            ],
+            vec![chunk(0, 2), with(chunk(2, 4), |it| it.incarnation = Incarnation(11))],
             "ab",
             Some(Fault::Incarnation),
         ),
-        case(
-            "early end",
-            vec![chunk(0, 2), last(2, 3, Finish::Stop, 5)],
-            "ab",
-            Some(Fault::Count),
-        ),
+        case("early end", vec![chunk(0, 2), last(2, 3, Finish::Stop, 5)], "ab", Some(Fault::Count)),
         case(
             "end without a count",
             vec![with(last(0, 2, Finish::Stop, 2), |it| it.usage = None)],
@@ -172,18 +127,8 @@
             "ab",
             Some(Fault::Cancelled),
         ),
-        case(
-            "after the end",
-            [whole, vec![chunk(5, 6)]].concat(),
-            "abcde.",
-            Some(Fault::Ended),
-        ),
-        case(
-            "no choice",
-            vec![with(chunk(0, 2), |it| it.choices.clear())],
-            "",
-            Some(Fault::Shape),
-        ),
+        case("after the end", [whole, vec![chunk(5, 6)]].concat(), "abcde.", Some(Fault::Ended)),
+        case("no choice", vec![with(chunk(0, 2), |it| it.choices.clear())], "", Some(Fault::Shape)),
         case(
             "an offset past all numbers",
             vec![with(chunk(0, 2), |it| it.offset = u64::MAX)],
@@ -220,11 +165,7 @@
     assert!(matches!(assembler.take(chunk(0, 2)), Verdict::Piece(_)));
     let attempt = Request(8);
     let incarnation = Incarnation(1);
-    assembler.restart(Expected {
-        attempt,
-        incarnation,
-        ..expected()
-    });
+    assembler.restart(Expected { attempt, incarnation, ..expected() });
     let late = assembler.take(chunk(2, 4));
     assert_eq!(late, Verdict::Fault(Fault::Attempt));
     let mut rest = last(2, 4, Finish::Stop, 4);
--- a/tests/attempt.rs
+++ b/tests/attempt.rs
@@ -98,14 +98,7 @@
     Case {
         name: "crash in mid-stream",
         idempotent: true,
-        sees: &[
-            Opened,
-            Tokens(0, 2),
-            Broken,
-            Unreachable,
-            Opened,
-            Last(2, 3),
-        ],
+        sees: &[Opened, Tokens(0, 2), Broken, Unreachable, Opened, Last(2, 3)],
         steps: "p . ab r2 p . c!",
         fails: None,
     },
@@ -119,14 +112,7 @@
     Case {
         name: "crash before the end mark",
         idempotent: true,
-        sees: &[
-            Opened,
-            Tokens(0, 3),
-            Broken,
-            UpstreamGone,
-            Opened,
-            Last(3, 3),
-        ],
+        sees: &[Opened, Tokens(0, 3), Broken, UpstreamGone, Opened, Last(3, 3)],
         steps: "p . abc r3 p . !",
         fails: None,
     },
@@ -194,25 +180,14 @@
     Case {
         name: "late answer of the attempt before",
         idempotent: true,
-        sees: &[
-            Opened,
-            Tokens(0, 1),
-            Broken,
-            UnknownStream,
-            Opened,
-            Late,
-            Opened,
-            Last(1, 3),
-        ],
+        sees: &[Opened, Tokens(0, 1), Broken, UnknownStream, Opened, Late, Opened, Last(1, 3)],
         steps: "p . a r1 p . r1 . bc!",
         fails: None,
     },
     Case {
         name: "connections that break again and again",
         idempotent: false,
-        sees: &[
-            Opened, Broken, Opened, Broken, Opened, Broken, Opened, Broken,
-        ],
+        sees: &[Opened, Broken, Opened, Broken, Opened, Broken, Opened, Broken],
         steps: "p . r0 . r0 . r0 .",
         fails: Some((Kind::Incomplete, Execution::Unknown)),
     },
@@ -258,11 +233,7 @@
             tokens: (to - from) as u32,
             finish_reason: last.then_some(Finish::Stop),
         }],
-        usage: last.then_some(Usage {
-            prompt_tokens: 1,
-            cached_tokens: 0,
-            completion_tokens: to,
-        }),
+        usage: last.then_some(Usage { prompt_tokens: 1, cached_tokens: 0, completion_tokens: to }),
     }
 }
 
@@ -271,10 +242,7 @@
     match see {
         Tokens(from, to) => tokens(chunk(attempt, from, to, false)),
         Last(from, to) => tokens(chunk(attempt, from, to, true)),
-        Weights => tokens(Chunk {
-            version: Version(2),
-            ..chunk(attempt, 0, 1, false)
-        }),
+        Weights => tokens(Chunk { version: Version(2), ..chunk(attempt, 0, 1, false) }),
         Late => tokens(chunk(attempt - 1, 1, 2, false)),
         Unreachable => Event::Unreachable,
         Refused => Event::Refused,
@@ -291,10 +259,7 @@
 
 /// Runs a case; every placement is on an upstream that was not used before.
 fn run(case: &Case) -> (String, Option<(Kind, Execution)>) {
-    let mut machine = Machine::new(Rules {
-        idempotent: case.idempotent,
-        max_tokens: 8,
-    });
+    let mut machine = Machine::new(Rules { idempotent: case.idempotent, max_tokens: 8 });
     let mut steps = Vec::new();
     let mut attempt = 0;
     let mut step = Step::Place;
--- a/tests/catalog.rs
+++ b/tests/catalog.rs
@@ -19,11 +19,7 @@
     kernel::id::{Revision, Version},
 };
 
-const LIMITS: Limits = Limits {
-    priority: 1,
-    concurrency: 8,
-    tokens_per_second: 10_000,
-};
+const LIMITS: Limits = Limits { priority: 1, concurrency: 8, tokens_per_second: 10_000 };
 
 fn template(name: &str, version: u64) -> Template {
     Template {
@@ -49,11 +45,7 @@
 }
 
 fn change(id: u128, base: u64, edits: Vec<Edit>) -> Change {
-    Change {
-        id: Id(id),
-        base: Revision(base),
-        edits,
-    }
+    Change { id: Id(id), base: Revision(base), edits }
 }
 
 /// One daemon: what it has in force, and its way to the table.
@@ -113,27 +105,14 @@
     let table = Memory::default();
     let (mut one, mut two) = (Daemon::default(), Daemon::default());
     two.poll(&table).await;
-    assert_eq!(
-        two.0.revision(),
-        Some(Revision(0)),
-        "an empty table is revision 0"
-    );
-    let put = vec![
-        Edit::PutTemplate(template("law", 1)),
-        instance("notary", "law"),
-    ];
+    assert_eq!(two.0.revision(), Some(Revision(0)), "an empty table is revision 0");
+    let put = vec![Edit::PutTemplate(template("law", 1)), instance("notary", "law")];
     assert_eq!(accepted(&one.change(&table, &change(1, 0, put)).await), 1);
     let delete = vec![
-        Edit::DeleteInstance {
-            workspace: "notary".into(),
-            template: "law".into(),
-        },
+        Edit::DeleteInstance { workspace: "notary".into(), template: "law".into() },
         Edit::PutTemplate(template("law", 2)),
     ];
-    assert_eq!(
-        accepted(&one.change(&table, &change(2, 1, delete)).await),
-        2
-    );
+    assert_eq!(accepted(&one.change(&table, &change(2, 1, delete)).await), 2);
     two.poll(&table).await;
     let mut new = Daemon::default();
     new.poll(&table).await;
@@ -154,10 +133,7 @@
     let Verdict::Conflict(conflict) = two.change(&table, &same).await else {
         panic!("a change on an old base was accepted");
     };
-    assert_eq!(
-        (conflict.base, conflict.current),
-        (Revision(0), Revision(1))
-    );
+    assert_eq!((conflict.base, conflict.current), (Revision(0), Revision(1)));
     assert_eq!(conflict.items.len(), 1);
     assert_eq!(conflict.items[0].item, Item::Template("law".into()));
     assert_eq!(conflict.items[0].theirs.as_ref(), first.edits.first());
@@ -167,14 +143,8 @@
     let Verdict::Conflict(conflict) = two.change(&table, &other).await else {
         panic!("a change on an old base was accepted");
     };
-    assert!(
-        conflict.items.is_empty(),
-        "it can be sent again on the current revision"
-    );
-    let rebased = Change {
-        base: conflict.current,
-        ..other
-    };
+    assert!(conflict.items.is_empty(), "it can be sent again on the current revision");
+    let rebased = Change { base: conflict.current, ..other };
     assert_eq!(accepted(&two.change(&table, &rebased).await), 2);
 }
 
@@ -284,11 +254,7 @@
     assert!(matches!(verdict, Verdict::Conflict(_)), "{verdict:?}");
     let late = tealturn::catalog::store::Call::Commit(late.unwrap());
     late.perform(&table).await;
-    assert_eq!(
-        table.commits(),
-        1,
-        "a change refused as not applied took effect"
-    );
+    assert_eq!(table.commits(), 1, "a change refused as not applied took effect");
 }
 
 #[tokio::test]
@@ -300,10 +266,7 @@
     let edits = vec![
         Edit::PutTemplate(bad),
         instance("notary", "none"),
-        Edit::PutCredential(Credential {
-            digest: "xyz".into(),
-            workspace: "notary".into(),
-        }),
+        Edit::PutCredential(Credential { digest: "xyz".into(), workspace: "notary".into() }),
     ];
     let Verdict::Invalid(invalid) = daemon.change(&table, &change(1, 0, edits)).await else {
         panic!("accepted");
@@ -322,12 +285,7 @@
 #[test]
 fn a_configuration_never_reverts() {
     let mut keeper = Keeper::default();
-    let at = |revision| {
-        Arc::new(Catalog {
-            revision: Revision(revision),
-            ..Catalog::default()
-        })
-    };
+    let at = |revision| Arc::new(Catalog { revision: Revision(revision), ..Catalog::default() });
     assert!(keeper.take(&Update::Whole(at(5))));
     for revision in [0, 4, 5] {
         assert!(!keeper.take(&Update::Whole(at(revision))), "{revision}");
@@ -351,9 +309,5 @@
     let rows = table.rows().len() as u64;
     assert_eq!(rows, LOG_ENTRIES * 2 + 2, "log, names, head and one item");
     old.poll(&table).await;
-    assert_eq!(
-        old.catalog(),
-        daemon.catalog(),
-        "one that the log no longer reaches"
-    );
+    assert_eq!(old.catalog(), daemon.catalog(), "one that the log no longer reaches");
 }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -20,11 +20,7 @@
 const NOW: Time = Time::from_millis(100_000);
 
 fn engine(place: usize) -> Upstream {
-    let weights = Weights {
-        model: "m".into(),
-        version: Version(1),
-        adapters: vec!["law".into()],
-    };
+    let weights = Weights { model: "m".into(), version: Version(1), adapters: vec!["law".into()] };
     let load = Load {
         incarnation: Incarnation(1),
         age_ms: 0,
@@ -46,10 +42,7 @@
         name: format!("e{place}").as_str().into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z".into(),
-        role: vm::Role::Engine {
-            model: "m".into(),
-            fenced: true,
-        },
+        role: vm::Role::Engine { model: "m".into(), fenced: true },
         incarnation: Incarnation(1),
         alive: true,
         leaving: false,
@@ -120,42 +113,15 @@
 }
 
 const CLOSED: &[Case] = &[
-    Case {
-        name: "dead",
-        change: |it| it.alive = false,
-    },
-    Case {
-        name: "leaving, says the VM list",
-        change: |it| it.leaving = true,
-    },
-    Case {
-        name: "leaving, says its report",
-        change: |it| load(it).leaving = true,
-    },
-    Case {
-        name: "no report yet",
-        change: |it| it.load = None,
-    },
-    Case {
-        name: "a report of an earlier run",
-        change: |it| it.incarnation = Incarnation(2),
-    },
-    Case {
-        name: "on standby",
-        change: |it| load(it).state.role = Role::Standby,
-    },
-    Case {
-        name: "another model",
-        change: |it| load(it).state.loaded[0].model = "n".into(),
-    },
-    Case {
-        name: "older weights",
-        change: |it| load(it).state.loaded[0].version = Version(0),
-    },
-    Case {
-        name: "newer weights",
-        change: |it| load(it).state.loaded[0].version = Version(2),
-    },
+    Case { name: "dead", change: |it| it.alive = false },
+    Case { name: "leaving, says the VM list", change: |it| it.leaving = true },
+    Case { name: "leaving, says its report", change: |it| load(it).leaving = true },
+    Case { name: "no report yet", change: |it| it.load = None },
+    Case { name: "a report of an earlier run", change: |it| it.incarnation = Incarnation(2) },
+    Case { name: "on standby", change: |it| load(it).state.role = Role::Standby },
+    Case { name: "another model", change: |it| load(it).state.loaded[0].model = "n".into() },
+    Case { name: "older weights", change: |it| load(it).state.loaded[0].version = Version(0) },
+    Case { name: "newer weights", change: |it| load(it).state.loaded[0].version = Version(2) },
     Case {
         name: "weights that still load",
         change: |it| {
@@ -163,10 +129,7 @@
             state.loading = std::mem::take(&mut state.loaded);
         },
     },
-    Case {
-        name: "without the adapter",
-        change: |it| load(it).state.loaded[0].adapters.clear(),
-    },
+    Case { name: "without the adapter", change: |it| load(it).state.loaded[0].adapters.clear() },
 ];
 
 #[test]
@@ -234,20 +197,11 @@
         assert_eq!(before, homes(&directory(count, |_, _| {}), prompts));
         let most = prompts / count;
         // In a large pool a removal moves a few prompts at each branch of the tree.
-        let branches = if count < 64 {
-            0
-        } else {
-            count.ilog2() as usize
-        };
+        let branches = if count < 64 { 0 } else { count.ilog2() as usize };
         for gone in 0..6 {
-            let dead = homes(
-                &directory(count, |place, it| it.alive = place != gone),
-                prompts,
-            );
+            let dead = homes(&directory(count, |place, it| it.alive = place != gone), prompts);
             assert!(moved(&before, &dead, gone) <= most, "{count}");
-            let engines = (0..count)
-                .filter(|it| *it != gone)
-                .map(|it| Arc::new(engine(it)));
+            let engines = (0..count).filter(|it| *it != gone).map(|it| Arc::new(engine(it)));
             let removed = homes(&Directory::new(engines.collect()), prompts);
             assert!(moved(&before, &removed, gone) <= most * branches, "{count}");
         }
@@ -256,10 +210,7 @@
             *counts.entry(home).or_insert(0) += 1;
         }
         let most = counts.values().max().copied().unwrap_or(0);
-        assert!(
-            most <= 60,
-            "{most} prompts at one of {count}, 20 on average"
-        );
+        assert!(most <= 60, "{most} prompts at one of {count}, 20 on average");
     }
 }
 
@@ -268,15 +219,9 @@
     let policy = Prefix::new(true);
     let all = directory(1, |_, _| {});
     let first = choose(&policy, &all, 1, &[], NOW, true).expect("a choice");
-    let ended = Event::Ended {
-        request: Request(1),
-        cached_tokens: Some(0),
-    };
-    let first_token = Event::First {
-        request: Request(1),
-        incarnation: first.incarnation,
-        cached_tokens: None,
-    };
+    let ended = Event::Ended { request: Request(1), cached_tokens: Some(0) };
+    let first_token =
+        Event::First { request: Request(1), incarnation: first.incarnation, cached_tokens: None };
     policy.observe(&first_token, NOW);
     policy.observe(&ended, NOW);
     let again = choose(&policy, &all, 1, &[], NOW, false).expect("a choice");
@@ -303,9 +248,7 @@
 #[test]
 fn the_one_that_looks_idle_does_not_get_everything() {
     let policy = Prefix::new(true);
-    let all = directory(12, |place, it| {
-        load(it).running = if place == 5 { 0 } else { 12 }
-    });
+    let all = directory(12, |place, it| load(it).running = if place == 5 { 0 } else { 12 });
     let mut at_idle = 0;
     for number in 0..1_000 {
         let choice = choose(&policy, &all, number, &[], NOW, true).expect("a choice");
