--- a/tests/contract_engine.rs
+++ b/tests/contract_engine.rs
@@ -47,10 +47,7 @@
     async fn new(change: impl Fn(&mut Settings)) -> Bench {
         let stop = CancellationToken::new();
         let ledger = Arc::new(Ledger::default());
-        let speed = Speed {
-            load: Duration::from_millis(40),
-            at_once: 2,
-        };
+        let speed = Speed { load: Duration::from_millis(40), at_once: 2 };
         let platform = Platform::start(speed, ledger.clone(), stop.clone());
         let platform = platform.await.expect("the call works");
         let mut settings = Settings::new("assistente".into(), Version(1), platform.address());
@@ -60,12 +57,7 @@
         Bench {
             client: Client::new(),
             address: engine.address(),
-            standin: Some(Standin {
-                engine,
-                platform,
-                ledger,
-                _stop: stop.drop_guard(),
-            }),
+            standin: Some(Standin { engine, platform, ledger, _stop: stop.drop_guard() }),
         }
     }
 
@@ -103,16 +95,10 @@
         request: http::Request<http_body_util::Full<Bytes>>,
     ) -> Result<Stream, Refused> {
         let answer = time::timeout(PATIENCE, self.client.send(self.address, request));
-        let answer = answer
-            .await
-            .expect("the call works")
-            .expect("the call works");
+        let answer = answer.await.expect("the call works").expect("the call works");
         let status = answer.response.status().as_u16();
         if status == 200 {
-            return Ok(Stream {
-                answer,
-                buffer: Vec::new(),
-            });
+            return Ok(Stream { answer, buffer: Vec::new() });
         }
         let body = self.client.finish(answer).await.expect("the call works");
         let refusal: Refusal = serde_json::from_slice(&body).expect("the call works");
@@ -125,10 +111,7 @@
     }
 
     async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> T {
-        self.client
-            .get(self.address, path)
-            .await
-            .expect("the call works")
+        self.client.get(self.address, path).await.expect("the call works")
     }
 
     async fn order(&self, order: &Order) -> Result<State, Error> {
@@ -143,9 +126,7 @@
                 time::sleep(Duration::from_millis(5)).await;
             }
         };
-        time::timeout(PATIENCE, reached)
-            .await
-            .expect("the call works");
+        time::timeout(PATIENCE, reached).await.expect("the call works");
     }
 }
 
@@ -168,19 +149,12 @@
                 let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
                 let text = String::from_utf8(event).expect("the call works");
                 return Some(
-                    text.trim()
-                        .strip_prefix("data: ")
-                        .expect("the call works")
-                        .to_owned(),
+                    text.trim().strip_prefix("data: ").expect("the call works").to_owned(),
                 );
             }
             let frame = self.answer.response.body_mut().frame();
-            let frame = time::timeout(PATIENCE, frame)
-                .await
-                .expect("the call works")?
-                .ok()?;
-            self.buffer
-                .extend_from_slice(frame.data_ref().expect("the call works"));
+            let frame = time::timeout(PATIENCE, frame).await.expect("the call works")?.ok()?;
+            self.buffer.extend_from_slice(frame.data_ref().expect("the call works"));
         }
     }
 
@@ -217,19 +191,11 @@
 }
 
 fn weights(version: u64) -> Weights {
-    Weights {
-        model: "assistente".into(),
-        version: Version(version),
-        adapters: Vec::new(),
-    }
+    Weights { model: "assistente".into(), version: Version(version), adapters: Vec::new() }
 }
 
 fn order(fence: u64, versions: &[u64]) -> Order {
-    Order {
-        fence,
-        weights: versions.iter().map(|it| weights(*it)).collect(),
-        role: Role::Serve,
-    }
+    Order { fence, weights: versions.iter().map(|it| weights(*it)).collect(), role: Role::Serve }
 }
 
 /// Asserts that the chunks are the answer's tokens from `offset` to the end, each once.
@@ -249,11 +215,7 @@
     let expected = Answer::new(&completion.prompt).text(offset, count);
     assert_eq!(text, expected, "{name}");
     let last = chunks.last().expect("the call works");
-    assert_eq!(
-        last.choices[0].finish_reason,
-        Some(Finish::Length),
-        "{name}"
-    );
+    assert_eq!(last.choices[0].finish_reason, Some(Finish::Length), "{name}");
     let usage = last.usage.expect("the call works");
     assert_eq!(usage.completion_tokens, u64::from(completion.max_tokens));
     let tokens = completion.prompt.len().div_ceil(4) as u64;
@@ -276,12 +238,7 @@
 #[tokio::test]
 async fn completions() {
     let cases = [
-        Case {
-            name: "a whole answer",
-            fault: None,
-            change: |_| {},
-            expected: Expected::Whole,
-        },
+        Case { name: "a whole answer", fault: None, change: |_| {}, expected: Expected::Whole },
         Case {
             name: "the rest of an answer",
             fault: None,
@@ -380,36 +337,21 @@
     stream.chunk().await;
     drop(stream);
     for offset in [0, 1, 5] {
-        let mut rest = bench
-            .resume(completion.request_id, offset)
-            .await
-            .expect("the call works");
+        let mut rest = bench.resume(completion.request_id, offset).await.expect("the call works");
         let chunks = rest.rest().await.expect("the call works");
         assert_answer("resumed", &completion, offset, &chunks);
     }
-    let unknown = bench
-        .resume(Request(99), 0)
-        .await
-        .err()
-        .expect("the call works");
+    let unknown = bench.resume(Request(99), 0).await.err().expect("the call works");
     assert_eq!(unknown.status, 404);
     assert_eq!(unknown.refusal.code, "unknown_stream");
 
-    let long = Completion {
-        request_id: Request(2),
-        max_tokens: 10_000,
-        ..completion
-    };
+    let long = Completion { request_id: Request(2), max_tokens: 10_000, ..completion };
     let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
     let path = format!("/v1/streams/{}", long.request_id);
     let cancel =
         client::request("DELETE", bench.address, &path, Bytes::new()).expect("the call works");
-    bench
-        .client
-        .fetch(bench.address, cancel)
-        .await
-        .expect("the call works");
+    bench.client.fetch(bench.address, cancel).await.expect("the call works");
     let rest = stream.rest().await.expect("the call works");
     let finish = rest.last().expect("the call works").choices[0].finish_reason;
     assert_eq!(finish, Some(Finish::Cancelled));
@@ -419,39 +361,21 @@
 async fn a_prefix_is_cached_for_its_salt_until_a_crash() {
     let bench = Bench::new(|_| {}).await;
     let cached = |chunks: Vec<Chunk>| {
-        chunks
-            .last()
-            .expect("the call works")
-            .usage
-            .expect("the call works")
-            .cached_tokens
+        chunks.last().expect("the call works").usage.expect("the call works").cached_tokens
     };
     let first = completion(1);
     assert_eq!(cached(bench.whole(&first).await), 0);
     let again = completion(2);
     let blocks = again.prompt.len() / BLOCK_BYTES;
     assert_eq!(cached(bench.whole(&again).await), blocks as u64 * 64);
-    let other = Completion {
-        cache_salt: Salt("11".repeat(16)),
-        ..completion(3)
-    };
+    let other = Completion { cache_salt: Salt("11".repeat(16)), ..completion(3) };
     assert_eq!(cached(bench.whole(&other).await), 0);
 
     let before = bench.engine().incarnation();
-    bench.engine().set_faults(Faults {
-        crash: true,
-        restart_ms: 20,
-        ..Faults::default()
-    });
-    bench
-        .until(|it| it.incarnation > before && !it.loaded.is_empty())
-        .await;
+    bench.engine().set_faults(Faults { crash: true, restart_ms: 20, ..Faults::default() });
+    bench.until(|it| it.incarnation > before && !it.loaded.is_empty()).await;
     bench.client.forget(bench.address);
-    let lost = bench
-        .resume(first.request_id, 0)
-        .await
-        .err()
-        .expect("the call works");
+    let lost = bench.resume(first.request_id, 0).await.err().expect("the call works");
     assert_eq!(lost.status, 404);
     assert!(lost.refusal.incarnation > before);
     let chunks = bench.whole(&completion(4)).await;
@@ -462,48 +386,28 @@
 #[tokio::test]
 async fn open_connections_go_silent_and_new_ones_resume() {
     let bench = Bench::new(|_| {}).await;
-    let long = Completion {
-        max_tokens: 200,
-        ..completion(1)
-    };
+    let long = Completion { max_tokens: 200, ..completion(1) };
     let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
-    bench.engine().set_faults(Faults {
-        silence: true,
-        ..Faults::default()
-    });
+    bench.engine().set_faults(Faults { silence: true, ..Faults::default() });
     // What was under way may still arrive; then nothing does, not even the end.
     while let Ok(event) = time::timeout(SILENCE, stream.event()).await {
         assert!(event.is_some(), "the stream ended");
     }
     bench.client.forget(bench.address);
-    let mut rest = bench
-        .resume(long.request_id, 7)
-        .await
-        .expect("the call works");
-    assert_answer(
-        "resumed",
-        &long,
-        7,
-        &rest.rest().await.expect("the call works"),
-    );
+    let mut rest = bench.resume(long.request_id, 7).await.expect("the call works");
+    assert_answer("resumed", &long, 7, &rest.rest().await.expect("the call works"));
 }
 
 #[tokio::test]
 async fn a_higher_priority_is_served_first() {
     let bench = Bench::new(|it| it.speed.batch = 1).await;
-    let busy = Completion {
-        max_tokens: 40,
-        ..completion(1)
-    };
+    let busy = Completion { max_tokens: 40, ..completion(1) };
     let mut busy = bench.open(&busy).await.expect("the call works");
     busy.chunk().await;
     let low = completion(2);
-    let high = Completion {
-        priority: 9,
-        prompt: "Is the medical valid?".to_owned(),
-        ..completion(3)
-    };
+    let high =
+        Completion { priority: 9, prompt: "Is the medical valid?".to_owned(), ..completion(3) };
     let mut low = bench.open(&low).await.expect("the call works");
     let mut high = bench.open(&high).await.expect("the call works");
     let (mut first, mut second) = (false, false);
@@ -525,42 +429,24 @@
 
 #[tokio::test]
 async fn cache_events() {
-    let at_once = Faults {
-        event_delay_ms: 0,
-        event_drop_percent: 0,
-        ..Faults::default()
-    };
+    let at_once = Faults { event_delay_ms: 0, event_drop_percent: 0, ..Faults::default() };
     let cases = [
-        Stored {
-            name: "right",
-            faults: at_once.clone(),
-            right: true,
-            any: true,
-        },
+        Stored { name: "right", faults: at_once.clone(), right: true, any: true },
         Stored {
             name: "late",
-            faults: Faults {
-                event_delay_ms: 60_000,
-                ..at_once.clone()
-            },
+            faults: Faults { event_delay_ms: 60_000, ..at_once.clone() },
             right: false,
             any: false,
         },
         Stored {
             name: "lost",
-            faults: Faults {
-                event_drop_percent: 100,
-                ..at_once.clone()
-            },
+            faults: Faults { event_drop_percent: 100, ..at_once.clone() },
             right: false,
             any: false,
         },
         Stored {
             name: "wrong",
-            faults: Faults {
-                event_wrong_percent: 100,
-                ..at_once
-            },
+            faults: Faults { event_wrong_percent: 100, ..at_once },
             right: false,
             any: true,
         },
@@ -598,13 +484,8 @@
 
 #[tokio::test]
 async fn orders() {
-    let case = |name, fenced, refuses, fences, taken| Ordered {
-        name,
-        fenced,
-        refuses,
-        fences,
-        taken,
-    };
+    let case =
+        |name, fenced, refuses, fences, taken| Ordered { name, fenced, refuses, fences, taken };
     let cases = [
         case("a newer order", true, false, [5, 6], true),
         case("an order of the same holder", true, false, [5, 5], true),
@@ -612,24 +493,11 @@
         case("an old order, not checked", false, false, [5, 4], true),
         case("an engine that refuses", true, true, [5, 6], false),
     ];
-    for Ordered {
-        name,
-        fenced,
-        refuses,
-        fences,
-        taken,
-    } in cases
-    {
+    for Ordered { name, fenced, refuses, fences, taken } in cases {
         let bench = Bench::new(|it| it.fenced = fenced).await;
-        bench
-            .order(&order(fences[0], &[1, 2]))
-            .await
-            .expect("the call works");
+        bench.order(&order(fences[0], &[1, 2])).await.expect("the call works");
         bench.until(|it| it.loaded.len() == 2).await;
-        bench.engine().set_faults(Faults {
-            refuse_orders: refuses,
-            ..Faults::default()
-        });
+        bench.engine().set_faults(Faults { refuse_orders: refuses, ..Faults::default() });
         let answer = bench.order(&order(fences[1], &[3])).await;
         assert_eq!(answer.is_ok(), taken, "{name}");
         if !taken {
@@ -638,23 +506,10 @@
             continue;
         }
         bench.until(|it| it.loaded == [weights(3)]).await;
-        let calls = bench
-            .standin
-            .as_ref()
-            .expect("the call works")
-            .platform
-            .calls();
-        let state = bench
-            .order(&order(fences[1], &[3]))
-            .await
-            .expect("the call works");
+        let calls = bench.standin.as_ref().expect("the call works").platform.calls();
+        let state = bench.order(&order(fences[1], &[3])).await.expect("the call works");
         assert!(state.loading.is_empty(), "{name}: repeated");
-        let later = bench
-            .standin
-            .as_ref()
-            .expect("the call works")
-            .platform
-            .calls();
+        let later = bench.standin.as_ref().expect("the call works").platform.calls();
         assert_eq!(calls.weights, later.weights, "{name}: repeated");
     }
 }
@@ -662,24 +517,15 @@
 #[tokio::test]
 async fn load_reports_lag() {
     let bench = Bench::new(|_| {}).await;
-    bench.engine().set_faults(Faults {
-        load_lag_ms: 600_000,
-        ..Faults::default()
-    });
+    bench.engine().set_faults(Faults { load_lag_ms: 600_000, ..Faults::default() });
     let idle: Load = bench.get("/v1/load").await;
-    let long = Completion {
-        max_tokens: 10_000,
-        ..completion(1)
-    };
+    let long = Completion { max_tokens: 10_000, ..completion(1) };
     let mut stream = bench.open(&long).await.expect("the call works");
     stream.chunk().await;
     let stale: Load = bench.get("/v1/load").await;
     assert_eq!((idle.running, stale.running), (0, 0));
     assert!(stale.age_ms >= idle.age_ms);
-    bench.engine().set_faults(Faults {
-        load_lag_ms: 0,
-        ..Faults::default()
-    });
+    bench.engine().set_faults(Faults { load_lag_ms: 0, ..Faults::default() });
     let fresh = async {
         loop {
             let load: Load = bench.get("/v1/load").await;
@@ -688,9 +534,7 @@
             }
         }
     };
-    let fresh = time::timeout(PATIENCE, fresh)
-        .await
-        .expect("the call works");
+    let fresh = time::timeout(PATIENCE, fresh).await.expect("the call works");
     assert_eq!(fresh.incarnation, bench.engine().incarnation());
     assert_ne!(fresh.incarnation, Incarnation(0));
 }
--- a/tests/contract_platform.rs
+++ b/tests/contract_platform.rs
@@ -40,10 +40,7 @@
 impl Bench {
     async fn new() -> Bench {
         let stop = CancellationToken::new();
-        let speed = Speed {
-            load: Duration::from_millis(60),
-            at_once: 2,
-        };
+        let speed = Speed { load: Duration::from_millis(60), at_once: 2 };
         let platform = Platform::start(speed, Arc::new(Ledger::default()), stop.clone());
         let platform = platform.await.expect("the call works");
         let address = platform.address();
@@ -77,24 +74,15 @@
     }
 
     fn put(&self, name: &str, value: &str) -> Write {
-        Write::Put {
-            key: self.key(name),
-            value: value.to_owned(),
-        }
+        Write::Put { key: self.key(name), value: value.to_owned() }
     }
 
     fn check(&self, name: &str, version: Option<u64>) -> Check {
-        Check {
-            key: self.key(name),
-            version,
-        }
+        Check { key: self.key(name), version }
     }
 
     async fn row(&self, name: &str) -> Option<Row> {
-        self.remote
-            .get(&self.key(name))
-            .await
-            .expect("the call works")
+        self.remote.get(&self.key(name)).await.expect("the call works")
     }
 
     async fn status(&self, method: &str, path: &str, body: &'static [u8]) -> u16 {
@@ -124,14 +112,8 @@
     };
     let version = committed(bench.remote.commit(&first).await.expect("the call works"));
     let row = bench.row("b").await.expect("the call works");
-    assert_eq!(
-        (row.value.as_str(), row.version),
-        ("{\"x\": \"ü&=\"}", version)
-    );
-    assert_eq!(
-        bench.row("a").await.expect("the call works").version,
-        version
-    );
+    assert_eq!((row.value.as_str(), row.version), ("{\"x\": \"ü&=\"}", version));
+    assert_eq!(bench.row("a").await.expect("the call works").version, version);
 
     let refused = Transaction {
         checks: vec![bench.check("a", Some(version)), bench.check("b", None)],
@@ -145,20 +127,12 @@
 
     let second = Transaction {
         checks: vec![bench.check("a", Some(version))],
-        writes: vec![
-            bench.put("a", "3"),
-            Write::Delete {
-                key: bench.key("b"),
-            },
-        ],
+        writes: vec![bench.put("a", "3"), Write::Delete { key: bench.key("b") }],
     };
     let later = committed(bench.remote.commit(&second).await.expect("the call works"));
     assert!(later > version);
     assert_eq!(bench.row("b").await, None);
-    let gone = Transaction {
-        checks: vec![bench.check("b", Some(version))],
-        writes: Vec::new(),
-    };
+    let gone = Transaction { checks: vec![bench.check("b", Some(version))], writes: Vec::new() };
     let outcome = bench.remote.commit(&gone).await.expect("the call works");
     assert_eq!(outcome, Outcome::Conflict { rows: Vec::new() });
 }
@@ -174,11 +148,7 @@
                 checks: vec![bench.check("a", None)],
                 writes: vec![bench.put("a", &place.to_string())],
             };
-            let outcome = bench
-                .remote
-                .commit(&transaction)
-                .await
-                .expect("the call works");
+            let outcome = bench.remote.commit(&transaction).await.expect("the call works");
             matches!(outcome, Outcome::Committed { .. })
         });
     }
@@ -202,31 +172,13 @@
         checks: Vec::new(),
         writes: names.iter().map(|it| bench.put(it, "0")).collect(),
     };
-    committed(
-        bench
-            .remote
-            .commit(&transaction)
-            .await
-            .expect("the call works"),
-    );
-    let scan = |name, prefix, after, limit, found| Scan {
-        name,
-        prefix,
-        after,
-        limit,
-        found,
-    };
+    committed(bench.remote.commit(&transaction).await.expect("the call works"));
+    let scan = |name, prefix, after, limit, found| Scan { name, prefix, after, limit, found };
     let cases = [
         scan("a prefix", "p/", "", 10, &["p/1", "p/2", "p/3"]),
         scan("a limit", "p/", "", 2, &["p/1", "p/2"]),
         scan("the next page", "p/", "p/2", 2, &["p/3"]),
-        scan(
-            "after a row that is not there",
-            "p/",
-            "p/11",
-            2,
-            &["p/2", "p/3"],
-        ),
+        scan("after a row that is not there", "p/", "p/11", 2, &["p/2", "p/3"]),
         scan("nothing", "r/", "", 10, &[]),
     ];
     for case in cases {
@@ -262,37 +214,25 @@
     let cases = [
         Fault {
             name: "down",
-            faults: Faults {
-                table_down: true,
-                ..Faults::default()
-            },
+            faults: Faults { table_down: true, ..Faults::default() },
             expected: Expected::Unavailable,
             applied: false,
         },
         Fault {
             name: "over the rate",
-            faults: Faults {
-                table_writes: 0,
-                ..Faults::default()
-            },
+            faults: Faults { table_writes: 0, ..Faults::default() },
             expected: Expected::Unavailable,
             applied: false,
         },
         Fault {
             name: "the answer is lost",
-            faults: Faults {
-                table_lose_one_in: 1,
-                ..Faults::default()
-            },
+            faults: Faults { table_lose_one_in: 1, ..Faults::default() },
             expected: Expected::Lost,
             applied: true,
         },
         Fault {
             name: "slow",
-            faults: Faults {
-                table_delay_ms: 300,
-                ..Faults::default()
-            },
+            faults: Faults { table_delay_ms: 300, ..Faults::default() },
             expected: Expected::Applied,
             applied: true,
         },
@@ -300,10 +240,7 @@
     for case in cases {
         let bench = Bench::new().await;
         bench.platform().set_faults(case.faults);
-        let transaction = Transaction {
-            checks: Vec::new(),
-            writes: vec![bench.put("a", "1")],
-        };
+        let transaction = Transaction { checks: Vec::new(), writes: vec![bench.put("a", "1")] };
         let outcome = bench.remote.commit(&transaction).await;
         let right = match case.expected {
             Expected::Unavailable => matches!(outcome, Err(Failure::Unavailable(_))),
@@ -332,10 +269,7 @@
     let bench = Bench::new().await;
     let listed = || async { bench.remote.entries().await.expect("the call works") };
     let platform = bench.platform();
-    platform.set_faults(Faults {
-        vms_lag_ms: 600_000,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { vms_lag_ms: 600_000, ..Faults::default() });
     platform.list_at_once(entry("old", State::Live));
     platform.list("old", Some(entry("old", State::Leaving)));
     platform.list("new", Some(entry("new", State::Live)));
@@ -351,16 +285,10 @@
     let expected = [entry("old", State::Leaving), entry("ghost", State::Live)];
     assert_eq!(listed().await, expected);
 
-    platform.set_faults(Faults {
-        vms_lag_ms: 0,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { vms_lag_ms: 0, ..Faults::default() });
     platform.list("old", None);
     assert_eq!(listed().await, [entry("new", State::Live)]);
-    platform.set_faults(Faults {
-        vms_down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { vms_down: true, ..Faults::default() });
     assert!(bench.remote.entries().await.is_err());
 }
 
@@ -371,19 +299,12 @@
     assert_eq!(bench.status("PUT", path, b"text").await, 200);
     let request =
         client::request("GET", bench.address, path, Bytes::new()).expect("the call works");
-    let object = bench
-        .client
-        .fetch(bench.address, request)
-        .await
-        .expect("the call works");
+    let object = bench.client.fetch(bench.address, request).await.expect("the call works");
     assert_eq!(object, "text");
     assert_eq!(bench.status("DELETE", path, b"").await, 200);
     assert_eq!(bench.status("GET", path, b"").await, 404);
     if bench.standin.is_some() {
-        bench.platform().set_faults(Faults {
-            stores_down: true,
-            ..Faults::default()
-        });
+        bench.platform().set_faults(Faults { stores_down: true, ..Faults::default() });
         assert_eq!(bench.status("PUT", path, b"text").await, 503);
         assert_eq!(bench.status("GET", "/weights/m/1", b"").await, 503);
     }
@@ -393,10 +314,7 @@
 async fn weights_load_slower_when_many_do() {
     use tealturn::standin::platform::weights::Loads;
 
-    let speed = Speed {
-        load: Duration::from_millis(800),
-        at_once: 2,
-    };
+    let speed = Speed { load: Duration::from_millis(800), at_once: 2 };
     for (count, factor) in [(1, 1), (2, 1), (4, 2), (6, 3)] {
         let loads = Arc::new(Loads::default());
         let started = time::Instant::now();
@@ -417,10 +335,7 @@
 async fn open_connections_go_silent_and_new_ones_work() {
     let bench = Bench::new().await;
     assert_eq!(bench.row("a").await, None);
-    bench.platform().set_faults(Faults {
-        silence: true,
-        ..Faults::default()
-    });
+    bench.platform().set_faults(Faults { silence: true, ..Faults::default() });
     let kept = bench.remote.get("a").await;
     assert!(matches!(kept, Err(Failure::Lost(_))), "{kept:?}");
     let fresh = Bench::at(bench.address, None);
--- a/tests/contract_upstream.rs
+++ b/tests/contract_upstream.rs
@@ -44,19 +44,13 @@
         },
         Called {
             name: "down",
-            faults: plain::Faults {
-                down: true,
-                ..plain::Faults::default()
-            },
+            faults: plain::Faults { down: true, ..plain::Faults::default() },
             answered: false,
             executions: 0,
         },
         Called {
             name: "the answer is lost",
-            faults: plain::Faults {
-                lose_answers: true,
-                ..plain::Faults::default()
-            },
+            faults: plain::Faults { lose_answers: true, ..plain::Faults::default() },
             answered: false,
             executions: 1,
         },
@@ -131,11 +125,7 @@
         let address = engines.exporter.address();
         let request =
             client::request("POST", address, "/v1/completions", body).expect("the call works");
-        engines
-            .client
-            .fetch(address, request)
-            .await
-            .expect("the call works");
+        engines.client.fetch(address, request).await.expect("the call works");
         engines
     }
 
@@ -165,35 +155,21 @@
 
 #[tokio::test]
 async fn imports_of_cached_blocks() {
-    let case = |name, change, blocks| Imports {
-        name,
-        change,
-        faults: kv::Faults::default(),
-        blocks,
-    };
+    let case =
+        |name, change, blocks| Imports { name, change, faults: kv::Faults::default(), blocks };
     let cases = [
         case("all", |_| {}, Some(10)),
         case("of another run", |it| it.exporter = Incarnation(1), Some(0)),
-        case(
-            "of another owner",
-            |it| it.cache_salt = Salt("11".repeat(16)),
-            Some(0),
-        ),
+        case("of another owner", |it| it.cache_salt = Salt("11".repeat(16)), Some(0)),
         case("of another version", |it| it.version = Version(2), None),
         case("of another model", |it| it.model = "other".into(), None),
         case("up to a gap", |it| it.blocks[4] = Hash(0), Some(4)),
         Imports {
-            faults: kv::Faults {
-                clear: true,
-                ..kv::Faults::default()
-            },
+            faults: kv::Faults { clear: true, ..kv::Faults::default() },
             ..case("from a store that lost them", |_| {}, Some(0))
         },
         Imports {
-            faults: kv::Faults {
-                down: true,
-                ..kv::Faults::default()
-            },
+            faults: kv::Faults { down: true, ..kv::Faults::default() },
             ..case("from a store that is down", |_| {}, None)
         },
     ];
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -108,14 +108,9 @@
         let needs: Vec<_> = needs.collect();
         let engines = engines(case.engines);
         let plan = Plan::new(&needs, &engines);
-        let goals: Vec<_> = engines
-            .iter()
-            .filter_map(|it| plan.goal(&it.name))
-            .collect();
+        let goals: Vec<_> = engines.iter().filter_map(|it| plan.goal(&it.name)).collect();
         for (version, places) in case.places {
-            let with = goals
-                .iter()
-                .filter(|it| it.weights.contains(&weights(*version, &[])));
+            let with = goals.iter().filter(|it| it.weights.contains(&weights(*version, &[])));
             assert_eq!(with.count(), *places, "{}: version {version}", case.name);
         }
         let standby = goals.iter().filter(|it| it.role == Role::Standby);
@@ -127,25 +122,16 @@
 fn a_new_version_gets_the_engines_of_the_old() {
     let engines = engines(12);
     let place = |version| {
-        let need = Need {
-            weights: weights(version, &[]),
-            replicas: 5,
-        };
+        let need = Need { weights: weights(version, &[]), replicas: 5 };
         let plan = Plan::new(&[need], &engines);
         let goals = engines.iter().map(|it| plan.goal(&it.name).cloned());
-        goals
-            .map(|it| it.is_some_and(|goal| goal.role == Role::Serve))
-            .collect::<Vec<_>>()
+        goals.map(|it| it.is_some_and(|goal| goal.role == Role::Serve)).collect::<Vec<_>>()
     };
     assert_eq!(place(1), place(2));
 }
 
 fn catalog(version: u64, own: Option<u64>, adapter: Option<&str>) -> Catalog {
-    let limits = Limits {
-        priority: 1,
-        concurrency: 1,
-        tokens_per_second: 1,
-    };
+    let limits = Limits { priority: 1, concurrency: 1, tokens_per_second: 1 };
     Catalog {
         templates: vec![Template {
             name: "notes".into(),
@@ -175,10 +161,7 @@
         replicas,
     };
     assert_eq!(needs(&catalog(1, None, None)), [need(1, &[], 3)]);
-    assert_eq!(
-        needs(&catalog(1, None, Some("law"))),
-        [need(1, &["law"], 3)]
-    );
+    assert_eq!(needs(&catalog(1, None, Some("law"))), [need(1, &["law"], 3)]);
     let both = [need(1, &[], 3), need(2, &[], 0)];
     assert_eq!(needs(&catalog(1, Some(2), None)), both);
     assert!(covers(&weights(1, &["law", "tax"]), &weights(1, &["tax"])));
@@ -187,21 +170,14 @@
 }
 
 fn holder(name: &str) -> Holder {
-    Holder {
-        daemon: name.into(),
-        incarnation: Incarnation(1),
-    }
+    Holder { daemon: name.into(), incarnation: Incarnation(1) }
 }
 
 fn row(transaction: &Transaction, version: u64) -> Row {
     let Write::Put { key, value } = &transaction.writes[0] else {
         panic!("leases are put");
     };
-    Row {
-        key: key.clone(),
-        value: value.clone(),
-        version,
-    }
+    Row { key: key.clone(), value: value.clone(), version }
 }
 
 const START: Time = Time::from_millis(1_000_000);
@@ -260,10 +236,7 @@
     let mut lease = Lease::new(Name::Shard(1).key(), holder("b"));
     lease.observe(START, Some(&first));
     assert!(!lease.is_open(START + TTL));
-    let renewed = Row {
-        version: 8,
-        ..first
-    };
+    let renewed = Row { version: 8, ..first };
     lease.observe(START + TTL, Some(&renewed));
     assert!(!lease.is_open(START + TTL + TTL));
     assert!(lease.is_open(START + TTL + TTL + MARGIN));
@@ -336,11 +309,7 @@
     for step in STEPS {
         let snapshot = Snapshot::new(&catalog(step.asked, None, None));
         rollout.update(&snapshot, |weights| {
-            if weights.version.0 == step.asked {
-                step.ready
-            } else {
-                step.old_ready
-            }
+            if weights.version.0 == step.asked { step.ready } else { step.old_ready }
         });
         let (workspace, model) = (Workspace::from("notary"), Model::from("assistente"));
         let grant = snapshot.model(&workspace, &model);
--- a/tests/control/world.rs
+++ b/tests/control/world.rs
@@ -198,10 +198,7 @@
 
     fn daemon(&mut self, number: usize, run: u64) -> Daemon {
         let name = format!("daemon-{number}");
-        let me = Holder {
-            daemon: name.as_str().into(),
-            incarnation: Incarnation(run),
-        };
+        let me = Holder { daemon: name.as_str().into(), incarnation: Incarnation(run) };
         let drift = DRIFT_PERCENT as f64 / 100.0;
         Daemon {
             core: Core::new(me, LOADS),
@@ -285,11 +282,7 @@
         });
         let view = View {
             engines: engines.collect(),
-            daemons: self
-                .daemons
-                .iter()
-                .filter(|it| it.alive && !it.stopping)
-                .count(),
+            daemons: self.daemons.iter().filter(|it| it.alive && !it.stopping).count(),
             needs: self.needs.last().expect("never empty").1.clone(),
         };
         self.feed(number, run, Event::View(view));
@@ -313,12 +306,7 @@
                 self.feed(number, run, Event::Written { name, result });
             }
             Reply::Observed(asker, upstream, asked, state) => {
-                let event = Event::Observed {
-                    asker,
-                    upstream,
-                    asked,
-                    state,
-                };
+                let event = Event::Observed { asker, upstream, asked, state };
                 self.feed(number, run, event);
             }
             Reply::Obeyed(upstream, result) => {
@@ -345,9 +333,7 @@
             Outcome::Write { name, transaction } => {
                 self.write(number, run, name, transaction, pause + hop);
             }
-            Outcome::Read {
-                asker, upstream, ..
-            } => {
+            Outcome::Read { asker, upstream, .. } => {
                 let asked = self.local(number);
                 let runner = self.runners.iter().find(|it| it.name == upstream);
                 let runner = runner.expect("only engines that exist are asked");
@@ -356,12 +342,9 @@
                 let reply = Reply::Observed(asker, upstream, asked, state);
                 self.later(hop, Happening::Answer(number, run, reply));
             }
-            Outcome::Order {
-                upstream,
-                order,
-                valid_until,
-                ..
-            } => self.send(number, run, &upstream, order, valid_until, pause),
+            Outcome::Order { upstream, order, valid_until, .. } => {
+                self.send(number, run, &upstream, order, valid_until, pause)
+            }
         }
     }
 
@@ -380,11 +363,8 @@
             }
         }
         // A write whose answer is lost may take effect much later.
-        let late = if lost && self.chance(0.3) {
-            self.random.random_range(0..20 * SECOND)
-        } else {
-            0
-        };
+        let late =
+            if lost && self.chance(0.3) { self.random.random_range(0..20 * SECOND) } else { 0 };
         let commit = Happening::Commit(number, run, name, transaction, !lost);
         self.later(delay + late, commit);
     }
@@ -437,25 +417,17 @@
         let failed: Vec<_> = failed.filter(|it| version(&it.key) != it.version).collect();
         if !failed.is_empty() {
             let rows = failed.iter().filter_map(|it| self.rows.get(&it.key));
-            return table::Outcome::Conflict {
-                rows: rows.cloned().collect(),
-            };
+            return table::Outcome::Conflict { rows: rows.cloned().collect() };
         }
         self.commits += 1;
         for write in &transaction.writes {
             let Write::Put { key, value } = write else {
                 panic!("leases are never deleted");
             };
-            let row = Row {
-                key: key.clone(),
-                value: value.clone(),
-                version: self.commits,
-            };
+            let row = Row { key: key.clone(), value: value.clone(), version: self.commits };
             self.rows.insert(key.clone(), row);
         }
-        table::Outcome::Committed {
-            version: self.commits,
-        }
+        table::Outcome::Committed { version: self.commits }
     }
 
     fn obey(&mut self, place: usize, order: Order) -> Result<State, Rejection> {
@@ -675,11 +647,7 @@
         let plan = Plan::new(needs, &engines);
         for runner in &self.runners {
             let goal = plan.goal(&runner.name).expect("all are planned");
-            assert!(
-                runner.state.loading.is_empty(),
-                "{} still loads",
-                runner.name
-            );
+            assert!(runner.state.loading.is_empty(), "{} still loads", runner.name);
             assert_eq!(runner.state.loaded, goal.weights, "{}", runner.name);
             assert_eq!(runner.state.role, goal.role, "{}", runner.name);
         }
--- a/tests/control_random.rs
+++ b/tests/control_random.rs
@@ -52,10 +52,7 @@
         }
     });
     let loads = loads.into_inner();
-    assert!(
-        loads > schedules,
-        "only {loads} loads in {schedules} schedules"
-    );
+    assert!(loads > schedules, "only {loads} loads in {schedules} schedules");
 }
 
 #[test]
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -35,12 +35,7 @@
 };
 
 fn spec(name: &'static str, seeds: Vec<SocketAddr>, table: Arc<Memory>) -> Spec {
-    Spec {
-        name,
-        deployment: "test",
-        seeds,
-        table,
-    }
+    Spec { name, deployment: "test", seeds, table }
 }
 
 fn change(id: u128, base: u64) -> Change {
@@ -75,10 +70,7 @@
     let three = Node::start(spec("three", seeds, down), None).await;
     let all = [&one, &two, &three];
     for node in all {
-        until("a new daemon serves by its peers", || {
-            in_force(node) == Revision(1)
-        })
-        .await;
+        until("a new daemon serves by its peers", || in_force(node) == Revision(1)).await;
         until("all are known", || node.context.members.count() == 3).await;
     }
     accept(&one, change(2, 1)).await;
@@ -87,30 +79,18 @@
     }
     let fact = Fact {
         key: Key::Upstream("engine-1".into()),
-        value: Value::Upstream {
-            incarnation: Incarnation(7),
-            leaving: true,
-        },
+        value: Value::Upstream { incarnation: Incarnation(7), leaving: true },
     };
     two.context.board.publish(&fact);
     for node in all {
-        until("a fact is known", || {
-            node.context.board.get(&fact.key) == Some(fact.value)
-        })
-        .await;
+        until("a fact is known", || node.context.board.get(&fact.key) == Some(fact.value)).await;
     }
     three.context.leaving.cancel();
-    until("all know that it leaves", || {
-        three.context.members.left().is_cancelled()
-    })
-    .await;
+    until("all know that it leaves", || three.context.members.left().is_cancelled()).await;
     for node in [&one, &two] {
         let live = node.context.members.live();
         let left = live.iter().find(|it| it.member.daemon.as_str() == "three");
-        assert!(
-            left.is_none_or(|it| it.member.leaving),
-            "known when it says so"
-        );
+        assert!(left.is_none_or(|it| it.member.leaving), "known when it says so");
     }
 }
 
@@ -122,11 +102,7 @@
 }
 
 const FOREIGN: &[Foreign] = &[
-    Foreign {
-        name: "own",
-        spoil: |_| {},
-        error: "",
-    },
+    Foreign { name: "own", spoil: |_| {}, error: "" },
     Foreign {
         name: "another deployment",
         spoil: |it| it.deployment = "other".into(),
@@ -148,9 +124,7 @@
 async fn foreign_messages_are_refused() {
     let node = Node::start(spec("one", vec![], Arc::default()), None).await;
     until("it is ready", || node.context.ready.load(Ordering::Acquire)).await;
-    let client = service::connect(node.context.bound.peer)
-        .await
-        .expect("a connection");
+    let client = service::connect(node.context.bound.peer).await.expect("a connection");
     let question = Question { revision: None };
     for case in FOREIGN {
         let mut envelope = message::seal("test", &question);
@@ -166,15 +140,8 @@
         payload: vec![0; service::MAX_FRAME_BYTES + 1],
         ..message::seal("test", &question)
     };
-    assert!(
-        client
-            .update(tarpc::context::current(), huge)
-            .await
-            .is_err()
-    );
-    let client = service::connect(node.context.bound.peer)
-        .await
-        .expect("a connection");
+    assert!(client.update(tarpc::context::current(), huge).await.is_err());
+    let client = service::connect(node.context.bound.peer).await.expect("a connection");
     let envelope = message::seal("test", &question);
     let answer = client.update(tarpc::context::current(), envelope).await;
     assert!(matches!(answer, Ok(Ok(_))), "{answer:?}");
@@ -243,10 +210,7 @@
     relay.passed.store(false, Ordering::Release);
     // The call for what is new goes from two to one, whose old connections are silent now.
     accept(&one, change(1, 0)).await;
-    until("it is fetched on a new connection", || {
-        in_force(&two) == Revision(1)
-    })
-    .await;
+    until("it is fetched on a new connection", || in_force(&two) == Revision(1)).await;
     assert!(relay.passed.load(Ordering::Acquire), "by the relay");
 }
 
@@ -259,19 +223,13 @@
     let two = Node::start(spec("two", seeds, table.clone()), None).await;
     until("they know each other", || two.context.members.count() == 2).await;
     for node in [&one, &two] {
-        assert!(
-            !node.context.ready.load(Ordering::Acquire),
-            "ready without a configuration"
-        );
+        assert!(!node.context.ready.load(Ordering::Acquire), "ready without a configuration");
         let verdict = page::apply(&node.context, change(1, 0)).await;
         let refused = matches!(&verdict, Verdict::Unavailable(it) if it.applied == Applied::No);
         assert!(refused, "{verdict:?}");
     }
     table.set(Fault::None);
     for node in [&one, &two] {
-        until("ready when the table is back", || {
-            node.context.ready.load(Ordering::Acquire)
-        })
-        .await;
+        until("ready when the table is back", || node.context.ready.load(Ordering::Acquire)).await;
     }
 }
--- a/tests/fake/node.rs
+++ b/tests/fake/node.rs
@@ -89,11 +89,7 @@
         settings.seeds = spec.seeds;
         let clock = Arc::new(System::new());
         let context = Arc::new(Context::new(Setup {
-            bound: Bound {
-                caller: peer,
-                peer,
-                operator: peer,
-            },
+            bound: Bound { caller: peer, peer, operator: peer },
             incarnation: Incarnation(clock.wall_micros()),
             clock,
             ring: Arc::new(Ring::new(Box::new(System::new()))),
--- a/tests/fake/table.rs
+++ b/tests/fake/table.rs
@@ -66,9 +66,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.0
-            .lock()
-            .expect("no test panics while it holds the table")
+        self.0.lock().expect("no test panics while it holds the table")
     }
 
     fn read(&self) -> Result<MutexGuard<'_, Inner>, Failure> {
@@ -102,11 +100,7 @@
         for write in &transaction.writes {
             match write {
                 Write::Put { key, value } => {
-                    let row = Row {
-                        key: key.clone(),
-                        value: value.clone(),
-                        version,
-                    };
+                    let row = Row { key: key.clone(), value: value.clone(), version };
                     self.rows.insert(key.clone(), row);
                 }
                 Write::Delete { key } => {
--- a/tests/fake/world.rs
+++ b/tests/fake/world.rs
@@ -118,11 +118,7 @@
 
 impl World {
     pub fn new(seed: u64, nodes: usize) -> World {
-        let node = || Node {
-            run: None,
-            paused: Time(0),
-            runs: 0,
-        };
+        let node = || Node { run: None, paused: Time(0), runs: 0 };
         World {
             now: Time::from_millis(1_000_000),
             rng: SmallRng::seed_from_u64(seed),
@@ -202,10 +198,7 @@
     }
 
     pub fn local(&self, node: usize) -> Time {
-        self.nodes[node]
-            .run
-            .as_ref()
-            .map_or(Time(0), |it| it.local(self.now))
+        self.nodes[node].run.as_ref().map_or(Time(0), |it| it.local(self.now))
     }
 
     /// Sends out a daemon's urgent news.
@@ -264,10 +257,7 @@
             let micros = paused.since(self.now).as_micros() as u64;
             return self.later(micros.min(100_000), event);
         }
-        let up = self.nodes[node]
-            .run
-            .as_ref()
-            .is_some_and(|it| it.number == number);
+        let up = self.nodes[node].run.as_ref().is_some_and(|it| it.number == number);
         match event {
             event if up => self.at_node(node, number, event),
             Event::Request(from, to, id, ..) => {
@@ -343,11 +333,7 @@
 
     fn own(&self, node: usize) -> Own {
         let keeper = self.nodes[node].run.as_ref().map(|it| it.keeper.revision());
-        Own {
-            stamp: Stamp::default(),
-            ready: true,
-            revision: keeper.flatten(),
-        }
+        Own { stamp: Stamp::default(), ready: true, revision: keeper.flatten() }
     }
 
     fn send(&mut self, place: Place, to: usize, urgent: bool) {
@@ -365,11 +351,7 @@
         let id = self.count;
         self.pending.insert(id);
         let envelope = message::seal("test", &message);
-        self.carry(
-            place.0,
-            to,
-            Event::Request(place, to, id, message, envelope),
-        );
+        self.carry(place.0, to, Event::Request(place, to, id, message, envelope));
         let timeout = ANSWER_TIMEOUT.as_micros() as u64;
         self.later(timeout, Event::Failed(place, id, to, false));
     }
@@ -416,10 +398,7 @@
 
     fn poll(&mut self, place: Place, step: sync::Step) {
         if !matches!(step, sync::Step::Call(_)) {
-            let fleet = self.nodes[place.0]
-                .run
-                .as_ref()
-                .map_or(0, |it| it.core.roster().len());
+            let fleet = self.nodes[place.0].run.as_ref().map_or(0, |it| it.core.roster().len());
             let wait = poll::interval(fleet + 1, self.rng.random_range(0.0..1.0));
             self.later(wait.as_micros() as u64, Event::Poll(place));
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -61,10 +61,7 @@
                 continue;
             };
             let last = self.revisions.insert((node, own), revision);
-            assert!(
-                last <= Some(revision),
-                "daemon {node} reverted from {last:?} to {revision}"
-            );
+            assert!(last <= Some(revision), "daemon {node} reverted from {last:?} to {revision}");
         }
     }
 
@@ -77,13 +74,8 @@
                 self.leaves(node, own, name, member.incarnation, member.leaving);
             }
             for fact in run.board.facts(|it| matches!(it, Key::Upstream(_))) {
-                let (
-                    Key::Upstream(name),
-                    Value::Upstream {
-                        incarnation,
-                        leaving,
-                    },
-                ) = (fact.key, fact.value)
+                let (Key::Upstream(name), Value::Upstream { incarnation, leaving }) =
+                    (fact.key, fact.value)
                 else {
                     continue;
                 };
@@ -99,10 +91,7 @@
             self.left.insert(key, run);
             return;
         }
-        assert!(
-            seen < Some(run),
-            "{key:?} returned from leaving to live: {seen:?} {run}"
-        );
+        assert!(seen < Some(run), "{key:?} returned from leaving to live: {seen:?} {run}");
     }
 }
 
@@ -116,11 +105,7 @@
             version: Version(version),
             billable: false,
         },
-        limits: Limits {
-            priority: 1,
-            concurrency: 8,
-            tokens_per_second: 1_000,
-        },
+        limits: Limits { priority: 1, concurrency: 8, tokens_per_second: 1_000 },
         replicas: 0,
     })
 }
@@ -186,39 +171,22 @@
 /// An operator changes something on a revision that some daemon showed, or asks again after an
 /// unknown end.
 fn operate(world: &mut World, node: usize) {
-    let again = world
-        .verdicts
-        .iter()
-        .rev()
-        .find_map(|(change, verdict)| match verdict {
-            Verdict::Unavailable(it) if it.applied == Applied::Unknown => Some(change.clone()),
-            _ => None,
-        });
+    let again = world.verdicts.iter().rev().find_map(|(change, verdict)| match verdict {
+        Verdict::Unavailable(it) if it.applied == Applied::Unknown => Some(change.clone()),
+        _ => None,
+    });
     if let (Some(change), true) = (again, world.rng.random_bool(0.5)) {
         return world.change(node, change);
     }
-    let shown = world
-        .runs()
-        .filter_map(|(_, it)| it.keeper.revision())
-        .max();
-    let mut edits = vec![template(
-        world.rng.random_range(0..4),
-        world.rng.random_range(1..100),
-    )];
+    let shown = world.runs().filter_map(|(_, it)| it.keeper.revision()).max();
+    let mut edits = vec![template(world.rng.random_range(0..4), world.rng.random_range(1..100))];
     if world.rng.random_bool(0.2) {
         edits.push(template(9, world.rng.random_range(1..100)));
     }
-    let change = Change {
-        id: Id(world.rng.random()),
-        base: shown.unwrap_or_default(),
-        edits,
-    };
+    let change = Change { id: Id(world.rng.random()), base: shown.unwrap_or_default(), edits };
     // Two operators race now and then.
     if world.rng.random_bool(0.3) {
-        let rival = Change {
-            id: Id(world.rng.random()),
-            ..change.clone()
-        };
+        let rival = Change { id: Id(world.rng.random()), ..change.clone() };
         let other = world.rng.random_range(0..world.nodes.len());
         world.change(other, rival);
     }
@@ -258,22 +226,12 @@
     // What was under way has ended; now one more change, and a fact.
     let until = world.now + Duration::from_secs(8);
     world.run(until, &mut |it| witness.check(it));
-    let base = world
-        .runs()
-        .filter_map(|(_, it)| it.keeper.revision())
-        .max();
-    let last = Change {
-        id: Id(1),
-        base: base.unwrap_or_default(),
-        edits: vec![template(5, 1)],
-    };
+    let base = world.runs().filter_map(|(_, it)| it.keeper.revision()).max();
+    let last = Change { id: Id(1), base: base.unwrap_or_default(), edits: vec![template(5, 1)] };
     world.change(0, last);
     let fact = Fact {
         key: Key::Upstream("engine-last".into()),
-        value: Value::Upstream {
-            incarnation: Incarnation(1),
-            leaving: true,
-        },
+        value: Value::Upstream { incarnation: Incarnation(1), leaving: true },
     };
     if let Some(run) = &world.nodes[nodes - 1].run {
         run.board.publish(&fact);
@@ -297,26 +255,15 @@
     for (node, run) in world.runs() {
         let own = run.keeper.revision();
         assert_eq!(own, accepted, "daemon {node} is behind after {IN_FORCE:?}");
-        assert_eq!(
-            run.board.get(&fact.key),
-            Some(fact.value),
-            "daemon {node}: a fact is missing"
-        );
+        assert_eq!(run.board.get(&fact.key), Some(fact.value), "daemon {node}: a fact is missing");
         shown.push(run.keeper.catalog());
     }
-    assert!(
-        shown.windows(2).all(|it| it[0] == it[1]),
-        "one revision, two configurations"
-    );
+    assert!(shown.windows(2).all(|it| it[0] == it[1]), "one revision, two configurations");
 }
 
 /// The accepted changes, which follow each other.
 fn log(world: &World) -> BTreeMap<Revision, Entry> {
-    let rows = world
-        .table
-        .rows()
-        .into_iter()
-        .filter(|it| it.key.starts_with(LOG));
+    let rows = world.table.rows().into_iter().filter(|it| it.key.starts_with(LOG));
     let entries = rows.map(|it| store::decode::<Entry>(&it).expect("a good row"));
     let log: BTreeMap<_, _> = entries.map(|it| (it.revision, it)).collect();
     let count = log.len() as u64;
@@ -330,26 +277,16 @@
     for (change, verdict) in &world.verdicts {
         let applied = log.values().filter(|it| it.change == change.id);
         let applied: Vec<_> = applied.map(|it| it.revision).collect();
-        assert!(
-            applied.len() <= 1,
-            "{change:?} was applied twice: {applied:?}"
-        );
+        assert!(applied.len() <= 1, "{change:?} was applied twice: {applied:?}");
         match verdict {
             Verdict::Accepted(it) => assert_eq!(applied, [it.revision], "{change:?}"),
             Verdict::Unavailable(it) if it.applied == Applied::Unknown => {}
             // Sent before under its name, it may have been applied then.
             Verdict::Unavailable(_) if is_repeated(world, change) => {}
-            _ => assert!(
-                applied.is_empty(),
-                "{verdict:?} although applied: {change:?}"
-            ),
+            _ => assert!(applied.is_empty(), "{verdict:?} although applied: {change:?}"),
         }
         if let [revision] = applied[..] {
-            assert_eq!(
-                revision.0,
-                change.base.0 + 1,
-                "accepted on another base: {change:?}"
-            );
+            assert_eq!(revision.0, change.base.0 + 1, "accepted on another base: {change:?}");
         }
     }
 }
@@ -377,10 +314,7 @@
         let time = run.local(world.now).since(Time(0)).as_secs() as i64 + 1;
         let most = BYTES_PER_SECOND * time + MAX_SAVED_BYTES + MAX_AHEAD_BYTES;
         let sent = run.sent_bytes as i64;
-        assert!(
-            sent <= most,
-            "daemon {node} sent {sent} bytes in {time} s, at most {most}"
-        );
+        assert!(sent <= most, "daemon {node} sent {sent} bytes in {time} s, at most {most}");
     }
 }
 
--- a/tests/import.rs
+++ b/tests/import.rs
@@ -16,12 +16,7 @@
 const BLOCKS: u64 = 100;
 
 fn owner() -> Owner {
-    Owner {
-        workspace: "w".into(),
-        model: "m".into(),
-        adapter: None,
-        version: Version(2),
-    }
+    Owner { workspace: "w".into(), model: "m".into(), adapter: None, version: Version(2) }
 }
 
 fn exporter() -> Upstream {
@@ -29,10 +24,7 @@
         name: "e1".into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "z".into(),
-        role: Role::Engine {
-            model: "m".into(),
-            fenced: true,
-        },
+        role: Role::Engine { model: "m".into(), fenced: true },
         incarnation: Incarnation(5),
         alive: true,
         leaving: false,
@@ -43,12 +35,7 @@
 }
 
 fn exported() -> Exported {
-    Exported {
-        owner: owner(),
-        exporter: "e1".into(),
-        incarnation: Incarnation(5),
-        blocks: BLOCKS,
-    }
+    Exported { owner: owner(), exporter: "e1".into(), incarnation: Incarnation(5), blocks: BLOCKS }
 }
 
 struct Case {
@@ -108,12 +95,7 @@
         decision: Decision::Prefill(Reason::Dead),
         ..CASE
     },
-    Case {
-        name: "held already",
-        held: BLOCKS,
-        decision: Decision::Prefill(Reason::Held),
-        ..CASE
-    },
+    Case { name: "held already", held: BLOCKS, decision: Decision::Prefill(Reason::Held), ..CASE },
     Case {
         name: "dearer than prefill",
         import_ms: 100,
@@ -137,12 +119,7 @@
         let directory = Directory::new(vec![Arc::new(exporter)]);
         let mut cost = Cost::default();
         cost.imported(BLOCKS, Duration::from_millis(case.import_ms));
-        let need = Need {
-            owner: &owner(),
-            shared: BLOCKS,
-            held: case.held,
-            prefill_rate: 100_000,
-        };
+        let need = Need { owner: &owner(), shared: BLOCKS, held: case.held, prefill_rate: 100_000 };
         let decision = cost.decide(&need, &exported, &directory);
         assert_eq!(decision, case.decision, "{}", case.name);
     }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -94,10 +94,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn rolling_replacements_cut_nobody() {
     let end = CancellationToken::new();
-    let speed = Speed {
-        load: Duration::ZERO,
-        at_once: 2,
-    };
+    let speed = Speed { load: Duration::ZERO, at_once: 2 };
     let platform = Platform::start(speed, Arc::default(), end.clone()).await;
     let platform = platform.expect("it starts");
     let mut daemons: Vec<Daemon> = Vec::new();
@@ -111,23 +108,17 @@
     }
     let calls = Arc::new(AtomicU64::new(0));
     let first = daemons[0].context.bound.caller;
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|_| tokio::spawn(call(first, calls.clone())))
-        .collect();
+    let callers: Vec<_> = (0..CALLERS).map(|_| tokio::spawn(call(first, calls.clone()))).collect();
     for number in 0..REPLACEMENTS {
         let seeds = daemons.iter().map(|it| it.context.bound.peer).collect();
         let new = Daemon::start(DAEMONS + number, platform.address(), seeds).await;
-        new.wait("a new daemon is ready", |it| {
-            it.ready.load(Ordering::Acquire)
-        })
-        .await;
+        new.wait("a new daemon is ready", |it| it.ready.load(Ordering::Acquire)).await;
         daemons.push(new);
         let name = daemons.last().map(|it| it.context.settings.daemon.clone());
         for daemon in &daemons[1..DAEMONS] {
             let known = |it: &Context| {
                 let live = it.members.live();
-                live.iter()
-                    .any(|it| Some(&it.member.daemon) == name.as_ref())
+                live.iter().any(|it| Some(&it.member.daemon) == name.as_ref())
             };
             daemon.wait("the others know it", known).await;
         }
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -72,11 +72,7 @@
 fn streams() {
     use Event::{Chunk, Comment, Done, Error, Foreign, Last, Misplaced};
 
-    let case = |name, events, expected| Case {
-        name,
-        events,
-        expected,
-    };
+    let case = |name, events, expected| Case { name, events, expected };
     let cases = [
         case(
             "whole",
@@ -86,11 +82,7 @@
         case("in one piece", &[Last(0, 4), Done], Expected::Whole),
         case("without end mark", &[Last(0, 4)], Expected::Open),
         case("a gap", &[Chunk(0, 1), Last(2, 2), Done], Expected::Wrong),
-        case(
-            "twice",
-            &[Chunk(0, 2), Chunk(0, 2), Last(2, 2), Done],
-            Expected::Wrong,
-        ),
+        case("twice", &[Chunk(0, 2), Chunk(0, 2), Last(2, 2), Done], Expected::Wrong),
         case(
             "another offset than the text's",
             &[Chunk(0, 1), Misplaced(1, 2), Last(3, 1), Done],
@@ -98,11 +90,7 @@
         ),
         case("too short", &[Last(0, 3), Done], Expected::Wrong),
         case("too long", &[Last(0, 5), Done], Expected::Wrong),
-        case(
-            "another's answer",
-            &[Chunk(0, 1), Foreign(1, 3), Done],
-            Expected::Wrong,
-        ),
+        case("another's answer", &[Chunk(0, 1), Foreign(1, 3), Done], Expected::Wrong),
         case("without usage", &[Chunk(0, 4), Done], Expected::Wrong),
         case("broken off", &[Chunk(0, 2), Error], Expected::Refused),
         case("nothing", &[Done], Expected::Wrong),
@@ -140,9 +128,7 @@
         let first = calls(7);
         assert_eq!(first, calls(7));
         assert_ne!(first, calls(8));
-        let bookings = first
-            .iter()
-            .filter(|it| matches!(it.kind, Kind::Booking { .. }));
+        let bookings = first.iter().filter(|it| matches!(it.kind, Kind::Booking { .. }));
         assert!(bookings.count() > 0);
         for call in &first {
             let Kind::Completion { prompt, levels, .. } = &call.kind else {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -32,11 +32,7 @@
 fn live(world: &World, node: usize) -> Vec<String> {
     let local = world.local(node);
     let run = world.nodes[node].run.as_ref().expect("it is up");
-    let live = run
-        .core
-        .roster()
-        .live(local)
-        .map(|it| it.daemon.to_string());
+    let live = run.core.roster().live(local).map(|it| it.daemon.to_string());
     let mut live: Vec<_> = live.collect();
     live.sort();
     live
@@ -56,12 +52,7 @@
 }
 
 const CASES: &[Case] = &[
-    Case {
-        name: "nothing",
-        disturb: |_| {},
-        millis: 60_000,
-        groups: &[&[0, 1, 2, 3, 4, 5, 6]],
-    },
+    Case { name: "nothing", disturb: |_| {}, millis: 60_000, groups: &[&[0, 1, 2, 3, 4, 5, 6]] },
     Case {
         name: "a cut in one direction",
         disturb: |it| it.cuts.extend([(0, 1), (3, 2)]),
@@ -128,12 +119,7 @@
         for group in case.groups {
             for node in *group {
                 let expected = others(group.iter().copied(), *node);
-                assert_eq!(
-                    live(&world, *node),
-                    expected,
-                    "{}: daemon {node}",
-                    case.name
-                );
+                assert_eq!(live(&world, *node), expected, "{}: daemon {node}", case.name);
             }
         }
     }
@@ -158,8 +144,7 @@
             let run = world.nodes[node].run.as_ref().expect("it is up");
             for place in 0..100 {
                 run.board.publish(&demand(node, place, second));
-                run.board
-                    .publish(&suspect(second * 1_000 + node as u64 * 100 + place, 1));
+                run.board.publish(&suspect(second * 1_000 + node as u64 * 100 + place, 1));
             }
             for _ in 0..10 {
                 world.push(node);
@@ -171,10 +156,7 @@
     for (node, run) in world.runs() {
         let sent = run.sent_bytes - before[node];
         let most = BYTES_PER_SECOND * seconds as usize;
-        assert!(
-            sent <= most,
-            "daemon {node} sent {sent} bytes in {seconds} s"
-        );
+        assert!(sent <= most, "daemon {node} sent {sent} bytes in {seconds} s");
     }
 }
 
@@ -199,10 +181,7 @@
             let before = world.table.calls();
             world.pass(1_000);
             let calls = world.table.calls() - before;
-            assert!(
-                calls <= TABLE_READS,
-                "{daemons} daemons, second {second}: {calls} calls"
-            );
+            assert!(calls <= TABLE_READS, "{daemons} daemons, second {second}: {calls} calls");
         }
         for (node, run) in world.runs() {
             assert_eq!(run.keeper.revision(), Some(Revision(40)), "daemon {node}");
@@ -229,22 +208,14 @@
     let daemon = Daemon::from(format!("daemon-{node}").as_str());
     Fact {
         key: Key::Demand(daemon, format!("workspace-{workspace}").as_str().into()),
-        value: Value::Demand {
-            report: u128::from(report),
-            requests: 1,
-            tokens_per_second: 100,
-        },
+        value: Value::Demand { report: u128::from(report), requests: 1, tokens_per_second: 100 },
     }
 }
 
 fn suspect(fingerprint: u64, crashes: u8) -> Fact {
     Fact {
         key: Key::Suspect(fingerprint),
-        value: Value::Suspect {
-            crashes,
-            barred: false,
-            lifts: 0,
-        },
+        value: Value::Suspect { crashes, barred: false, lifts: 0 },
     }
 }
 
@@ -282,22 +253,13 @@
     assert!(board.get(&Key::Suspect(0)).is_none());
     let first = board.outgoing(10, |_| 10);
     assert_eq!(first[0].fact.key, Key::Suspect(9_999), "newest first");
-    let old = Post {
-        fact: demand(1, 1, 1),
-        age_s: DEMAND_LIFETIME.as_secs() as u32,
-    };
+    let old = Post { fact: demand(1, 1, 1), age_s: DEMAND_LIFETIME.as_secs() as u32 };
     assert!(!board.receive(&old), "one that has ended is no news");
     let mixed = Fact {
         key: Key::Suspect(1),
-        value: Value::Upstream {
-            incarnation: Incarnation(1),
-            leaving: true,
-        },
+        value: Value::Upstream { incarnation: Incarnation(1), leaving: true },
     };
-    assert!(
-        !board.publish(&mixed),
-        "a value of another kind than its key's"
-    );
+    assert!(!board.publish(&mixed), "a value of another kind than its key's");
 }
 
 #[test]
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -54,27 +54,19 @@
         let failed: Vec<_> = transaction.checks.iter().filter(failed).collect();
         if !failed.is_empty() {
             let rows = failed.iter().filter_map(|it| self.rows.get(&it.key));
-            return Committed::Conflict {
-                rows: rows.cloned().collect(),
-            };
+            return Committed::Conflict { rows: rows.cloned().collect() };
         }
         self.version += 1;
         for write in &transaction.writes {
             match write {
                 Write::Delete { key } => drop(self.rows.remove(key)),
                 Write::Put { key, value } => {
-                    let row = Row {
-                        key: key.clone(),
-                        value: value.clone(),
-                        version: self.version,
-                    };
+                    let row = Row { key: key.clone(), value: value.clone(), version: self.version };
                     self.rows.insert(key.clone(), row);
                 }
             }
         }
-        Committed::Committed {
-            version: self.version,
-        }
+        Committed::Committed { version: self.version }
     }
 
     fn ages(&self) -> Vec<Row> {
@@ -293,9 +285,7 @@
                 if self.daemons[daemon].run == run {
                     let outcome = match answer {
                         Some(true) => Outcome::Run(Some(self.answer(sending))),
-                        Some(false) => Outcome::NotRun {
-                            told_s: self.clocks(daemon).wall_s,
-                        },
+                        Some(false) => Outcome::NotRun { told_s: self.clocks(daemon).wall_s },
                         None => Outcome::Unknown,
                     };
                     if answer == Some(false) {
@@ -392,11 +382,7 @@
                 self.plan_in(0..100, Happen::Serve(daemon, run, sending));
             }
             Step::Replay(answer) => {
-                assert_eq!(
-                    answer,
-                    self.answer(sending),
-                    "the answer of another request"
-                );
+                assert_eq!(answer, self.answer(sending), "the answer of another request");
                 self.totals.replays += 1;
             }
             Step::Refuse(refusal) => {
@@ -439,10 +425,7 @@
         let lost = self.chance(20);
         let answer = if lost { None } else { Some(true) };
         let wait = if lost { TIMEOUT_MS } else { 0 };
-        self.plan_in(
-            wait..wait + 300,
-            Happen::Served(daemon, run, sending, answer),
-        );
+        self.plan_in(wait..wait + 300, Happen::Served(daemon, run, sending, answer));
     }
 
     /// The holder tells the table how it ended, until the table answers.
@@ -457,20 +440,13 @@
             self.table.commit(&transaction);
         }
         if !reached || self.chance(self.lose_percent) {
-            self.plan_in(
-                SECOND..5 * SECOND,
-                Happen::Settle(daemon, run, sending, outcome),
-            );
+            self.plan_in(SECOND..5 * SECOND, Happen::Settle(daemon, run, sending, outcome));
         }
     }
 
     fn answer(&self, sending: usize) -> Answer {
         let it = &self.sendings[sending];
-        Answer::Call {
-            status: 200,
-            content_type: None,
-            body: format!("{}-{}", it.key, it.other),
-        }
+        Answer::Call { status: 200, content_type: None, body: format!("{}-{}", it.key, it.other) }
     }
 
     fn refuse(&mut self, sending: usize, run: Execution) {
@@ -571,10 +547,7 @@
             token: Request(token),
             daemon: "daemon".into(),
             incarnation: Incarnation(1),
-            received: Now {
-                time: Time::default(),
-                wall_s,
-            },
+            received: Now { time: Time::default(), wall_s },
         })
     };
     let commit = |table: &mut Table, step| match step {
@@ -589,10 +562,7 @@
     let seen = table.ages();
 
     let later = KEEP.as_secs() - 1;
-    let now = Now {
-        time: Time::default(),
-        wall_s: later,
-    };
+    let now = Now { time: Time::default(), wall_s: later };
     let (mut second, step) = claim(2, later);
     let event = commit(&mut table, step);
     let step = second.on(event, now);
--- a/tests/operate.rs
+++ b/tests/operate.rs
@@ -32,19 +32,10 @@
 impl Fleet {
     async fn start() -> Fleet {
         let stop = CancellationToken::new();
-        let settings = Settings {
-            engines: 4,
-            plains: 1,
-            ..Settings::nortebraco()
-        };
+        let settings = Settings { engines: 4, plains: 1, ..Settings::nortebraco() };
         let deployment = Deployment::start(&settings, stop.clone()).await;
         let deployment = deployment.expect("the stand-ins start");
-        let mut fleet = Fleet {
-            deployment,
-            contexts: Vec::new(),
-            running: Vec::new(),
-            stop,
-        };
+        let mut fleet = Fleet { deployment, contexts: Vec::new(), running: Vec::new(), stop };
         for number in 0..2 {
             fleet.add(number).await;
         }
@@ -67,8 +58,7 @@
         let settings = serde_json::from_value(settings).expect("settings");
         let controller = Controller::bind(settings).await.expect("it binds");
         self.contexts.push(controller.context.clone());
-        self.running
-            .push(tokio::spawn(controller.run(self.stop.clone())));
+        self.running.push(tokio::spawn(controller.run(self.stop.clone())));
     }
 
     fn operator(&self, number: usize) -> SocketAddr {
@@ -113,22 +103,12 @@
             weights.len() == 1 && weights[0].version == Version(version)
         };
         let converged = async {
-            while !self
-                .deployment
-                .engines
-                .iter()
-                .all(|it| only(&it.state().loaded))
-            {
+            while !self.deployment.engines.iter().all(|it| only(&it.state().loaded)) {
                 time::sleep(Duration::from_millis(50)).await;
             }
         };
         let waited = time::timeout(PATIENCE, converged).await;
-        let states: Vec<_> = self
-            .deployment
-            .engines
-            .iter()
-            .map(|it| it.state())
-            .collect();
+        let states: Vec<_> = self.deployment.engines.iter().map(|it| it.state()).collect();
         assert!(waited.is_ok(), "not at version {version}: {states:?}");
     }
 }
@@ -167,12 +147,8 @@
 async fn an_edit_reaches_daemons_and_engines() {
     let fleet = Fleet::start().await;
     let first = file("first.yaml", 1);
-    fleet
-        .wait(0, &["apply", &first], |it| it == "accepted as revision 1\n")
-        .await;
-    fleet
-        .wait(1, &["get"], |it| it.contains("revision: 1\n"))
-        .await;
+    fleet.wait(0, &["apply", &first], |it| it == "accepted as revision 1\n").await;
+    fleet.wait(1, &["get"], |it| it.contains("revision: 1\n")).await;
     let got = fleet.call(1, &["get"]).await.expect("a catalog");
     assert!(!got.contains("s3cret"), "only the digest is kept");
 
@@ -202,20 +178,12 @@
     let own = fleet.operator(0).to_string();
     let timeline = fleet.call(0, &["timeline", "--also", &own]).await;
     let timeline = timeline.expect("a time line");
-    assert!(
-        timeline.contains("gap: daemon-1 was not asked"),
-        "{timeline}"
-    );
+    assert!(timeline.contains("gap: daemon-1 was not asked"), "{timeline}");
     let timeline = fleet.call(0, &["timeline"]).await.expect("a time line");
     assert!(!timeline.contains("gap: "), "{timeline}");
     check_causes(&timeline);
-    let none = fleet
-        .call(0, &["explain", "0123456789abcdef0123456789abcdef"])
-        .await;
-    assert!(
-        none.expect("an answer")
-            .starts_with("no daemon that was asked")
-    );
+    let none = fleet.call(0, &["explain", "0123456789abcdef0123456789abcdef"]).await;
+    assert!(none.expect("an answer").starts_with("no daemon that was asked"));
 }
 
 #[tokio::test]
@@ -229,10 +197,7 @@
         }
         let arguments = ["apply", &file, "--base", "1"];
         let matches = command.try_get_matches_from(arguments).expect("valid");
-        let failure = verb
-            .run(&session, &matches)
-            .await
-            .expect_err("nobody there");
+        let failure = verb.run(&session, &matches).await.expect_err("nobody there");
         assert_eq!(failure.exit_code(), 5, "{failure}");
     }
 }
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -33,10 +33,7 @@
 #[test]
 fn every_metric_is_on_the_page() {
     let mut code = String::new();
-    sources(
-        &Path::new(env!("CARGO_MANIFEST_DIR")).join("src"),
-        &mut code,
-    );
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), &mut code);
     let page = read("docs/OPERATIONS.md");
     let missing = metrics(&code).into_iter().filter(|it| !page.contains(*it));
     let missing: Vec<_> = missing.collect();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -68,94 +68,58 @@
 }
 
 const ORACLE: &[Case] = &[
-    Case {
-        name: "steady",
-        plan: PLAN,
-        from: STEADY_S,
-        of_oracle: 0.95,
-    },
+    Case { name: "steady", plan: PLAN, from: STEADY_S, of_oracle: 0.95 },
     Case {
         name: "steady, the other deployment",
-        plan: Plan {
-            engines: 18,
-            requests_per_s: 1_200,
-            seed: 3,
-            ..PLAN
-        },
+        plan: Plan { engines: 18, requests_per_s: 1_200, seed: 3, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.95,
     },
     Case {
         name: "steady, callers name no levels",
-        plan: Plan {
-            levels: false,
-            ..PLAN
-        },
+        plan: Plan { levels: false, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.95,
     },
     Case {
         name: "events absent",
-        plan: Plan {
-            telling: Telling::Absent,
-            ..PLAN
-        },
+        plan: Plan { telling: Telling::Absent, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.9,
     },
     Case {
         name: "events late",
-        plan: Plan {
-            telling: Telling::Late,
-            ..PLAN
-        },
+        plan: Plan { telling: Telling::Late, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.9,
     },
     Case {
         name: "events wrong",
-        plan: Plan {
-            telling: Telling::Wrong,
-            ..PLAN
-        },
+        plan: Plan { telling: Telling::Wrong, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.9,
     },
     Case {
         name: "events wrong, callers name no levels",
-        plan: Plan {
-            telling: Telling::Wrong,
-            levels: false,
-            ..PLAN
-        },
+        plan: Plan { telling: Telling::Wrong, levels: false, ..PLAN },
         from: STEADY_S,
         of_oracle: 0.9,
     },
     Case {
         name: "an engine crashed",
-        plan: Plan {
-            crash_s: Some(FAULT_S),
-            ..PLAN
-        },
+        plan: Plan { crash_s: Some(FAULT_S), ..PLAN },
         from: FAULT_S as usize + RECOVERY_S,
         of_oracle: 0.95,
     },
     Case {
         name: "the largest workspace has new handbooks",
-        plan: Plan {
-            shift_s: Some(FAULT_S),
-            shifted: 1,
-            ..PLAN
-        },
+        plan: Plan { shift_s: Some(FAULT_S), shifted: 1, ..PLAN },
         from: FAULT_S as usize + RECOVERY_S,
         of_oracle: 0.95,
     },
     Case {
         name: "all daemons restarted",
-        plan: Plan {
-            herd_s: Some(FAULT_S),
-            ..PLAN
-        },
+        plan: Plan { herd_s: Some(FAULT_S), ..PLAN },
         from: FAULT_S as usize,
         of_oracle: 0.95,
     },
@@ -164,11 +128,7 @@
 /// All that is cached becomes useless in one moment, under full load.
 const ALL_SHIFTED: Case = Case {
     name: "all workspaces have new handbooks",
-    plan: Plan {
-        shift_s: Some(FAULT_S),
-        shifted: 8,
-        ..PLAN
-    },
+    plan: Plan { shift_s: Some(FAULT_S), shifted: 8, ..PLAN },
     from: FAULT_S as usize + RECOVERY_S,
     of_oracle: 0.95,
 };
@@ -198,12 +158,7 @@
 fn never_worse(levels: bool, telling: Telling) {
     let (mut own, mut alone) = (0.0, 0.0);
     for seed in SEEDS {
-        let plan = Plan {
-            seed,
-            telling,
-            levels,
-            ..PLAN
-        };
+        let plan = Plan { seed, telling, levels, ..PLAN };
         own += measure(&plan, "prefix", STEADY_S).hit_rate;
         alone += measure(&plan, "rendezvous", STEADY_S).hit_rate;
     }
--- a/tests/prefix.rs
+++ b/tests/prefix.rs
@@ -20,22 +20,10 @@
 }
 
 const OWNERS: &[Case] = &[
-    Case {
-        name: "workspace",
-        change: |it| it.workspace = "clinic".into(),
-    },
-    Case {
-        name: "model",
-        change: |it| it.model = "counter".into(),
-    },
-    Case {
-        name: "adapter",
-        change: |it| it.adapter = Some(Adapter::from("law")),
-    },
-    Case {
-        name: "version",
-        change: |it| it.version = Version(2),
-    },
+    Case { name: "workspace", change: |it| it.workspace = "clinic".into() },
+    Case { name: "model", change: |it| it.model = "counter".into() },
+    Case { name: "adapter", change: |it| it.adapter = Some(Adapter::from("law")) },
+    Case { name: "version", change: |it| it.version = Version(2) },
     Case {
         name: "fields that run together",
         change: |it| {
@@ -53,11 +41,7 @@
         let mut other = owner();
         (case.change)(&mut other);
         let other = Chain::new(&other.salt(), &prompt);
-        assert!(
-            own.0.iter().all(|hash| !other.0.contains(hash)),
-            "{}",
-            case.name
-        );
+        assert!(own.0.iter().all(|hash| !other.0.contains(hash)), "{}", case.name);
     }
 }
 
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -60,10 +60,7 @@
         assert_eq!(output.status.code(), Some(2));
         assert!(output.stdout.is_empty(), "it must not listen");
         let told = String::from_utf8_lossy(&output.stderr);
-        assert!(
-            told.contains("invalid.yaml:1: deployment: found 7"),
-            "{told}"
-        );
+        assert!(told.contains("invalid.yaml:1: deployment: found 7"), "{told}");
         assert!(told.contains("zone: missing"), "all faults: {told}");
     }
 }
@@ -100,10 +97,7 @@
         let mut line = String::new();
         BufReader::new(stdout).read_line(&mut line).expect("a line");
         let listening: Listening = serde_json::from_str(&line).expect("addresses");
-        Running {
-            child,
-            operator: listening.operator,
-        }
+        Running { child, operator: listening.operator }
     }
 
     fn terminate(&self) {
@@ -125,17 +119,11 @@
     }
 
     async fn state(&self) -> State {
-        let ready = Client::new()
-            .get::<Readiness>(self.operator, "/readyz")
-            .await;
+        let ready = Client::new().get::<Readiness>(self.operator, "/readyz").await;
         match ready {
             Ok(readiness) => readiness.state,
-            Err(Error::Status {
-                status: 503, body, ..
-            }) => {
-                serde_json::from_str::<Readiness>(&body)
-                    .expect("JSON")
-                    .state
+            Err(Error::Status { status: 503, body, .. }) => {
+                serde_json::from_str::<Readiness>(&body).expect("JSON").state
             }
             Err(other) => panic!("no answer: {other}"),
         }
@@ -157,10 +145,7 @@
     let request = tealturn::http::client::request("GET", daemon.operator, "/healthz", "".into());
     let health = client.fetch(daemon.operator, request.expect("valid")).await;
     assert_eq!(health.expect("healthy"), "ok\n");
-    let status: Status = client
-        .get(daemon.operator, "/v1/status")
-        .await
-        .expect("JSON");
+    let status: Status = client.get(daemon.operator, "/v1/status").await.expect("JSON");
     assert!(!status.ready);
     let counted = async {
         loop {
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -20,10 +20,7 @@
         name: "engine-1".to_owned(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "sala-a".into(),
-        role: Role::Engine {
-            model: "assistente".into(),
-            fenced: true,
-        },
+        role: Role::Engine { model: "assistente".into(), fenced: true },
         state,
     }
 }
@@ -52,10 +49,7 @@
 fn fact(incarnation: u64, leaving: bool) -> Fact {
     Fact {
         key: Key::Upstream("engine-1".into()),
-        value: Value::Upstream {
-            incarnation: Incarnation(incarnation),
-            leaving,
-        },
+        value: Value::Upstream { incarnation: Incarnation(incarnation), leaving },
     }
 }
 
@@ -107,19 +101,10 @@
         ),
         case(
             "silent and missing for long",
-            vec![
-                Silence(FAILED_PROBES),
-                Unlisted,
-                Pause(FORGET_AFTER * 2),
-                Unlisted,
-            ],
+            vec![Silence(FAILED_PROBES), Unlisted, Pause(FORGET_AFTER * 2), Unlisted],
             None,
         ),
-        case(
-            "a late report of an older run",
-            vec![Load(6, false), Load(5, true)],
-            Some((true, 6)),
-        ),
+        case("a late report of an older run", vec![Load(6, false), Load(5, true)], Some((true, 6))),
         case("leaving", vec![Load(5, true)], Some((false, 5))),
         case(
             "a late report from before it was leaving",
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -27,39 +27,19 @@
 }
 
 fn slow() -> engine::Faults {
-    engine::Faults {
-        slow_percent: 1_000,
-        ..engine::Faults::default()
-    }
+    engine::Faults { slow_percent: 1_000, ..engine::Faults::default() }
 }
 
 const FAULTS: &[Fault] = &[
-    Fault {
-        name: "none",
-        faults: slow,
-    },
-    Fault {
-        name: "silent connections",
-        faults: || engine::Faults {
-            silence: true,
-            ..slow()
-        },
-    },
+    Fault { name: "none", faults: slow },
+    Fault { name: "silent connections", faults: || engine::Faults { silence: true, ..slow() } },
     Fault {
         name: "crash, back at once",
-        faults: || engine::Faults {
-            crash: true,
-            restart_ms: 0,
-            ..slow()
-        },
+        faults: || engine::Faults { crash: true, restart_ms: 0, ..slow() },
     },
     Fault {
         name: "crash, away for long",
-        faults: || engine::Faults {
-            crash: true,
-            restart_ms: 60_000,
-            ..slow()
-        },
+        faults: || engine::Faults { crash: true, restart_ms: 60_000, ..slow() },
     },
 ];
 
@@ -85,10 +65,7 @@
     let router = Router::start(1).await;
     router.slow(1_000);
     let (answer, engine) = router.run("notary", "unused", "page").await;
-    engine.set_faults(engine::Faults {
-        silence: true,
-        ..slow()
-    });
+    engine.set_faults(engine::Faults { silence: true, ..slow() });
     assert!(read(answer).await.stream().1);
     assert_eq!(router.deployment.ledger.runs("page"), 1, "it was resumed");
     let events = router.contexts[0].ring.events();
@@ -101,9 +78,7 @@
     let first = router.complete(0, "clinic", Some("bill-1"), "fees").await;
     assert_eq!(first.stream(), (expected("fees"), true));
     let body = completion("fees");
-    let again = router
-        .settled(1, COMPLETIONS, "clinic", "bill-1", &body)
-        .await;
+    let again = router.settled(1, COMPLETIONS, "clinic", "bill-1", &body).await;
     assert_eq!(again.stream(), (expected("fees"), true));
     assert_eq!(router.deployment.ledger.runs("fees"), 1);
     let other = router.complete(1, "clinic", Some("bill-1"), "other").await;
@@ -121,10 +96,7 @@
     let router = Router::start(2).await;
     router.slow(1_000);
     let (answer, engine) = router.run("clinic", "bill-2", "fees").await;
-    engine.set_faults(engine::Faults {
-        crash: true,
-        ..slow()
-    });
+    engine.set_faults(engine::Faults { crash: true, ..slow() });
     let answered = read(answer).await;
     let refusal = answered.refusal().expect("a typed end");
     assert_eq!(refusal.kind, Kind::Incomplete);
@@ -155,9 +127,7 @@
             }
         }
     };
-    time::timeout(router::PATIENCE, idle)
-        .await
-        .expect("cancelled");
+    time::timeout(router::PATIENCE, idle).await.expect("cancelled");
 }
 
 /// A fault of the plain service or the table, and what callers are told.
@@ -184,10 +154,7 @@
     },
     Filing {
         name: "the service's answer is lost",
-        plain: || plain::Faults {
-            lose_answers: true,
-            ..plain::Faults::default()
-        },
+        plain: || plain::Faults { lose_answers: true, ..plain::Faults::default() },
         platform: platform::Faults::default,
         kind: Some(Kind::Incomplete),
         run: Execution::Unknown,
@@ -197,10 +164,7 @@
     Filing {
         name: "the table is down",
         plain: plain::Faults::default,
-        platform: || platform::Faults {
-            table_down: true,
-            ..platform::Faults::default()
-        },
+        platform: || platform::Faults { table_down: true, ..platform::Faults::default() },
         kind: Some(Kind::StoreUnavailable),
         run: Execution::Unknown,
         again: None,
@@ -209,10 +173,7 @@
     Filing {
         name: "every second commit's answer is lost",
         plain: plain::Faults::default,
-        platform: || platform::Faults {
-            table_lose_one_in: 2,
-            ..platform::Faults::default()
-        },
+        platform: || platform::Faults { table_lose_one_in: 2, ..platform::Faults::default() },
         kind: None,
         run: Execution::Run,
         again: None,
@@ -231,12 +192,7 @@
         let key = Some("filing-1");
         let first = router.ask(0, FILING, "notary", key, "fee").await;
         let refusal = first.refusal();
-        assert_eq!(
-            refusal.as_ref().map(|it| it.kind),
-            case.kind,
-            "{}",
-            case.name
-        );
+        assert_eq!(refusal.as_ref().map(|it| it.kind), case.kind, "{}", case.name);
         let run = refusal.map_or(Execution::Run, |it| it.run);
         assert_eq!(run, case.run, "{}", case.name);
         for plain in &router.deployment.plains {
--- a/tests/serve/input.rs
+++ b/tests/serve/input.rs
@@ -38,11 +38,7 @@
 }
 
 fn cases() -> Vec<Case> {
-    let other = |status, kind, case: Case| Case {
-        status,
-        kind: Some(kind),
-        ..case
-    };
+    let other = |status, kind, case: Case| Case { status, kind: Some(kind), ..case };
     let good = completion("page");
     let changed = |from: &str, to: &str| completion("page").replace(from, to);
     let levels = format!("\"levels\":[{}1],\"model\"", "1,".repeat(20));
@@ -62,47 +58,27 @@
             changed("\"model\"", "\"deadline_ms\":99999999999,\"model\""),
         ),
         case("nested too deep", "[".repeat(100_000)),
-        other(
-            413,
-            Kind::TooLarge,
-            case("over-long", vec![b' '; MAX_BODY_BYTES + 1]),
-        ),
-        other(
-            404,
-            Kind::UnknownModel,
-            case("unknown model", changed("assistente", "nobody")),
-        ),
+        other(413, Kind::TooLarge, case("over-long", vec![b' '; MAX_BODY_BYTES + 1])),
+        other(404, Kind::UnknownModel, case("unknown model", changed("assistente", "nobody"))),
         other(
             401,
             Kind::Unauthorized,
-            Case {
-                credential: "Bearer nobody",
-                ..case("unknown credential", good.clone())
-            },
+            Case { credential: "Bearer nobody", ..case("unknown credential", good.clone()) },
         ),
         other(
             401,
             Kind::Unauthorized,
-            Case {
-                credential: "Basic c2VjcmV0",
-                ..case("another scheme", good.clone())
-            },
+            Case { credential: "Basic c2VjcmV0", ..case("another scheme", good.clone()) },
         ),
         other(
             404,
             Kind::UnknownService,
-            Case {
-                head: "GET /s/nothing/x HTTP/1.1\r\n",
-                ..case("unknown service", "")
-            },
+            Case { head: "GET /s/nothing/x HTTP/1.1\r\n", ..case("unknown service", "") },
         ),
         other(
             400,
             Kind::KeyMissing,
-            Case {
-                head: "POST /s/wiki-app/x HTTP/1.1\r\n",
-                ..case("no key for a filing", "fee")
-            },
+            Case { head: "POST /s/wiki-app/x HTTP/1.1\r\n", ..case("no key for a filing", "fee") },
         ),
         Case {
             head: "POST /s/wiki-app/x HTTP/1.1\r\nidempotency-key: a b\r\n",
@@ -114,27 +90,19 @@
             kind: None,
             ..case("no such page", "")
         },
-        Case {
-            head: "NONSENSE\r\n",
-            kind: None,
-            ..case("no HTTP", "")
-        },
+        Case { head: "NONSENSE\r\n", kind: None, ..case("no HTTP", "") },
     ]
 }
 
 /// Writes a request, and reads its answer to the connection's end.
 async fn exchange(router: &Router, head: &str, body: &[u8]) -> (u16, String) {
-    let mut stream = TcpStream::connect(router.caller(0))
-        .await
-        .expect("it listens");
+    let mut stream = TcpStream::connect(router.caller(0)).await.expect("it listens");
     // The daemon may answer and close before it has read all.
     let _ = stream.write_all(head.as_bytes()).await;
     let _ = stream.write_all(body).await;
     let mut answer = Vec::new();
     let read = stream.read_to_end(&mut answer);
-    let _ = time::timeout(PATIENCE, read)
-        .await
-        .expect("an answer in time");
+    let _ = time::timeout(PATIENCE, read).await.expect("an answer in time");
     let answer = String::from_utf8(answer).expect("UTF-8");
     let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
     let status = head.split(' ').nth(1).and_then(|it| it.parse().ok());
@@ -185,9 +153,7 @@
     let mut stopped = Vec::new();
     for start in ["", "POST /v1/comp", &head, &format!("{head}{{\"model\"")] {
         for _ in 0..50 {
-            let mut stream = TcpStream::connect(router.caller(0))
-                .await
-                .expect("it listens");
+            let mut stream = TcpStream::connect(router.caller(0)).await.expect("it listens");
             stream.write_all(start.as_bytes()).await.expect("written");
             stopped.push(stream);
         }
@@ -207,9 +173,7 @@
     let all = BODIES_BYTES / MAX_BODY_BYTES;
     let mut stopped = Vec::new();
     for count in 1..=all {
-        let mut stream = TcpStream::connect(router.caller(0))
-            .await
-            .expect("it listens");
+        let mut stream = TcpStream::connect(router.caller(0)).await.expect("it listens");
         stream.write_all(head.as_bytes()).await.expect("written");
         stream.write_all(&body).await.expect("written");
         stopped.push(stream);
@@ -234,9 +198,7 @@
         "{POST}host: x\r\nauthorization: Bearer secret-notary\r\ncontent-length: {}\r\n\r\n",
         body.len() + 1
     );
-    let mut stream = TcpStream::connect(router.caller(0))
-        .await
-        .expect("it listens");
+    let mut stream = TcpStream::connect(router.caller(0)).await.expect("it listens");
     stream.write_all(head.as_bytes()).await.expect("written");
     stream.write_all(body.as_bytes()).await.expect("written");
     drop(stream);
--- a/tests/serve/router.rs
+++ b/tests/serve/router.rs
@@ -50,11 +50,7 @@
     /// Starts daemons, and waits until each knows all upstreams.
     pub async fn start(daemons: usize) -> Router {
         let stop = CancellationToken::new();
-        let settings = Settings {
-            engines: 3,
-            plains: 2,
-            ..Settings::nortebraco()
-        };
+        let settings = Settings { engines: 3, plains: 2, ..Settings::nortebraco() };
         let deployment = Deployment::start(&settings, stop.clone()).await;
         let deployment = deployment.expect("the stand-ins start");
         let mut contexts = Vec::new();
@@ -74,23 +70,14 @@
             contexts.push(controller.context.clone());
             tokio::spawn(controller.run(stop.clone()));
         }
-        let router = Router {
-            deployment,
-            contexts,
-            client: Client::new(),
-            stop,
-        };
+        let router = Router { deployment, contexts, client: Client::new(), stop };
         router.configure().await;
         let known = |it: &Arc<Context>| {
             let directory = it.directory.load();
             let alive = directory.upstreams().iter().filter(|it| it.is_open());
             alive.count() == 6
         };
-        router
-            .until("all upstreams are known", || {
-                router.contexts.iter().all(known)
-            })
-            .await;
+        router.until("all upstreams are known", || router.contexts.iter().all(known)).await;
         router
     }
 
@@ -108,12 +95,9 @@
                 time::sleep(Duration::from_millis(20)).await;
             }
         };
-        time::timeout(PATIENCE, put)
-            .await
-            .expect("an accepted change");
+        time::timeout(PATIENCE, put).await.expect("an accepted change");
         let in_force = |it: &Arc<Context>| it.catalog.load().revision() == Revision(1);
-        self.until("it is in force", || self.contexts.iter().all(in_force))
-            .await;
+        self.until("it is in force", || self.contexts.iter().all(in_force)).await;
     }
 
     /// Waits for something to become true.
@@ -172,17 +156,13 @@
         prompt: &str,
     ) -> Answered {
         let body = completion(prompt);
-        self.ask(daemon, "/v1/completions", workspace, key, body)
-            .await
+        self.ask(daemon, "/v1/completions", workspace, key, body).await
     }
 
     /// Makes all engines slow: a step takes 4 ms times `percent`.
     pub fn slow(&self, percent: u32) {
         for engine in &self.deployment.engines {
-            engine.set_faults(Faults {
-                slow_percent: percent,
-                ..Faults::default()
-            });
+            engine.set_faults(Faults { slow_percent: percent, ..Faults::default() });
         }
     }
 
@@ -252,8 +232,7 @@
             let admission = it.serving.admission();
             admission.running() + admission.waiting() == 0
         };
-        self.until("all slots are released", || self.contexts.iter().all(idle))
-            .await;
+        self.until("all slots are released", || self.contexts.iter().all(idle)).await;
     }
 }
 
@@ -303,10 +282,7 @@
 pub async fn read(answer: Answer) -> Answered {
     let (head, mut body) = answer.response.into_parts();
     let (mut bytes, mut whole) = (Vec::new(), true);
-    while let Some(frame) = time::timeout(PATIENCE, body.frame())
-        .await
-        .expect("in time")
-    {
+    while let Some(frame) = time::timeout(PATIENCE, body.frame()).await.expect("in time") {
         match frame {
             Ok(frame) => bytes.extend_from_slice(frame.data_ref().expect("data")),
             Err(_) => whole = false,
@@ -315,12 +291,7 @@
             break;
         }
     }
-    Answered {
-        status: head.status,
-        headers: head.headers,
-        body: bytes.into(),
-        whole,
-    }
+    Answered { status: head.status, headers: head.headers, body: bytes.into(), whole }
 }
 
 /// Tokens of the answers that are asked for.
@@ -345,37 +316,19 @@
 /// The workspace `notary` gets completions that may be repeated, `clinic` billable ones; both
 /// have the plain service.
 fn change() -> Change {
-    let limits = Limits {
-        priority: 1,
-        concurrency: 1_000,
-        tokens_per_second: 10_000_000,
-    };
+    let limits = Limits { priority: 1, concurrency: 1_000, tokens_per_second: 10_000_000 };
     let model = |billable| Target::Model {
         model: "assistente".into(),
         adapter: None,
         version: VERSION,
         billable,
     };
-    let service = Target::Service {
-        service: "wiki-app".into(),
-    };
-    let targets = [
-        ("tags", model(false)),
-        ("answers", model(true)),
-        ("pages", service),
-    ];
-    let templates = targets.map(|(name, target)| Template {
-        name: name.into(),
-        target,
-        limits,
-        replicas: 0,
-    });
-    let instances = [
-        ("notary", "tags"),
-        ("notary", "pages"),
-        ("clinic", "answers"),
-        ("clinic", "pages"),
-    ];
+    let service = Target::Service { service: "wiki-app".into() };
+    let targets = [("tags", model(false)), ("answers", model(true)), ("pages", service)];
+    let templates =
+        targets.map(|(name, target)| Template { name: name.into(), target, limits, replicas: 0 });
+    let instances =
+        [("notary", "tags"), ("notary", "pages"), ("clinic", "answers"), ("clinic", "pages")];
     let instances = instances.map(|(workspace, template)| Instance {
         workspace: workspace.into(),
         template: template.into(),
@@ -383,9 +336,7 @@
         version: None,
     });
     let credentials = ["notary", "clinic"].map(|workspace| Credential {
-        digest: blake3::hash(format!("secret-{workspace}").as_bytes())
-            .to_hex()
-            .to_string(),
+        digest: blake3::hash(format!("secret-{workspace}").as_bytes()).to_hex().to_string(),
         workspace: workspace.into(),
     });
     let templates = templates.into_iter().map(Edit::PutTemplate);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -12,11 +12,7 @@
 }
 
 const DEPLOYMENTS: &[Deployment] = &[
-    Deployment {
-        name: "nortebraco",
-        zones: &["sala-a", "sala-b", "sala-c"],
-        loads: 2,
-    },
+    Deployment { name: "nortebraco", zones: &["sala-a", "sala-b", "sala-c"], loads: 2 },
     Deployment {
         name: "cascade",
         zones: &["seattle-hall", "pdx-hall", "spokane-hall", "tacoma-hall"],
@@ -110,26 +106,14 @@
 }
 
 const CASES: &[Case] = &[
-    Case {
-        name: "empty",
-        text: "",
-        fault: "the file: found nothing, allowed is a mapping",
-    },
+    Case { name: "empty", text: "", fault: "the file: found nothing, allowed is a mapping" },
     Case {
         name: "a list",
         text: "- a",
         fault: "the file: found a list of 1, allowed is a mapping",
     },
-    Case {
-        name: "cut off",
-        text: "listen: {caller: ",
-        fault: "not valid YAML",
-    },
-    Case {
-        name: "a key twice",
-        text: "daemon: a\ndaemon: b\n",
-        fault: "not valid YAML",
-    },
+    Case { name: "cut off", text: "listen: {caller: ", fault: "not valid YAML" },
+    Case { name: "a key twice", text: "daemon: a\ndaemon: b\n", fault: "not valid YAML" },
     Case {
         name: "an address that others cannot reach",
         text: "listen:\n  caller: 0.0.0.0:7000\n",
--- a/tests/suspect.rs
+++ b/tests/suspect.rs
@@ -180,10 +180,7 @@
             if world.running.len() < INNOCENTS as usize {
                 let daemon = world.random.random_range(0..DAEMONS);
                 offered += 1;
-                assert!(
-                    world.offer(innocent, daemon),
-                    "seed {seed}: not suspect yet"
-                );
+                assert!(world.offer(innocent, daemon), "seed {seed}: not suspect yet");
                 innocent += 1;
             }
             assert!(
@@ -194,11 +191,7 @@
         }
         assert!(world.crashes > 0, "seed {seed}");
         let running = world.running.iter().filter(|it| it.body != 0).count();
-        assert_eq!(
-            offered,
-            world.finished + world.refused + running,
-            "seed {seed}"
-        );
+        assert_eq!(offered, world.finished + world.refused + running, "seed {seed}");
         assert!(world.finished > 10 * world.refused, "seed {seed}");
     }
 }
@@ -223,10 +216,7 @@
     assert!(matches!(verdict, Verdict::Barred { .. }), "{verdict:?}");
     assert_eq!(other.may_run(fingerprint(2), now), Verdict::Run);
     assert_eq!(other.may_run(fingerprint(1), now + SUSPICION), Verdict::Run);
-    assert!(
-        !other.learn(&fact, now + SUSPICION),
-        "nor when it has expired"
-    );
+    assert!(!other.learn(&fact, now + SUSPICION), "nor when it has expired");
     assert_eq!(other.may_run(fingerprint(1), now + SUSPICION), Verdict::Run);
 }
 
@@ -235,23 +225,13 @@
     let now = Time::from_millis(1_000);
     let (mut table, _) = marked(now);
     let spreading = table.may_run(fingerprint(1), now);
-    assert_eq!(
-        spreading,
-        Verdict::Wait {
-            retry_after: SPREAD
-        },
-        "its mark spreads first"
-    );
+    assert_eq!(spreading, Verdict::Wait { retry_after: SPREAD }, "its mark spreads first");
     let spread = now + SPREAD;
     assert_eq!(table.may_run(fingerprint(1), spread), Verdict::RunAlone);
     table.started(Request(2), fingerprint(1), &upstream(2), Incarnation(1));
     assert_eq!(table.occupied(), [upstream(2)]);
     let facts = table.crashed(&upstream(2), Incarnation(1), now);
-    let barred = Value::Suspect {
-        crashes: 2,
-        barred: true,
-        lifts: 0,
-    };
+    let barred = Value::Suspect { crashes: 2, barred: true, lifts: 0 };
     assert_eq!(facts[0].value, barred);
     let half = BAR / 2;
     for asked in [half, BAR, BAR + half] {
@@ -270,10 +250,7 @@
     let cleared = table.ended(Request(2), true, now);
     assert_eq!(cleared.len(), 1);
     assert_eq!(table.may_run(fingerprint(1), now), Verdict::Run);
-    assert!(
-        !table.learn(&fact, now),
-        "a late mark does not undo the clearing"
-    );
+    assert!(!table.learn(&fact, now), "a late mark does not undo the clearing");
     let mut other = Table::default();
     other.learn(&fact, now);
     other.learn(&cleared[0], now);
@@ -303,11 +280,7 @@
     for number in 0..2 * TABLE_SUSPECTS as u64 {
         let fact = Fact {
             key: Key::Suspect(number),
-            value: Value::Suspect {
-                crashes: 1,
-                barred: false,
-                lifts: 0,
-            },
+            value: Value::Suspect { crashes: 1, barred: false, lifts: 0 },
         };
         table.learn(&fact, Time::from_millis(number));
     }
--- a/tests/system.rs
+++ b/tests/system.rs
@@ -35,10 +35,7 @@
 }
 
 fn table_down(down: bool) -> platform::Faults {
-    platform::Faults {
-        table_down: down,
-        ..platform::Faults::default()
-    }
+    platform::Faults { table_down: down, ..platform::Faults::default() }
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -128,11 +125,7 @@
         let call = fleet.complete(address, "please crash this engine");
         // Callers give up and ask another daemon.
         if let Ok(done) = time::timeout(Duration::from_millis(300), call).await {
-            eprintln!(
-                "{round} {:?} {}",
-                done.outcome,
-                fleet.deployment.ledger.totals().crashes
-            );
+            eprintln!("{round} {:?} {}", done.outcome, fleet.deployment.ledger.totals().crashes);
             answers.push(done.outcome);
         }
     }
@@ -163,10 +156,8 @@
     for _ in 0..3 {
         fleet.take(0).kill();
     }
-    fleet.deployment.engines[3].set_faults(engine::Faults {
-        silence: true,
-        ..engine::Faults::default()
-    });
+    fleet.deployment.engines[3]
+        .set_faults(engine::Faults { silence: true, ..engine::Faults::default() });
     time::sleep(Duration::from_secs(6)).await;
     fleet.deployment.platform.set_faults(table_down(false));
     fleet.add(3).await;
--- a/tests/system/fleet.rs
+++ b/tests/system/fleet.rs
@@ -128,13 +128,7 @@
             let bound = daemon.context.bound;
             let role = Role::Daemon { peer: bound.peer };
             let (address, state) = (bound.caller, State::Live);
-            self.deployment.platform.list_at_once(Entry {
-                name,
-                address,
-                zone,
-                role,
-                state,
-            });
+            self.deployment.platform.list_at_once(Entry { name, address, zone, role, state });
             self.daemons.push(daemon);
         }
     }
@@ -146,9 +140,7 @@
 
     /// Takes a daemon's VM from the list.
     pub fn unlist(&self, context: &Context) {
-        self.deployment
-            .platform
-            .list(context.settings.daemon.as_str(), None);
+        self.deployment.platform.list(context.settings.daemon.as_str(), None);
     }
 
     /// Puts the configuration of the profile in force, as an operator does.
@@ -157,18 +149,14 @@
         let change = change(&self.profile);
         let put = async {
             loop {
-                let put = self
-                    .client
-                    .post::<_, Value>(address, "/v1/catalog/changes", &change);
+                let put = self.client.post::<_, Value>(address, "/v1/catalog/changes", &change);
                 if put.await.is_ok() {
                     return;
                 }
                 time::sleep(Duration::from_millis(20)).await;
             }
         };
-        time::timeout(PATIENCE, put)
-            .await
-            .expect("an accepted change");
+        time::timeout(PATIENCE, put).await.expect("an accepted change");
     }
 
     /// Waits until all daemons have the configuration and know all upstreams.
@@ -176,11 +164,7 @@
         let upstreams = self.deployment.engines.len() + self.deployment.plains.len() + 1;
         let is_ready = |it: &Context| {
             let directory = it.directory.load();
-            let open = directory
-                .upstreams()
-                .iter()
-                .filter(|it| it.is_open())
-                .count();
+            let open = directory.upstreams().iter().filter(|it| it.is_open()).count();
             it.catalog.load().revision() == Revision(1) && open == upstreams
         };
         self.until("all daemons are ready", |it| is_ready(it)).await;
@@ -198,10 +182,7 @@
 
     /// Where the daemons listen for callers.
     pub fn callers(&self) -> Vec<SocketAddr> {
-        self.daemons
-            .iter()
-            .map(|it| it.context.bound.caller)
-            .collect()
+        self.daemons.iter().map(|it| it.context.bound.caller).collect()
     }
 
     /// The deployment's usual calls for `seconds`, beside what else happens.
@@ -231,18 +212,14 @@
         let body = body.to_string().into();
         let request = client::request("POST", address, "/v1/completions", body);
         let mut request = request.expect("a request");
-        let credential = self
-            .profile
-            .credential(&self.profile.workspaces[0].workspace);
+        let credential = self.profile.credential(&self.profile.workspaces[0].workspace);
         let credential = format!("Bearer {credential}").parse().expect("ASCII");
         request.headers_mut().insert("authorization", credential);
         let answer = time::timeout(PATIENCE, self.client.send(address, request)).await;
         let answer = answer.expect("an answer in time").expect("an answer");
         assert!(!answer.response.status().is_success(), "it was served");
         let body = self.client.finish(answer).await.expect("a body");
-        serde_json::from_slice::<Refusal>(&body)
-            .expect("a refusal")
-            .error
+        serde_json::from_slice::<Refusal>(&body).expect("a refusal").error
     }
 
     /// A call for a completion by the first workspace.
@@ -250,11 +227,7 @@
         Call {
             workspace: self.profile.workspaces[0].workspace.clone(),
             zone: self.profile.zones[0].clone(),
-            kind: Kind::Completion {
-                prompt: prompt.to_owned(),
-                levels: Vec::new(),
-                max_tokens: 8,
-            },
+            kind: Kind::Completion { prompt: prompt.to_owned(), levels: Vec::new(), max_tokens: 8 },
         }
     }
 }
@@ -266,11 +239,8 @@
 }
 
 async fn start(settings: tealturn::settings::Settings) -> Daemon {
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build()
-        .expect("a runtime");
+    let runtime =
+        Builder::new_multi_thread().worker_threads(1).enable_all().build().expect("a runtime");
     let controller = runtime.spawn(Controller::bind(settings)).await;
     let controller = controller.expect("it runs").expect("it binds");
     let context = controller.context.clone();
@@ -281,40 +251,24 @@
         run.await;
         let _ = sender.send(());
     });
-    Daemon {
-        context,
-        stop,
-        ended: Some(ended),
-        runtime: Some(runtime),
-    }
+    Daemon { context, stop, ended: Some(ended), runtime: Some(runtime) }
 }
 
 /// A model and a service for each workspace of the profile.
 fn change(profile: &Profile) -> Change {
-    let limits = Limits {
-        priority: 1,
-        concurrency: 1_000,
-        tokens_per_second: 10_000_000,
-    };
+    let limits = Limits { priority: 1, concurrency: 1_000, tokens_per_second: 10_000_000 };
     let model = Target::Model {
         model: profile.model.clone(),
         adapter: None,
         version: VERSION,
         billable: false,
     };
-    let service = Target::Service {
-        service: profile.service.clone(),
-    };
+    let service = Target::Service { service: profile.service.clone() };
     let targets = [("model", model), ("service", service)];
     let mut edits = Vec::new();
     for (name, target) in targets {
         let (name, replicas) = (name.into(), 0);
-        edits.push(Edit::PutTemplate(Template {
-            name,
-            target,
-            limits,
-            replicas,
-        }));
+        edits.push(Edit::PutTemplate(Template { name, target, limits, replicas }));
     }
     for share in &profile.workspaces {
         let workspace = &share.workspace;
@@ -332,9 +286,5 @@
             workspace: workspace.clone(),
         }));
     }
-    Change {
-        id: Id(1),
-        base: Revision(0),
-        edits,
-    }
+    Change { id: Id(1), base: Revision(0), edits }
 }
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -41,19 +41,13 @@
 const EPOCH: u64 = 1_796_000_000_000_000;
 
 fn ring(micros: &Arc<AtomicU64>, ahead: u64) -> Ring {
-    Ring::new(Box::new(Skewed {
-        micros: micros.clone(),
-        ahead,
-    }))
+    Ring::new(Box::new(Skewed { micros: micros.clone(), ahead }))
 }
 
 fn source(daemon: &str, events: Vec<Event>) -> Source {
     Source {
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        page: Ok(Page {
-            daemon: daemon.into(),
-            events,
-        }),
+        page: Ok(Page { daemon: daemon.into(), events }),
     }
 }
 
@@ -65,9 +59,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let micros = Arc::new(AtomicU64::new(EPOCH));
     let ahead = |random: &mut SmallRng| random.random_range(0..30_000_000);
-    let rings: Vec<_> = (0..PROCESSES)
-        .map(|_| ring(&micros, ahead(&mut random)))
-        .collect();
+    let rings: Vec<_> = (0..PROCESSES).map(|_| ring(&micros, ahead(&mut random))).collect();
     let mut known = [[0; PROCESSES]; PROCESSES];
     let mut causes = Vec::new();
     let mut messages: Vec<(Stamp, [u64; PROCESSES])> = Vec::new();
@@ -123,10 +115,7 @@
 
 fn event(seq: u64, kind: &str) -> Event {
     Event {
-        stamp: Stamp {
-            wall_micros: EPOCH + seq,
-            logical: 0,
-        },
+        stamp: Stamp { wall_micros: EPOCH + seq, logical: 0 },
         seq,
         subject: Subject::Upstream("runner-1".to_owned()),
         kind: kind.to_owned(),
@@ -144,32 +133,17 @@
 fn gaps_are_named() {
     let daemon = || "daemon-1".into();
     let cases = [
-        Case {
-            name: "whole",
-            numbers: &[1, 2, 3],
-            gap: None,
-        },
-        Case {
-            name: "no event",
-            numbers: &[],
-            gap: None,
-        },
+        Case { name: "whole", numbers: &[1, 2, 3], gap: None },
+        Case { name: "no event", numbers: &[], gap: None },
         Case {
             name: "overwritten",
             numbers: &[8, 9],
-            gap: Some(Gap::Overwritten {
-                daemon: daemon(),
-                events: 7,
-            }),
+            gap: Some(Gap::Overwritten { daemon: daemon(), events: 7 }),
         },
         Case {
             name: "missing in the middle",
             numbers: &[1, 2, 5],
-            gap: Some(Gap::Missing {
-                daemon: daemon(),
-                after: 2,
-                before: 5,
-            }),
+            gap: Some(Gap::Missing { daemon: daemon(), after: 2, before: 5 }),
         },
     ];
     for case in cases {
@@ -189,10 +163,7 @@
     }
     let merged = Merged::new(vec![source("daemon-1", ring.events())], &[]);
     assert_eq!(merged.entries.len(), RING_EVENTS);
-    let lost = Gap::Overwritten {
-        daemon: "daemon-1".into(),
-        events: 3,
-    };
+    let lost = Gap::Overwritten { daemon: "daemon-1".into(), events: 3 };
     assert_eq!(merged.gaps, [lost]);
 }
 
@@ -203,10 +174,7 @@
     };
     let sources = vec![
         source("daemon-1", vec![event(1, "upstream_dead")]),
-        source(
-            "daemon-2",
-            vec![event(1, "upstream_dead"), event(3, "order_sent")],
-        ),
+        source("daemon-2", vec![event(1, "upstream_dead"), event(3, "order_sent")]),
         silent,
     ];
     Merged::new(sources, &["daemon-1".into(), "daemon-4".into()])
--- a/tests/toy/engine.rs
+++ b/tests/toy/engine.rs
@@ -42,11 +42,7 @@
 
 impl Engine {
     pub fn new(incarnation: u64, alive: bool) -> Engine {
-        Engine {
-            incarnation: Incarnation(incarnation),
-            alive,
-            ..Engine::default()
-        }
+        Engine { incarnation: Incarnation(incarnation), alive, ..Engine::default() }
     }
 
     pub fn held(&self, chain: &[Hash]) -> usize {
@@ -112,11 +108,7 @@
             leaving: false,
             state: State {
                 incarnation: self.incarnation,
-                loaded: vec![Weights {
-                    model,
-                    version,
-                    adapters: Vec::new(),
-                }],
+                loaded: vec![Weights { model, version, adapters: Vec::new() }],
                 loading: Vec::new(),
                 role: Role::Serve,
                 fence: 0,
--- a/tests/toy/fleet.rs
+++ b/tests/toy/fleet.rs
@@ -155,10 +155,7 @@
                 for job in self.engines[place].crash() {
                     self.observe(
                         job.daemon,
-                        &Event::Ended {
-                            request: job.request,
-                            cached_tokens: None,
-                        },
+                        &Event::Ended { request: job.request, cached_tokens: None },
                         now,
                     );
                     self.place(job.prompt, now);
@@ -239,11 +236,7 @@
     fn oracle(&self, prompt: usize) -> Option<usize> {
         let chains = &self.load.chains;
         let chain = &chains[prompt];
-        let backlog = self
-            .engines
-            .iter()
-            .map(|it| it.backlog(chains))
-            .sum::<u64>();
+        let backlog = self.engines.iter().map(|it| it.backlog(chains)).sum::<u64>();
         let backlog_s = backlog as f64 / (PREFILL_RATE * self.engines.len() as u64) as f64;
         let weight = 2.0 * (1.0 + backlog_s / 0.05);
         let cost = |engine: &Engine| {
@@ -258,9 +251,7 @@
             (prefill as u64 + slots, used)
         };
         let engines = self.engines.iter().enumerate().filter(|(_, it)| it.alive);
-        engines
-            .min_by_key(|(_, it)| cost(it))
-            .map(|(place, _)| place)
+        engines.min_by_key(|(_, it)| cost(it)).map(|(place, _)| place)
     }
 
     fn start(&mut self, place: usize, now: Time) {
@@ -284,10 +275,7 @@
         engine.store(&chain[..held], now);
         engine.prefilling = Some(job);
         let run = engine.incarnation.0;
-        self.at(
-            now + Duration::from_micros(micros),
-            What::Prefilled(place, run),
-        );
+        self.at(now + Duration::from_micros(micros), What::Prefilled(place, run));
     }
 
     fn prefilled(&mut self, place: usize, run: u64, now: Time) {
@@ -307,11 +295,7 @@
         second.wasted += job.wasted;
         let waited = now.since(job.arrived);
         second.first_ms.push(waited.as_secs_f64() * 1_000.0);
-        let first = Event::First {
-            request: job.request,
-            incarnation,
-            cached_tokens: None,
-        };
+        let first = Event::First { request: job.request, incarnation, cached_tokens: None };
         self.observe(job.daemon, &first, now);
         let end = now + Duration::from_millis(DECODE_MS);
         self.at(end, What::Decoded(place, run, job.request));
@@ -329,10 +313,7 @@
             return;
         };
         let job = engine.running.swap_remove(at);
-        let ended = Event::Ended {
-            request,
-            cached_tokens: Some(job.cached),
-        };
+        let ended = Event::Ended { request, cached_tokens: Some(job.cached) };
         self.observe(job.daemon, &ended, now);
         self.start(place, now);
     }
@@ -376,11 +357,7 @@
         }
         let event = |(stored, hashes): (bool, Vec<u64>)| {
             let hashes = hashes.into_iter().map(Hash).collect();
-            let change = if stored {
-                Change::Stored(hashes)
-            } else {
-                Change::Removed(hashes)
-            };
+            let change = if stored { Change::Stored(hashes) } else { Change::Removed(hashes) };
             wire::Event { seq, change }
         };
         let events = Events {
@@ -389,10 +366,7 @@
         };
         let upstream = format!("e{place}").as_str().into();
         for policy in self.daemons.iter().flatten() {
-            let event = Event::Cache {
-                upstream: &upstream,
-                events: &events,
-            };
+            let event = Event::Cache { upstream: &upstream, events: &events };
             policy.observe(&event, now);
         }
     }
@@ -405,10 +379,7 @@
                 name: format!("e{place}").as_str().into(),
                 address: ([127, 0, 0, 1], 1).into(),
                 zone: "z".into(),
-                role: vm::Role::Engine {
-                    model: "m".into(),
-                    fenced: true,
-                },
+                role: vm::Role::Engine { model: "m".into(), fenced: true },
                 incarnation: engine.incarnation,
                 alive: engine.alive,
                 leaving: false,
