Refuse a suspect that cannot run again for 30 s, not 10 minutes

Cause: a request that ran beside a poisonous one, and that its daemon could not run again within 200 ms, was refused by every daemon for 10 minutes. Ruled out: a longer window for running again; the bound of three crashes stands on that window being shorter than a run that ends in a crash. Change: a suspicion ends after 30 s, but its crash still counts, so that one more bars the request for the 10 minutes as before. Test: two in tests/suspect.rs. Seen to fail: with 600 s ("600s"), and with a crash that is forgotten with its suspicion (RunAlone for Barred).

--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -39,8 +39,9 @@
 /// How long a request is barred after it was last asked for.
 pub const BAR: Duration = Duration::from_secs(600);
 
-/// How long a suspect that does not run is remembered.
-pub const SUSPICION: Duration = Duration::from_secs(600);
+/// How long a suspect that does not run is refused. Its crashes still count afterwards, so that
+/// one more bars it; an innocent one need not wait longer.
+pub const SUSPICION: Duration = Duration::from_secs(30);
 
 /// Suspects that are remembered; beyond it the oldest is forgotten.
 pub const TABLE_SUSPECTS: usize = 4_096;
--- a/tests/suspect.rs
+++ b/tests/suspect.rs
@@ -289,3 +289,29 @@
     let now = Time::from_millis(newest.0);
     assert_ne!(table.may_run(newest, now), Verdict::Run);
 }
+
+#[test]
+fn an_expired_suspicion_still_counts_its_crash() {
+    let now = Time::from_millis(1_000);
+    let (_, fact) = marked(now);
+    let mut other = Table::default();
+    assert!(other.learn(&fact, now));
+    let expired = now + SUSPICION;
+    assert_eq!(other.may_run(fingerprint(1), expired), Verdict::Run);
+    other.started(Request(9), fingerprint(1), &upstream(3), Incarnation(1));
+    other.crashed(&upstream(3), Incarnation(1), expired);
+    let verdict = other.may_run(fingerprint(1), expired + SPREAD);
+    assert_eq!(verdict, Verdict::Barred { retry_after: BAR });
+}
+
+#[test]
+fn an_innocent_request_is_refused_for_half_a_minute_at_most() {
+    let now = Time::from_millis(1_000);
+    let (_, fact) = marked(now);
+    let mut other = Table::default();
+    assert!(other.learn(&fact, now));
+    let Verdict::Barred { retry_after } = other.may_run(fingerprint(1), now) else {
+        panic!("a suspect ran");
+    };
+    assert!(retry_after <= Duration::from_secs(30), "{retry_after:?}");
+}
