--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -2,10 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use metrics::histogram;
 use tokio::time;
 
 use crate::{
     kernel::{
+        clock::Time,
         context::Context,
         id::{Incarnation, Request},
     },
@@ -43,6 +45,7 @@
     pub attempt: Request,
     /// The upstream.
     pub choice: Choice,
+    placed: Time,
     incarnation: Option<Incarnation>,
     cached_tokens: Option<u64>,
     ended: bool,
@@ -116,6 +119,7 @@
             choice,
             incarnation: None,
             cached_tokens: None,
+            placed: now,
             ended: false,
         })
     }
@@ -145,7 +149,9 @@
             return false;
         }
         let event = route::Event::First { request: self.attempt, incarnation, cached_tokens: None };
-        self.context.policy.observe(&event, self.context.now());
+        let now = self.context.now();
+        histogram!("tealturn_first_token_seconds").record(now.since(self.placed).as_secs_f64());
+        self.context.policy.observe(&event, now);
         true
     }
 
