Serve the users' platform: pass-through gateway, and an adapter in platform/

Cause: the daemon spoke its own protocols only; on the users' VMs it read no configuration and called itself ready at revision 0.

Change: the library gains a gateway (routes, keys, kinds, placement by the caller's prefix parts, repeats within a budget, orders for weights under a lease); platform/ translates its store, configuration, roster, headers, reports, orders and look-up. The HTTP client heeds Keep-Alive, breaks silent connections and closes what is dropped. A clock that goes on in suspension.

Ruled out for now: reuse of serve::completion, which hashes prompt text and speaks the engines' own protocol.

--- /dev/null
+++ b/src/gateway/operate.rs
@@ -0,0 +1,369 @@
+//! Gives engines the orders to load weights, under a lease.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{task::JoinSet, time};
+use tokio_util::sync::CancellationToken;
+use tracing::{info, warn};
+
+use crate::{
+    collections::Map,
+    gateway::{
+        context::Context,
+        dialect::{Accepted, Order},
+        follow::MARKS_PREFIX,
+        rollout::{Claim, Lease, Mark, Marks, Stage, Watch, loads_at_once},
+        roster::Endpoint,
+        store::{Row, Topic, Write, Written},
+    },
+    kernel::{
+        clock::Time,
+        id::{Model, Upstream, Version},
+    },
+};
+
+/// The key of the lease on orders.
+const LEASE_KEY: &str = "weights";
+
+/// A holder gives no order later than this after it sent its last renewal.
+const TENURE: Duration = Duration::from_millis(1_000);
+
+/// The time between renewals while orders are given.
+const RENEW_EVERY: Duration = Duration::from_millis(400);
+
+/// The time between looks at what is to be done.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The time between looks at a lease that another holds.
+const WATCH_EVERY: Duration = Duration::from_millis(500);
+
+/// How much later each further daemon, by its place among their names, looks for a free lease.
+const STAGGER: Duration = Duration::from_millis(150);
+
+/// The longest time that one engine's load is followed before it is looked at anew.
+const LOAD_LONGEST: Duration = Duration::from_millis(6_000);
+
+/// How long before its order an engine is marked, so that all daemons stop sending there.
+const MARK_LEAD: Duration = Duration::from_millis(40);
+
+/// The time between looks at an engine that loads.
+const REPORT_EVERY: Duration = Duration::from_millis(150);
+
+/// An order that shows no effect for this long is given again.
+const ORDER_AGAIN: Duration = Duration::from_millis(1_200);
+
+/// A margin for clocks and the way of a call.
+const MARGIN: Duration = Duration::from_millis(500);
+
+/// A lease that this daemon holds.
+#[derive(Clone, Copy, Debug)]
+struct Tenure {
+    fence: u64,
+    /// The row's version.
+    version: u64,
+    /// When its last renewal was sent.
+    renewed: Time,
+}
+
+/// Gives orders whenever engines lack weights, until `stop`.
+pub async fn operate(context: Arc<Context>, stop: CancellationToken) {
+    let operator = Operator {
+        context,
+        tenure: None,
+        watch: Watch::default(),
+        look_at: Time::default(),
+        loading: Map::default(),
+        marks: Map::default(),
+        loads: JoinSet::new(),
+    };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = operator.run() => {}
+    }
+}
+
+struct Operator {
+    context: Arc<Context>,
+    tenure: Option<Tenure>,
+    watch: Watch,
+    look_at: Time,
+    /// Engines that were ordered to load, or are about to be.
+    loading: Map<Upstream, (Model, Version)>,
+    marks: Map<Model, Marks>,
+    loads: JoinSet<(Upstream, Model, Version, bool)>,
+}
+
+impl Operator {
+    async fn run(mut self) {
+        loop {
+            time::sleep(TICK).await;
+            let work = self.work();
+            if work.is_empty() && self.loading.is_empty() {
+                self.watch.reset();
+                self.look_at = Time::default();
+                continue;
+            }
+            if self.context.leaving.is_cancelled() && self.tenure.is_none() {
+                continue;
+            }
+            self.hold().await;
+            if self.tenure.is_some() {
+                self.collect().await;
+                self.start(work).await;
+            }
+        }
+    }
+
+    /// The engines of each model that lack its weights.
+    fn work(&self) -> Vec<(Model, Version, Vec<Arc<Endpoint>>)> {
+        let progress = self.context.progress.load();
+        let view = self.context.view.load();
+        let mut work = Vec::new();
+        for (model, target) in progress.targets() {
+            let pending = progress.pending(&view, model);
+            if !pending.is_empty() {
+                work.push((model.clone(), target.version, pending));
+            }
+        }
+        work
+    }
+
+    /// Renews the lease or takes it, when the time has come.
+    async fn hold(&mut self) {
+        let now = self.context.now();
+        if let Some(tenure) = self.tenure {
+            if now.since(tenure.renewed) < RENEW_EVERY {
+                return;
+            }
+            return self.put(Some(tenure.version), tenure.fence).await;
+        }
+        if self.look_at == Time::default() {
+            self.look_at = now + STAGGER * self.place() as u32;
+        }
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + WATCH_EVERY;
+        let row = match self.context.store.get(Topic::Leases, LEASE_KEY).await {
+            Ok(row) => row,
+            Err(failure) => return warn!(%failure, "lease not read"),
+        };
+        self.decide(row).await;
+    }
+
+    async fn decide(&mut self, row: Option<Row>) {
+        let lease = row.as_ref().and_then(|it| it.value.as_deref());
+        let lease: Option<Lease> = lease.and_then(|it| serde_json::from_slice(it).ok());
+        let own = lease.as_ref().is_some_and(|it| {
+            let same = it.holder == self.context.settings.daemon.as_str();
+            same && it.incarnation == self.context.incarnation
+        });
+        let idle = TENURE + self.context.settings.lease + MARGIN;
+        let version = row.map(|it| it.version);
+        let now = self.context.now();
+        let fence = lease.map_or(0, |it| it.fence);
+        match self.watch.claim(version, own, idle, now) {
+            Claim::Own => self.put(version, fence).await,
+            Claim::Take => self.put(Some(version.unwrap_or(0)), fence + 1).await,
+            Claim::Wait => {}
+        }
+    }
+
+    async fn put(&mut self, expected: Option<u64>, fence: u64) {
+        let context = &self.context;
+        let lease = Lease {
+            holder: context.settings.daemon.as_str().to_owned(),
+            incarnation: context.incarnation,
+            fence,
+        };
+        let value = match serde_json::to_vec(&lease) {
+            Ok(value) => value,
+            Err(error) => return warn!(%error, "lease not encoded"),
+        };
+        let key = LEASE_KEY.to_owned();
+        let write = Write { topic: Topic::Leases, key, expected, value: Some(value) };
+        let sent = context.now();
+        match context.store.write(&write).await {
+            Ok(Written::Done(version)) => {
+                if self.tenure.is_none() {
+                    info!(fence, "lease on orders taken");
+                }
+                self.tenure = Some(Tenure { fence, version, renewed: sent });
+            }
+            Ok(Written::Conflict(_)) => self.lose("another daemon wrote it"),
+            Err(failure) => {
+                // Whether it was written shows when it is read next.
+                warn!(%failure, "lease not written");
+                self.lose("no answer");
+            }
+        }
+    }
+
+    fn lose(&mut self, reason: &str) {
+        if self.tenure.take().is_some() {
+            info!(reason, "lease on orders lost");
+        }
+        self.loads.abort_all();
+        self.loading.clear();
+        self.watch.reset();
+    }
+
+    /// This daemon's place among the names of all.
+    fn place(&self) -> usize {
+        let own = self.context.settings.daemon.as_str();
+        let all = self.context.members.all();
+        all.iter().take_while(|(name, _)| name != own).count()
+    }
+
+    /// Takes note of the loads that ended.
+    async fn collect(&mut self) {
+        let mut changed = Vec::new();
+        while let Some(ended) = self.loads.try_join_next() {
+            let Ok((engine, model, version, loaded)) = ended else {
+                continue;
+            };
+            self.loading.remove(&engine);
+            if let Some(marks) = self.marks.get_mut(&model) {
+                let own = marks.marks.iter_mut().find(|it| it.engine == engine);
+                match (own, loaded) {
+                    (Some(mark), true) => mark.stage = Stage::Loaded,
+                    _ => marks.marks.retain(|it| it.engine != engine),
+                }
+            }
+            info!(engine = engine.as_str(), version = version.0, loaded, "load ended");
+            changed.push(model);
+        }
+        for model in changed {
+            self.publish(&model).await;
+        }
+    }
+
+    /// Starts as many loads as may run at once.
+    async fn start(&mut self, work: Vec<(Model, Version, Vec<Arc<Endpoint>>)>) {
+        for (model, version, pending) in work {
+            let all = self.engines(&model);
+            let room = loads_at_once(all, self.context.settings.load_share);
+            let room = room.saturating_sub(self.loading.len());
+            let free = pending.into_iter().filter(|it| !self.loading.contains_key(&it.name));
+            let next: Vec<_> = free.take(room).collect();
+            if next.is_empty() {
+                continue;
+            }
+            for engine in &next {
+                self.loading.insert(engine.name.clone(), (model.clone(), version));
+                let marks = &mut self.marks.entry(model.clone()).or_default().marks;
+                marks.retain(|it| it.engine != engine.name);
+                marks.push(Mark {
+                    engine: engine.name.clone(),
+                    incarnation: engine.record.incarnation,
+                    version,
+                    stage: Stage::Loading,
+                });
+            }
+            self.publish(&model).await;
+            for engine in next {
+                self.spawn(engine, model.clone(), version);
+            }
+        }
+    }
+
+    fn engines(&self, model: &Model) -> usize {
+        let view = self.context.view.load();
+        view.all().filter(|it| it.version(model).is_some()).count()
+    }
+
+    fn spawn(&mut self, engine: Arc<Endpoint>, model: Model, version: Version) {
+        let Some(tenure) = self.tenure else { return };
+        let load = Load {
+            context: self.context.clone(),
+            engine,
+            model,
+            version,
+            fence: tenure.fence,
+            until: tenure.renewed + TENURE,
+        };
+        self.loads.spawn(load.run());
+    }
+
+    /// Tells all daemons how far the engines are.
+    async fn publish(&mut self, model: &Model) {
+        let Some(marks) = self.marks.get(model) else {
+            return;
+        };
+        let mut progress = (**self.context.progress.load()).clone();
+        progress.mark(model.clone(), marks.clone());
+        self.context.progress.store(Arc::new(progress));
+        let value = match serde_json::to_vec(marks) {
+            Ok(value) => value,
+            Err(error) => return warn!(%error, "marks not encoded"),
+        };
+        let key = format!("{MARKS_PREFIX}{model}");
+        let write = Write { topic: Topic::Fleet, key, expected: None, value: Some(value) };
+        if let Err(failure) = self.context.store.write(&write).await {
+            warn!(%failure, "marks not written");
+        }
+    }
+}
+
+/// One engine's load, from its order to its end.
+struct Load {
+    context: Arc<Context>,
+    engine: Arc<Endpoint>,
+    model: Model,
+    version: Version,
+    fence: u64,
+    /// The order may not be given later.
+    until: Time,
+}
+
+impl Load {
+    async fn run(self) -> (Upstream, Model, Version, bool) {
+        let follow = time::timeout(LOAD_LONGEST, self.follow());
+        let loaded = follow.await.unwrap_or(false);
+        (self.engine.name.clone(), self.model, self.version, loaded)
+    }
+
+    /// Whether the engine has the weights in the end.
+    async fn follow(&self) -> bool {
+        time::sleep(MARK_LEAD).await;
+        let mut ordered: Option<Time> = None;
+        loop {
+            let report = self.context.engines.report(&self.engine).await;
+            let Some(report) = report else {
+                if ordered.is_none() {
+                    return false;
+                }
+                time::sleep(REPORT_EVERY).await;
+                continue;
+            };
+            let own = report.weights.iter().find(|(it, _)| *it == self.model);
+            let current = own.is_some_and(|(_, version)| *version >= self.version);
+            if current && !report.busy {
+                return true;
+            }
+            let now = self.context.now();
+            let due = ordered.is_none_or(|it| now.since(it) >= ORDER_AGAIN);
+            if due && !report.busy {
+                if now >= self.until {
+                    // Another round gives it, under a renewed lease.
+                    return false;
+                }
+                let order = Order {
+                    model: self.model.clone(),
+                    version: self.version,
+                    holder: self.context.settings.daemon.as_str().to_owned(),
+                    fence: self.fence,
+                    expected: report.accepted,
+                };
+                ordered = Some(now);
+                let accepted = self.context.engines.order(&self.engine, &order, self.until).await;
+                let name = self.engine.name.as_str();
+                info!(engine = name, version = self.version.0, ?accepted, "load ordered");
+                if let Some(Accepted::Refused(_)) = accepted {
+                    return false;
+                }
+            }
+            time::sleep(REPORT_EVERY).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,534 @@
+//! Carries a call from its first sending to the end of its answer.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::{HeaderMap, Request, Response, body::Frame, header};
+use metrics::{counter, histogram};
+use tokio::{sync::mpsc, time};
+use tracing::info;
+
+use crate::{
+    Error,
+    gateway::{
+        call::{Call, Dispatch},
+        context::Context,
+        dialect::{Refusal, Reply},
+        document::Kind,
+        entry::end_to_end,
+        place::{Choice, Query},
+        stream::Splitter,
+    },
+    http::{client::Answer, server::Body},
+    kernel::{clock::Time, id::Upstream},
+    route::pool::name_hash,
+};
+
+/// The part of a caller's time that is kept for the way back.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// Sendings of one call that ran nothing, after which it is refused.
+const MAX_REFUSALS: u32 = 3;
+
+/// Objectives after which an unanswered call is sent elsewhere, if it may run again.
+const PATIENCE: u32 = 3;
+
+/// How long an engine that has refused a call gets no others: it loads weights or is full.
+const REFUSED_PAUSE: Duration = Duration::from_millis(250);
+
+/// When a caller may come back after a refusal for want of an upstream.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Pieces of a stream that wait for a slow caller.
+const WAITING_PIECES: usize = 8;
+
+/// What a sending came to.
+enum Sent {
+    /// The head of an answer.
+    Answer(Reply, Box<Answer>),
+    /// Nothing was sent.
+    Unreachable(String),
+    /// The upstream ran nothing.
+    NotRun(&'static str),
+    /// It may have run.
+    Lost(String),
+    /// It may have run; the time for it has passed.
+    TimedOut,
+}
+
+/// A call in progress.
+struct Drive {
+    context: Arc<Context>,
+    call: Call,
+    avoid: Vec<Upstream>,
+    runs: u32,
+    refusals: u32,
+    sends: u32,
+}
+
+/// The upstream's share of a call: what is counted there ends with it.
+struct Held {
+    choice: Choice,
+    unread: u64,
+}
+
+impl Held {
+    fn new(choice: Choice) -> Held {
+        choice.endpoint.gauge.start(choice.tokens);
+        Held { unread: choice.tokens, choice }
+    }
+
+    /// The first event has arrived, so that the prompt was read.
+    fn first(&mut self) {
+        self.choice.endpoint.gauge.read(std::mem::take(&mut self.unread));
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.first();
+        self.choice.endpoint.gauge.end();
+    }
+}
+
+/// Serves a call.
+pub async fn relay(context: Arc<Context>, call: Call) -> Response<Body> {
+    let mut drive = Drive { context, call, avoid: Vec::new(), runs: 0, refusals: 0, sends: 0 };
+    match drive.run().await {
+        Ok((held, reply, answer)) => drive.answer(held, reply, answer).await,
+        Err(refusal) => drive.refuse(refusal),
+    }
+}
+
+impl Drive {
+    fn refuse(&self, refusal: Refusal) -> Response<Body> {
+        let (call, now) = (&self.call, self.context.now());
+        info!(
+            attempt = call.ask.attempt,
+            route = call.route.name,
+            ?refusal,
+            sends = self.sends,
+            runs = self.runs,
+            waited_ms = now.since(call.received).as_millis() as u64,
+            "no answer"
+        );
+        counter!("tealturn_calls_unanswered_total").increment(1);
+        self.context.dialect.refuse(refusal)
+    }
+
+    /// What to tell a caller when no upstream can take the call.
+    fn unplaced(&self) -> Refusal {
+        match self.runs {
+            0 => Refusal::NotRun(RETRY_AFTER),
+            _ => Refusal::Lost,
+        }
+    }
+
+    /// Sends the call until there is an answer to pass on.
+    async fn run(&mut self) -> Result<(Held, Reply, Box<Answer>), Refusal> {
+        loop {
+            let held = self.place()?;
+            let sent = self.send(&held).await;
+            let (context, now) = (self.context.clone(), self.context.now());
+            let gauge = &held.choice.endpoint.gauge;
+            let outcome = match &sent {
+                Sent::Answer(..) => "answer",
+                Sent::Unreachable(reason) | Sent::Lost(reason) => reason,
+                Sent::NotRun(reason) => reason,
+                Sent::TimedOut => "timed out",
+            };
+            if !matches!(sent, Sent::Answer(..)) {
+                info!(
+                    attempt = self.call.ask.attempt,
+                    upstream = held.choice.endpoint.name.as_str(),
+                    reason = held.choice.reason,
+                    version = held.choice.version.map(|it| it.0),
+                    outcome,
+                    "not answered"
+                );
+            }
+            match sent {
+                Sent::Answer(reply, answer) => {
+                    let failed = answer.response.status().is_server_error();
+                    if failed && self.call.route.kind == Kind::Repeatable && self.may_run_again() {
+                        self.runs += 1;
+                        self.avoid.push(held.choice.endpoint.name.clone());
+                        continue;
+                    }
+                    return Ok((held, reply, answer));
+                }
+                Sent::Unreachable(_) => {
+                    gauge.fail(now);
+                    self.refusals += 1;
+                }
+                Sent::NotRun(_) => {
+                    gauge.pause(REFUSED_PAUSE, now);
+                    self.refusals += 1;
+                }
+                Sent::Lost(_) => {
+                    gauge.fail(now);
+                    if !self.may_run_again() {
+                        self.runs += 1;
+                        return Err(Refusal::Lost);
+                    }
+                    self.runs += 1;
+                }
+                Sent::TimedOut => {
+                    gauge.fail(now);
+                    let over = now + WAY_BACK >= self.call.deadline;
+                    if over || !self.may_run_again() {
+                        self.runs += 1;
+                        return Err(Refusal::TimedOut);
+                    }
+                    self.runs += 1;
+                }
+            }
+            if self.refusals >= MAX_REFUSALS {
+                return Err(self.unplaced());
+            }
+            self.avoid.push(held.choice.endpoint.name.clone());
+            drop((held, context));
+        }
+    }
+
+    /// Whether a call whose sending may have run may be sent to another upstream.
+    fn may_run_again(&self) -> bool {
+        self.call.route.kind.is_repeatable() && self.runs + 1 < self.call.route.attempts
+    }
+
+    fn place(&mut self) -> Result<Held, Refusal> {
+        let (context, call) = (&self.context, &self.call);
+        let now = context.now();
+        if now + WAY_BACK >= call.deadline {
+            return Err(if self.runs > 0 { Refusal::TimedOut } else { self.unplaced() });
+        }
+        let fresh = context.freshness.is_within(context.settings.revocation, now);
+        if call.tenant.is_some() && !fresh {
+            return Err(self.unplaced());
+        }
+        let service = call.route.service(name_hash(&call.ask.attempt));
+        if self.sends == 0 {
+            context.budget().call(service, now);
+        } else if !context.budget().repeat(service, context.members.count(), now) {
+            info!(attempt = call.ask.attempt, service = service.as_str(), "no repeats left");
+            return Err(self.unplaced());
+        }
+        let progress = context.progress.load();
+        let target = call.ask.prompt.as_ref().and_then(|it| progress.target(&it.model));
+        let query = Query {
+            prompt: call.ask.prompt.as_ref(),
+            owner: self.owner(),
+            avoid: &self.avoid,
+            old_weights: target.is_none_or(|it| now.since(it.since) < context.settings.weights),
+            random: rand::random(),
+        };
+        let view = context.view.load();
+        let choice = context.placer().choose(&query, view.service(service), &progress, now);
+        let choice = choice.map_err(|reason| {
+            info!(attempt = call.ask.attempt, service = service.as_str(), ?reason, "not placed");
+            self.unplaced()
+        })?;
+        self.sends += 1;
+        Ok(Held::new(choice))
+    }
+
+    /// A number for the workspace if it shares no cached prompt.
+    fn owner(&self) -> u64 {
+        let isolated = self.call.tenant.as_ref().filter(|it| it.isolated);
+        isolated.map_or(0, |it| name_hash(it.workspace.as_str()))
+    }
+
+    fn dispatch(&self, choice: &Choice, left: Duration, last_event: Option<String>) -> Dispatch {
+        Dispatch {
+            upstream: choice.endpoint.name.clone(),
+            incarnation: choice.endpoint.record.incarnation,
+            left,
+            version: choice.version,
+            salt: choice.version.and_then(|it| self.call.salt(it)),
+            fetch: choice.source.as_ref().map(|it| it.record.address),
+            save: None,
+            last_event: last_event.or_else(|| self.call.ask.last_event.clone()),
+        }
+    }
+
+    async fn send(&self, held: &Held) -> Sent {
+        self.send_from(held, None).await
+    }
+
+    async fn send_from(&self, held: &Held, last_event: Option<String>) -> Sent {
+        let (context, call) = (&self.context, &self.call);
+        let left = call.deadline.since(context.now()).saturating_sub(WAY_BACK);
+        let dispatch = self.dispatch(&held.choice, left, last_event);
+        let mut headers = call.headers.clone();
+        context.dialect.dispatch(call, &dispatch, &mut headers);
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        match call.target.parse() {
+            Ok(uri) => *request.uri_mut() = uri,
+            Err(_) => return Sent::Unreachable("the target is no URI".to_owned()),
+        }
+        *request.headers_mut() = headers;
+        let address = held.choice.endpoint.record.address;
+        let patience = match self.may_run_again() {
+            true => left.min((call.route.objective * PATIENCE).max(left / 4)),
+            false => left,
+        };
+        let sent = match call.route.kind.is_repeatable() {
+            true => time::timeout(patience, context.client.send(address, request)).await,
+            // An idle connection may be closed as the request arrives; that would be the end of
+            // a call that may run once only.
+            false => time::timeout(patience, context.client.send_fresh(address, request)).await,
+        };
+        match sent {
+            Err(_) => Sent::TimedOut,
+            Ok(Err(Error::Connect { source, .. })) => Sent::Unreachable(source.to_string()),
+            Ok(Err(error)) => Sent::Lost(error.to_string()),
+            Ok(Ok(answer)) => self.judge(held, answer),
+        }
+    }
+
+    /// Reads the head of an answer.
+    fn judge(&self, held: &Held, answer: Answer) -> Sent {
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        let reply = self.context.dialect.reply(&self.call, status, headers);
+        let gauge = &held.choice.endpoint.gauge;
+        if !reply.own {
+            return Sent::Lost("the answer is another request's".to_owned());
+        }
+        if let Some(load) = reply.load {
+            gauge.report(load, self.context.now());
+        }
+        if reply.misdirected {
+            return Sent::NotRun("another run or other weights are at the address");
+        }
+        if reply.not_run {
+            return Sent::NotRun("the upstream has refused it");
+        }
+        if status.is_success() && !reply.signed {
+            return Sent::Lost("the answer is not signed".to_owned());
+        }
+        Sent::Answer(reply, Box::new(answer))
+    }
+
+    /// Passes an answer on.
+    async fn answer(mut self, held: Held, reply: Reply, answer: Box<Answer>) -> Response<Body> {
+        let success = answer.response.status().is_success();
+        if success && self.call.route.kind.is_stream() {
+            return self.stream(held, reply, answer);
+        }
+        let (mut held, mut answer) = (held, answer);
+        loop {
+            let status = answer.response.status();
+            let headers = end_to_end(answer.response.headers());
+            let left = self.call.deadline.since(self.context.now());
+            let finish = self.context.client.finish(*answer);
+            match time::timeout(left, finish).await {
+                Ok(Ok(body)) => {
+                    if status.is_server_error() {
+                        held.choice.endpoint.gauge.fail(self.context.now());
+                    } else {
+                        held.choice.endpoint.gauge.succeed();
+                    }
+                    self.record();
+                    let body = Full::new(body).map_err(|never| match never {}).boxed();
+                    let mut response = Response::new(body);
+                    *response.status_mut() = status;
+                    *response.headers_mut() = headers;
+                    return response;
+                }
+                Ok(Err(error)) => {
+                    let upstream = held.choice.endpoint.name.as_str();
+                    info!(attempt = self.call.ask.attempt, upstream, %error, "answer broke off");
+                }
+                Err(_) => return self.refuse(Refusal::TimedOut),
+            }
+            held.choice.endpoint.gauge.fail(self.context.now());
+            if !self.may_run_again() {
+                return self.refuse(Refusal::Lost);
+            }
+            self.runs += 1;
+            self.avoid.push(held.choice.endpoint.name.clone());
+            (held, _, answer) = match self.run().await {
+                Ok(found) => found,
+                Err(refusal) => return self.refuse(refusal),
+            };
+        }
+    }
+
+    fn record(&self) {
+        let took = self.context.now().since(self.call.received);
+        counter!("tealturn_calls_answered_total").increment(1);
+        histogram!("tealturn_call_seconds").record(took.as_secs_f64());
+    }
+
+    /// Passes a series of events on as they arrive.
+    fn stream(self, held: Held, reply: Reply, answer: Box<Answer>) -> Response<Body> {
+        let status = answer.response.status();
+        let headers = stream_headers(answer.response.headers());
+        let (sender, receiver) = mpsc::channel(WAITING_PIECES);
+        tokio::spawn(self.pump(held, reply, answer, sender));
+        let body = StreamBody::new(tokio_stream(receiver)).boxed();
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    async fn pump(
+        mut self,
+        mut held: Held,
+        reply: Reply,
+        mut answer: Box<Answer>,
+        sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
+    ) {
+        let mut last_event = self.call.ask.last_event.clone();
+        let mut reply = reply;
+        let mut splitter = Splitter::default();
+        loop {
+            let end = self.events(&mut held, &mut answer, &mut splitter, &mut last_event, &sender);
+            let end = end.await;
+            let now = self.context.now();
+            let upstream = held.choice.endpoint.name.clone();
+            match end {
+                End::Complete => {
+                    held.choice.endpoint.gauge.succeed();
+                    self.learn(&held, &reply, now);
+                    self.context.client.release(*answer);
+                    self.record();
+                    return;
+                }
+                End::CallerLeft => {
+                    info!(attempt = self.call.ask.attempt, "the caller left");
+                    return;
+                }
+                End::Expired | End::Broken(_) => {}
+            }
+            held.choice.endpoint.gauge.fail(now);
+            let reason = match end {
+                End::Broken(reason) => reason,
+                _ => "the deadline has passed".to_owned(),
+            };
+            info!(
+                attempt = self.call.ask.attempt,
+                upstream = upstream.as_str(),
+                last_event,
+                reason,
+                "stream broke off"
+            );
+            let resumable = self.call.route.kind == Kind::Stream { resumable: true };
+            let again = resumable && self.may_run_again();
+            self.runs += 1;
+            self.avoid.push(upstream);
+            drop(held);
+            splitter.clear();
+            let next = match again {
+                true => self.resume(last_event.clone()).await,
+                false => None,
+            };
+            let Some((next_held, next_reply, next_answer)) = next else {
+                counter!("tealturn_streams_broken_total").increment(1);
+                // The connection must not look as if the answer were complete.
+                let broken = io::Error::other("the upstream's answer broke off");
+                drop(sender.send(Err(broken)).await);
+                return;
+            };
+            (held, reply, answer) = (next_held, next_reply, next_answer);
+        }
+    }
+
+    /// Continues a stream at another upstream.
+    async fn resume(&mut self, last: Option<String>) -> Option<(Held, Reply, Box<Answer>)> {
+        while self.refusals < MAX_REFUSALS {
+            let held = self.place().ok()?;
+            match self.send_from(&held, last.clone()).await {
+                Sent::Answer(reply, answer) if answer.response.status().is_success() => {
+                    return Some((held, reply, answer));
+                }
+                Sent::Unreachable(_) | Sent::NotRun(_) => {
+                    self.refusals += 1;
+                    self.avoid.push(held.choice.endpoint.name.clone());
+                }
+                Sent::Answer(..) | Sent::Lost(_) | Sent::TimedOut => return None,
+            }
+        }
+        None
+    }
+
+    /// Takes note of what an engine holds now.
+    fn learn(&self, held: &Held, reply: &Reply, now: Time) {
+        let (Some(prompt), Some(version)) = (&self.call.ask.prompt, held.choice.version) else {
+            return;
+        };
+        if reply.weights.is_some_and(|it| it != version) {
+            return;
+        }
+        let endpoint = &held.choice.endpoint;
+        self.context.placer().read(prompt, self.owner(), endpoint, version, now);
+    }
+
+    async fn events(
+        &self,
+        held: &mut Held,
+        answer: &mut Answer,
+        splitter: &mut Splitter,
+        last_event: &mut Option<String>,
+        sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
+    ) -> End {
+        loop {
+            let left = self.call.deadline.since(self.context.now());
+            let frame = tokio::select! {
+                frame = answer.response.body_mut().frame() => frame,
+                () = sender.closed() => return End::CallerLeft,
+                () = time::sleep(left) => return End::Expired,
+            };
+            let frame = match frame {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return End::Broken(error.to_string()),
+                None if splitter.is_partial() => {
+                    return End::Broken("it ended within an event".to_owned());
+                }
+                None => return End::Complete,
+            };
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            held.first();
+            let Some(events) = splitter.push(bytes) else {
+                if splitter.is_overlong() {
+                    return End::Broken("an event is too long".to_owned());
+                }
+                continue;
+            };
+            if events.last_id.is_some() {
+                *last_event = events.last_id;
+            }
+            let sent = time::timeout(left, sender.send(Ok(Frame::data(events.bytes)))).await;
+            match sent {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return End::CallerLeft,
+                Err(_) => return End::Expired,
+            }
+        }
+    }
+}
+
+/// How an upstream's stream ended.
+enum End {
+    Complete,
+    CallerLeft,
+    Expired,
+    Broken(String),
+}
+
+fn stream_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove(header::CONTENT_LENGTH);
+    kept
+}
+
+fn tokio_stream<T>(receiver: mpsc::Receiver<T>) -> impl futures::Stream<Item = T> {
+    futures::stream::unfold(receiver, |mut receiver| async move {
+        receiver.recv().await.map(|item| (item, receiver))
+    })
+}
--- /dev/null
+++ b/src/gateway/rollout.rs
@@ -0,0 +1,187 @@
+//! Which weights are wanted, and how far the engines are.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    collections::Map,
+    gateway::roster::{Endpoint, View},
+    kernel::{
+        clock::Time,
+        id::{Incarnation, Model, Upstream, Version},
+    },
+};
+
+/// Weights that a model should be served by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// The version.
+    pub version: Version,
+    /// When this daemon heard of it.
+    pub since: Time,
+}
+
+/// The state of one engine, as the holder of the lease tells it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Stage {
+    /// It is about to load, or loads: it runs nothing.
+    Loading,
+    /// It has loaded.
+    Loaded,
+}
+
+/// What the holder tells of one engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Mark {
+    /// The engine.
+    pub engine: Upstream,
+    /// The run of it.
+    pub incarnation: Incarnation,
+    /// The version.
+    pub version: Version,
+    /// How far it is.
+    pub stage: Stage,
+}
+
+/// What the holder tells of a model.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Marks {
+    /// Engines that load or have loaded lately.
+    pub marks: Vec<Mark>,
+}
+
+/// The weights that are wanted, and how far the engines are.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    targets: Map<Model, Target>,
+    marks: Map<Model, Marks>,
+}
+
+impl Progress {
+    /// Takes note of an operator's wish; an older version than the known one changes nothing.
+    pub fn want(&mut self, model: &Model, version: Version, now: Time) -> bool {
+        let known = self.targets.get(model);
+        if known.is_some_and(|it| it.version >= version) {
+            return false;
+        }
+        self.targets.insert(model.clone(), Target { version, since: now });
+        true
+    }
+
+    /// Takes note of what the holder tells.
+    pub fn mark(&mut self, model: Model, marks: Marks) {
+        self.marks.insert(model, marks);
+    }
+
+    /// The weights that a model should be served by.
+    pub fn target(&self, model: &Model) -> Option<Target> {
+        self.targets.get(model).copied()
+    }
+
+    /// All models for which weights were named.
+    pub fn targets(&self) -> impl Iterator<Item = (&Model, &Target)> {
+        self.targets.iter()
+    }
+
+    /// The version of a model that an engine has now.
+    pub fn version(&self, engine: &Endpoint, model: &Model) -> Option<Version> {
+        let own = engine.version(model)?;
+        let loaded = self.mark_of(engine, model).filter(|it| it.stage == Stage::Loaded);
+        Some(loaded.map_or(own, |it| own.max(it.version)))
+    }
+
+    /// Whether an engine loads weights, so that it runs nothing.
+    pub fn is_loading(&self, engine: &Endpoint, model: &Model) -> bool {
+        let mark = self.mark_of(engine, model).filter(|it| it.stage == Stage::Loading);
+        mark.is_some_and(|it| engine.version(model) < Some(it.version))
+    }
+
+    fn mark_of(&self, engine: &Endpoint, model: &Model) -> Option<&Mark> {
+        let marks = &self.marks.get(model)?.marks;
+        let own =
+            |it: &&Mark| it.engine == engine.name && it.incarnation == engine.record.incarnation;
+        marks.iter().find(own)
+    }
+
+    /// The engines that should load a model's weights but have not, in the same order everywhere.
+    pub fn pending(&self, view: &View, model: &Model) -> Vec<Arc<Endpoint>> {
+        let Some(target) = self.target(model) else {
+            return Vec::new();
+        };
+        let mut pending = Vec::new();
+        for endpoint in view.all() {
+            let version = self.version(endpoint, model);
+            if version.is_some_and(|it| it < target.version) {
+                pending.push(endpoint.clone());
+            }
+        }
+        pending.sort_by(|left, right| left.name.cmp(&right.name));
+        pending
+    }
+}
+
+/// How many engines load at once.
+pub fn loads_at_once(engines: usize, share: f64) -> usize {
+    ((engines as f64 * share) as usize).max(1)
+}
+
+/// The row of a lease.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lease {
+    /// The daemon that holds it.
+    pub holder: String,
+    /// The run of the daemon.
+    pub incarnation: Incarnation,
+    /// Rises with each change of the holder.
+    pub fence: u64,
+}
+
+/// What a daemon may do about a lease.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// It holds the lease; renew it if the time has come.
+    Own,
+    /// Take it over now.
+    Take,
+    /// Look again later.
+    Wait,
+}
+
+/// When this daemon may take over a lease that another holds.
+///
+/// A holder gives no order later than `tenure` after it sent its last renewal. Another takes over
+/// only when the row has not changed for `tenure` and the time that must lie between the orders
+/// of two holders.
+#[derive(Debug, Default)]
+pub struct Watch {
+    seen: Option<(u64, Time)>,
+}
+
+impl Watch {
+    /// Decides on a row that was read: `None` if there is none. `own` tells whether this run of
+    /// this daemon holds it.
+    pub fn claim(&mut self, row: Option<u64>, own: bool, idle: Duration, now: Time) -> Claim {
+        if own {
+            return Claim::Own;
+        }
+        let Some(version) = row else {
+            return Claim::Take;
+        };
+        match self.seen {
+            Some((seen, since)) if seen == version => match now.since(since) >= idle {
+                true => Claim::Take,
+                false => Claim::Wait,
+            },
+            _ => {
+                self.seen = Some((version, now));
+                Claim::Wait
+            }
+        }
+    }
+
+    /// Forgets what was seen, since the lease was not needed for a while.
+    pub fn reset(&mut self) {
+        self.seen = None;
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -4,14 +4,20 @@
 //! execution. This one tells instead whether a request may have reached the other side:
 //! [`Error::Connect`] means that no byte of it was sent, [`Error::Lost`] that it may have been.
 
-use std::{net::SocketAddr, sync::Mutex, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time};
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::{Error, Result, collections::Map};
 
@@ -21,6 +27,22 @@
 /// Idle connections kept for each address.
 const IDLE_PER_ADDRESS: usize = 32;
 
+/// How long an idle connection is kept if the other side does not say how long it keeps it.
+const IDLE_LONGEST: Duration = Duration::from_secs(10);
+
+/// The part of the time that the other side keeps an idle connection for which it is used: the
+/// rest covers the way there.
+const IDLE_USED: f64 = 0.5;
+
+/// Bytes that are not acknowledged for this long break a connection that has gone silent.
+const UNACKNOWLEDGED_LONGEST: Duration = Duration::from_secs(3);
+
+/// The time between probes of a silent connection; [`KEEPALIVE_PROBES`] lost ones break it.
+const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
+
+/// Lost probes that break a connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
 /// Bytes of a whole answer that are read.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
@@ -32,15 +54,24 @@
 /// Connections to other processes.
 #[derive(Default)]
 pub struct Client {
-    idle: Mutex<Map<SocketAddr, Vec<Sender>>>,
+    idle: Mutex<Map<SocketAddr, Vec<Connection>>>,
+}
+
+/// An open connection; dropping it closes it.
+struct Connection {
+    sender: Sender,
+    /// Drives the connection.
+    _task: AbortOnDropHandle<()>,
+    /// When the other side may close it, if it is idle until then.
+    until: Instant,
 }
 
-/// An answer whose body is still to be read.
+/// An answer whose body is still to be read. Dropping it closes its connection.
 pub struct Answer {
     /// Status, headers and body.
     pub response: Response<Incoming>,
     address: SocketAddr,
-    sender: Sender,
+    connection: Connection,
 }
 
 impl Client {
@@ -55,23 +86,23 @@
     ///
     /// [`Error::Connect`] if nothing was sent, [`Error::Lost`] if the request may have arrived.
     pub async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer> {
-        let mut sender = match self.take(address) {
-            Some(sender) => sender,
+        let mut connection = match self.take(address) {
+            Some(connection) => connection,
             None => connect(address).await?,
         };
         let lost = |error: hyper::Error| Error::Lost { address, reason: error.to_string() };
-        let response = match sender.try_send_request(request).await {
+        let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
                 // The idle connection was closed before the request was written to it.
                 Some(request) => {
-                    sender = connect(address).await?;
-                    sender.send_request(request).await.map_err(lost)?
+                    connection = connect(address).await?;
+                    connection.sender.send_request(request).await.map_err(lost)?
                 }
                 None => return Err(lost(error.into_error())),
             },
         };
-        Ok(Answer { response, address, sender })
+        Ok(Answer { response, address, connection })
     }
 
     /// Sends a request over a new connection, since an idle one may have gone silent.
@@ -84,10 +115,10 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer> {
-        let mut sender = connect(address).await?;
-        let sent = sender.send_request(request).await;
+        let mut connection = connect(address).await?;
+        let sent = connection.sender.send_request(request).await;
         let response = sent.map_err(|error| Error::Lost { address, reason: error.to_string() })?;
-        Ok(Answer { response, address, sender })
+        Ok(Answer { response, address, connection })
     }
 
     /// Sends a request over a new connection if `may_send` says so once that is open. `None`
@@ -102,13 +133,13 @@
         request: Request<Full<Bytes>>,
         may_send: impl FnOnce() -> bool,
     ) -> Result<Option<Answer>> {
-        let mut sender = connect(address).await?;
+        let mut connection = connect(address).await?;
         if !may_send() {
             return Ok(None);
         }
-        let sent = sender.send_request(request).await;
+        let sent = connection.sender.send_request(request).await;
         let response = sent.map_err(|error| Error::Lost { address, reason: error.to_string() })?;
-        Ok(Some(Answer { response, address, sender }))
+        Ok(Some(Answer { response, address, connection }))
     }
 
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
@@ -160,19 +191,21 @@
     ///
     /// [`Error::Lost`] if the answer broke off.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
-        let Answer { response, address, sender } = answer;
+        let Answer { response, address, connection } = answer;
+        let kept = idle_time(&response);
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
         let collected = body
             .collect()
             .await
             .map_err(|error| Error::Lost { address, reason: error.to_string() })?;
-        self.keep(address, sender);
+        self.keep(address, connection, kept);
         Ok(collected.to_bytes())
     }
 
     /// Keeps the connection of an answer whose body was read to its end elsewhere.
     pub fn release(&self, answer: Answer) {
-        self.keep(answer.address, answer.sender);
+        let kept = idle_time(&answer.response);
+        self.keep(answer.address, answer.connection, kept);
     }
 
     /// Closes the idle connections to an address, for instance after one went silent.
@@ -180,34 +213,47 @@
         self.idle().remove(&address);
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Sender> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle();
-        let senders = idle.get_mut(&address)?;
-        while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        let connections = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(connection) = connections.pop() {
+            if connection.sender.is_ready() && now < connection.until {
+                return Some(connection);
             }
         }
         idle.remove(&address);
         None
     }
 
-    fn keep(&self, address: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
+    fn keep(&self, address: SocketAddr, mut connection: Connection, kept: Duration) {
+        if connection.sender.is_closed() || kept.is_zero() {
             return;
         }
+        connection.until = Instant::now() + kept;
         let mut idle = self.idle();
-        let senders = idle.entry(address).or_default();
-        if senders.len() < IDLE_PER_ADDRESS {
-            senders.push(sender);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < IDLE_PER_ADDRESS {
+            connections.push(connection);
         }
     }
 
-    fn idle(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, Vec<Sender>>> {
+    fn idle(&self) -> std::sync::MutexGuard<'_, Map<SocketAddr, Vec<Connection>>> {
         self.idle.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
 
+/// How long the connection of an answer may be used after it.
+fn idle_time<B>(response: &Response<B>) -> Duration {
+    let header = response.headers().get("keep-alive").and_then(|it| it.to_str().ok());
+    let mut fields = header.unwrap_or_default().split(',');
+    let timeout = fields.find_map(|it| it.trim().strip_prefix("timeout="));
+    match timeout.and_then(|it| it.parse().ok()) {
+        Some(seconds) => Duration::from_secs(seconds).mul_f64(IDLE_USED),
+        None => IDLE_LONGEST,
+    }
+}
+
 /// Builds a request with a `Host` header and, if there is a body, JSON as its type.
 ///
 /// # Errors
@@ -229,19 +275,28 @@
         .map_err(|error| Error::Malformed { what: "request", reason: error.to_string() })
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender> {
+async fn connect(address: SocketAddr) -> Result<Connection> {
     let refused = |source| Error::Connect { address, source };
     let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|elapsed| refused(elapsed.into()))?
         .map_err(refused)?;
-    stream.set_nodelay(true).map_err(refused)?;
+    prepare(&stream).map_err(refused)?;
     let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| refused(std::io::Error::other(error)))?;
     // The error, if any, reaches the sender of the request.
-    tokio::spawn(async move { drop(connection.await) });
-    Ok(sender)
+    let task = tokio::spawn(async move { drop(connection.await) });
+    Ok(Connection { sender, _task: AbortOnDropHandle::new(task), until: Instant::now() })
+}
+
+/// Lets small writes leave at once, and a connection that has gone silent break.
+fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LONGEST))?;
+    let probes = TcpKeepalive::new().with_time(KEEPALIVE_EVERY);
+    socket.set_tcp_keepalive(&probes.with_interval(KEEPALIVE_EVERY).with_retries(KEEPALIVE_PROBES))
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in a process's monotonic time, in microseconds since an origin of its own.
@@ -81,3 +82,20 @@
         since.as_micros() as u64
     }
 }
+
+/// A clock that goes on while the VM is suspended, unlike [`System`]: for what must end in real
+/// time, such as leases and confirmations.
+#[derive(Clone, Copy, Debug)]
+pub struct Boottime;
+
+impl Clock for Boottime {
+    fn now(&self) -> Time {
+        // Linux has had this clock since 2.6.39.
+        let now = clock_gettime(ClockId::CLOCK_BOOTTIME).expect("the kernel has a boot-time clock");
+        Time(now.tv_sec() as u64 * 1_000_000 + now.tv_nsec() as u64 / 1_000)
+    }
+
+    fn wall_micros(&self) -> u64 {
+        System::new().wall_micros()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod error;
 pub mod fleet;
+pub mod gateway;
 pub mod http;
 pub mod kernel;
 pub mod load;
--- a/src/report/log.rs
+++ b/src/report/log.rs
@@ -29,3 +29,17 @@
     }
     Ok(())
 }
+
+/// Starts the log of this process as one JSON object a line; `RUST_LOG` has no say.
+pub fn start_json<W>(writer: W)
+where
+    W: for<'a> tracing_subscriber::fmt::MakeWriter<'a> + Send + Sync + 'static,
+{
+    tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::INFO)
+        .with_writer(writer)
+        .with_target(false)
+        .json()
+        .flatten_event(true)
+        .init();
+}
