Let daemons tell each other what engines hold, have and load

Cause: each daemon knew a seventh of the traffic.

Change: a call between all daemons every 100 ms carries what each has at the engines, which engine read which prefix, the age of its document, and how far a rollout is; a daemon that can't reach the store lives on a peer's confirmation, its age counted from its own question. Engines fetch the longest prefix that another holds. Engines that are furthest behind load first; those that are next are let to drain. Connections between daemons are one module now, used by both exchanges. An upstream that refuses connections gets no calls at once.

Ruled out: marks of the rollout in the store (a write and seven reads for each step).

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,3 +15,4 @@
 pub mod roster;
 pub mod service;
 pub mod stream;
+pub mod transport;
--- a/src/fleet/exchange.rs
+++ b/src/fleet/exchange.rs
@@ -23,7 +23,8 @@
         member::{Live, Member},
         message::{self, Envelope, MAX_MESSAGE_BYTES, Message, Question, Refusal},
         roster::Change,
-        service::{self, Handler, MAX_FRAME_BYTES},
+        service::{self, Handler},
+        transport::MAX_FRAME_BYTES,
     },
     kernel::{
         context::Context,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,11 +12,12 @@
         document::Document,
         freshness::Freshness,
         member::Members,
+        peer::{News, Peers, Told},
         place::Placer,
         rollout::Progress,
         roster::{Roster, View},
         settings::Settings,
-        store::Store,
+        store::{Row, Store},
     },
     http::client::Client,
     kernel::{
@@ -63,6 +64,8 @@
     pub engines: Arc<dyn Engines>,
     /// The document in force; swapped only towards a higher version.
     pub document: ArcSwapOption<Document>,
+    /// The row that the document was read from, for other daemons.
+    pub source: ArcSwapOption<Row>,
     /// When the document was confirmed.
     pub freshness: Freshness,
     /// The upstreams that may get calls.
@@ -71,6 +74,10 @@
     pub progress: ArcSwap<Progress>,
     /// The daemons.
     pub members: Members,
+    /// What the other daemons tell.
+    pub peers: Peers,
+    /// How far the engines are, while this daemon holds the lease on orders.
+    pub told: ArcSwap<Vec<Told>>,
     /// Set when a planned stop begins.
     pub leaving: CancellationToken,
     roster: Mutex<Roster>,
@@ -93,10 +100,13 @@
             store: setup.store,
             engines: setup.engines,
             document: ArcSwapOption::empty(),
+            source: ArcSwapOption::empty(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
             members: Members::default(),
+            peers: Peers::default(),
+            told: ArcSwap::default(),
             leaving: CancellationToken::new(),
             roster: Mutex::default(),
             placer: Mutex::new(placer),
@@ -116,6 +126,22 @@
         self.document.load().is_some() && fresh && !self.leaving.is_cancelled()
     }
 
+    /// Takes note of what a peer tells of weights and engines.
+    pub fn tell(&self, news: &News) {
+        let now = self.now();
+        let mut progress = (**self.progress.load()).clone();
+        let mut changed = false;
+        for (model, version) in &news.weights {
+            changed |= progress.want(model, *version, now);
+        }
+        for told in &news.told {
+            changed |= progress.mark(&told.model, told.fence, &told.marks);
+        }
+        if changed {
+            self.progress.store(Arc::new(progress));
+        }
+    }
+
     /// Changes the roster and shows the result to the calls.
     pub fn change_roster<T>(&self, change: impl FnOnce(&mut Roster) -> T) -> T {
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -11,7 +11,7 @@
     gateway::{
         context::{Context, Setup},
         entry::Entry,
-        follow, member, operate,
+        follow, member, operate, pulse,
         store::Topic,
     },
     http::server::{self, Handler},
@@ -29,6 +29,7 @@
     /// What its tasks share.
     pub context: Arc<Context>,
     caller: TcpListener,
+    peer: TcpListener,
 }
 
 impl Controller {
@@ -39,7 +40,8 @@
     /// [`crate::Error::Io`] if the address can't be bound.
     pub async fn bind(setup: Setup) -> Result<Controller> {
         let caller = TcpListener::bind(setup.settings.caller).await?;
-        Ok(Controller { context: Arc::new(Context::new(setup)), caller })
+        let peer = TcpListener::bind(setup.settings.peer).await?;
+        Ok(Controller { peer, context: Arc::new(Context::new(setup)), caller })
     }
 
     /// Serves until `terminate`, then lets callers go to other daemons and ends. `others` are
@@ -57,6 +59,8 @@
         }
         tasks.spawn(follow::expire(context.clone(), stop.clone()));
         tasks.spawn(operate::operate(context.clone(), stop.clone()));
+        tasks.spawn(pulse::serve(context.clone(), self.peer, stop.clone()));
+        tasks.spawn(pulse::ask(context.clone(), stop.clone()));
         tasks.spawn(member::announce(context.clone(), stop.clone()));
         for (listener, handler) in others {
             tasks.spawn(server::serve(listener, handler, stop.clone()));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,12 +11,11 @@
         context::Context,
         dialect::Edict,
         document::Document,
-        rollout::Marks,
         store::{Failure, Page, Row, Topic},
     },
     kernel::{
         clock::Time,
-        id::{Model, Upstream},
+        id::{Model, Upstream, Version},
     },
 };
 
@@ -27,16 +26,16 @@
 /// store's return.
 const RETRY_LONGEST: Duration = Duration::from_millis(500);
 
-/// How long a call for changes waits for one. The document must be confirmed well within the time
-/// in which a key that was taken away may be served.
-const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a call for changes of the operator's rows waits for one: the document must be confirmed
+/// well within the time in which a key that was taken away may be served (platform: 5 s).
+const CONFIRM_WAIT: Duration = Duration::from_millis(1_800);
+
+/// How long a call for other changes waits; a connection that goes silent is broken earlier.
+const WAIT: Duration = Duration::from_millis(5_000);
 
 /// The key prefix of the daemons' rows.
 pub const MEMBER_PREFIX: &str = "member/";
 
-/// The key prefix of the rows that tell how far the engines are.
-pub const MARKS_PREFIX: &str = "marks/";
-
 /// Follows one topic until `stop`.
 pub async fn follow(context: Arc<Context>, topic: Topic, stop: CancellationToken) {
     let mut follower = Follower { context, topic, version: None, failures: 0 };
@@ -61,7 +60,10 @@
         let asked = self.context.now();
         let result = match self.version {
             None => self.list().await,
-            Some(after) => self.context.store.changes(self.topic, after, WAIT).await,
+            Some(after) => {
+                let wait = if self.topic == Topic::Operator { CONFIRM_WAIT } else { WAIT };
+                self.context.store.changes(self.topic, after, wait).await
+            }
         };
         match result {
             Ok(page) => self.answered(page, asked).await,
@@ -116,7 +118,7 @@
         let mut sound = true;
         for row in rows.iter().filter(|it| !it.removed) {
             match self.context.schema.edict(row) {
-                Ok(Edict::Document(document)) => put_in_force(&self.context, document),
+                Ok(Edict::Document(document)) => put_in_force(&self.context, document, row),
                 Ok(Edict::Weights(model, version)) => self.weights(&model, version),
                 Ok(Edict::Other) => {}
                 Err(error) => {
@@ -130,7 +132,7 @@
         }
     }
 
-    fn weights(&self, model: &Model, version: crate::kernel::id::Version) {
+    fn weights(&self, model: &Model, version: Version) {
         let now = self.context.now();
         let mut progress = (**self.context.progress.load()).clone();
         if progress.want(model, version, now) {
@@ -181,30 +183,18 @@
             if let Some(name) = row.key.strip_prefix(MEMBER_PREFIX) {
                 context.members.learn(name, row.value.as_deref());
             }
-            let Some(model) = row.key.strip_prefix(MARKS_PREFIX) else {
-                continue;
-            };
-            let marks = row.value.as_deref().map(serde_json::from_slice::<Marks>);
-            match marks {
-                Some(Ok(marks)) => {
-                    let mut progress = (**context.progress.load()).clone();
-                    progress.mark(Model::from(model), marks);
-                    context.progress.store(Arc::new(progress));
-                }
-                Some(Err(error)) => warn!(key = row.key, %error, "row not decoded"),
-                None => {}
-            }
         }
     }
 }
 
 /// Puts a document in force unless a newer one is.
-pub fn put_in_force(context: &Context, document: Document) {
+pub fn put_in_force(context: &Context, document: Document, source: &Row) {
     let known = context.document.load().as_ref().map(|it| it.version);
     if known.is_some_and(|it| it >= document.version) {
         return;
     }
     info!(version = document.version, before = known, "configuration in force");
+    context.source.store(Some(Arc::new(source.clone())));
     context.document.store(Some(Arc::new(document)));
 }
 
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -106,6 +106,14 @@
         true
     }
 
+    /// No connection opens: its process has ended, or can't be reached.
+    pub fn unreachable(&self, now: Time) {
+        let mut state = self.state();
+        state.failures = state.failures.max(EJECT_FAILURES - 1);
+        drop(state);
+        self.fail(now);
+    }
+
     /// It takes no calls for `pause`, through no fault of its own.
     pub fn pause(&self, pause: Duration, now: Time) {
         let mut state = self.state();
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -73,20 +73,26 @@
         all
     }
 
-    /// The addresses for callers in `zone`: those of all daemons that take callers, near ones
-    /// first.
-    pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
-        let mut open: Vec<_> = self.all();
-        open.retain(|(_, it)| !it.leaving);
-        open.sort_by_key(|(_, it)| zone != Some(it.zone.as_str()));
-        open.into_iter().map(|(_, it)| it.caller).collect()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Map<String, Member>> {
         self.0.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
 
+/// The addresses for callers in `zone`: those of all daemons that take callers, near ones first.
+/// A daemon that hears no other can't tell which of them live, and names all.
+pub fn addresses(context: &Context, zone: Option<&str>) -> Vec<SocketAddr> {
+    let now = context.now();
+    let own = context.settings.daemon.as_str();
+    let alone = !context.peers.any_answers(now);
+    let mut open = context.members.all();
+    open.retain(|(name, member)| match name == own {
+        true => context.is_ready(),
+        false => !member.leaving && (alone || context.peers.takes_callers(name, now)),
+    });
+    open.sort_by_key(|(_, it)| zone != Some(it.zone.as_str()));
+    open.into_iter().map(|(_, it)| it.caller).collect()
+}
+
 /// Writes this daemon's row at its start, and again when it leaves.
 pub async fn announce(context: Arc<Context>, stop: CancellationToken) {
     let write = async {
--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -1,8 +1,14 @@
 //! Gives engines the orders to load weights, under a lease.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
-use tokio::{task::JoinSet, time};
+use tokio::{sync::Semaphore, task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
@@ -11,7 +17,7 @@
     gateway::{
         context::Context,
         dialect::{Accepted, Order},
-        follow::MARKS_PREFIX,
+        peer::Told,
         rollout::{Claim, Lease, Mark, Marks, Stage, Watch, loads_at_once},
         roster::Endpoint,
         store::{Row, Topic, Write, Written},
@@ -43,8 +49,9 @@
 /// The longest time that one engine's load is followed before it is looked at anew.
 const LOAD_LONGEST: Duration = Duration::from_millis(6_000);
 
-/// How long before its order an engine is marked, so that all daemons stop sending there.
-const MARK_LEAD: Duration = Duration::from_millis(40);
+/// How long before its order an engine is marked, so that all daemons stop sending there: a little
+/// more than the time between the daemons' questions to each other.
+const MARK_LEAD: Duration = Duration::from_millis(150);
 
 /// The time between looks at an engine that loads.
 const REPORT_EVERY: Duration = Duration::from_millis(150);
@@ -56,13 +63,15 @@
 const MARGIN: Duration = Duration::from_millis(500);
 
 /// A lease that this daemon holds.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Tenure {
     fence: u64,
     /// The row's version.
     version: u64,
     /// When its last renewal was sent.
     renewed: Time,
+    /// Until when orders may be given, in microseconds; shared with the loads.
+    until: Arc<AtomicU64>,
 }
 
 /// Gives orders whenever engines lack weights, until `stop`.
@@ -75,6 +84,7 @@
         loading: Map::default(),
         marks: Map::default(),
         loads: JoinSet::new(),
+        room: Map::default(),
     };
     tokio::select! {
         () = stop.cancelled() => {}
@@ -91,6 +101,8 @@
     loading: Map<Upstream, (Model, Version)>,
     marks: Map<Model, Marks>,
     loads: JoinSet<(Upstream, Model, Version, bool)>,
+    /// Room for the loads of each model that have been ordered.
+    room: Map<Model, Arc<Semaphore>>,
 }
 
 impl Operator {
@@ -108,8 +120,8 @@
             }
             self.hold().await;
             if self.tenure.is_some() {
-                self.collect().await;
-                self.start(work).await;
+                self.collect();
+                self.start(work);
             }
         }
     }
@@ -131,11 +143,12 @@
     /// Renews the lease or takes it, when the time has come.
     async fn hold(&mut self) {
         let now = self.context.now();
-        if let Some(tenure) = self.tenure {
+        if let Some(tenure) = &self.tenure {
             if now.since(tenure.renewed) < RENEW_EVERY {
                 return;
             }
-            return self.put(Some(tenure.version), tenure.fence).await;
+            let (version, fence) = (tenure.version, tenure.fence);
+            return self.put(Some(version), fence).await;
         }
         if self.look_at == Time::default() {
             self.look_at = now + STAGGER * self.place() as u32;
@@ -185,10 +198,15 @@
         let sent = context.now();
         match context.store.write(&write).await {
             Ok(Written::Done(version)) => {
-                if self.tenure.is_none() {
-                    info!(fence, "lease on orders taken");
-                }
-                self.tenure = Some(Tenure { fence, version, renewed: sent });
+                let until = match &self.tenure {
+                    Some(tenure) => tenure.until.clone(),
+                    None => {
+                        info!(fence, "lease on orders taken");
+                        Arc::default()
+                    }
+                };
+                until.store((sent + TENURE).0, Ordering::Release);
+                self.tenure = Some(Tenure { fence, version, renewed: sent, until });
             }
             Ok(Written::Conflict(_)) => self.lose("another daemon wrote it"),
             Err(failure) => {
@@ -200,10 +218,14 @@
     }
 
     fn lose(&mut self, reason: &str) {
-        if self.tenure.take().is_some() {
+        if let Some(tenure) = self.tenure.take() {
+            tenure.until.store(0, Ordering::Release);
             info!(reason, "lease on orders lost");
         }
         self.loads.abort_all();
+        self.room.clear();
+        self.marks.clear();
+        self.context.told.store(Arc::default());
         self.loading.clear();
         self.watch.reset();
     }
@@ -216,7 +238,7 @@
     }
 
     /// Takes note of the loads that ended.
-    async fn collect(&mut self) {
+    fn collect(&mut self) {
         let mut changed = Vec::new();
         while let Some(ended) = self.loads.try_join_next() {
             let Ok((engine, model, version, loaded)) = ended else {
@@ -234,16 +256,18 @@
             changed.push(model);
         }
         for model in changed {
-            self.publish(&model).await;
+            self.publish(&model);
         }
     }
 
     /// Starts as many loads as may run at once.
-    async fn start(&mut self, work: Vec<(Model, Version, Vec<Arc<Endpoint>>)>) {
+    fn start(&mut self, work: Vec<(Model, Version, Vec<Arc<Endpoint>>)>) {
         for (model, version, pending) in work {
-            let all = self.engines(&model);
-            let room = loads_at_once(all, self.context.settings.load_share);
-            let room = room.saturating_sub(self.loading.len());
+            let at_once = loads_at_once(self.engines(&model), self.context.settings.load_share);
+            let ordered = at_once + at_once.div_ceil(2);
+            let semaphore = || Arc::new(Semaphore::new(ordered));
+            let slots = self.room.entry(model.clone()).or_insert_with(semaphore).clone();
+            let room = (ordered + at_once).saturating_sub(self.loading.len());
             let free = pending.into_iter().filter(|it| !self.loading.contains_key(&it.name));
             let next: Vec<_> = free.take(room).collect();
             if next.is_empty() {
@@ -260,9 +284,9 @@
                     stage: Stage::Loading,
                 });
             }
-            self.publish(&model).await;
+            self.publish(&model);
             for engine in next {
-                self.spawn(engine, model.clone(), version);
+                self.spawn(engine, model.clone(), version, slots.clone());
             }
         }
     }
@@ -272,36 +296,39 @@
         view.all().filter(|it| it.version(model).is_some()).count()
     }
 
-    fn spawn(&mut self, engine: Arc<Endpoint>, model: Model, version: Version) {
-        let Some(tenure) = self.tenure else { return };
+    fn spawn(
+        &mut self,
+        engine: Arc<Endpoint>,
+        model: Model,
+        version: Version,
+        slots: Arc<Semaphore>,
+    ) {
+        let Some(tenure) = &self.tenure else { return };
         let load = Load {
             context: self.context.clone(),
             engine,
             model,
             version,
+            slots,
             fence: tenure.fence,
-            until: tenure.renewed + TENURE,
+            until: tenure.until.clone(),
         };
         self.loads.spawn(load.run());
     }
 
     /// Tells all daemons how far the engines are.
-    async fn publish(&mut self, model: &Model) {
+    fn publish(&self, model: &Model) {
         let Some(marks) = self.marks.get(model) else {
             return;
         };
+        let fence = self.tenure.as_ref().map_or(0, |it| it.fence);
         let mut progress = (**self.context.progress.load()).clone();
-        progress.mark(model.clone(), marks.clone());
+        progress.mark(model, fence, marks);
         self.context.progress.store(Arc::new(progress));
-        let value = match serde_json::to_vec(marks) {
-            Ok(value) => value,
-            Err(error) => return warn!(%error, "marks not encoded"),
-        };
-        let key = format!("{MARKS_PREFIX}{model}");
-        let write = Write { topic: Topic::Fleet, key, expected: None, value: Some(value) };
-        if let Err(failure) = self.context.store.write(&write).await {
-            warn!(%failure, "marks not written");
-        }
+        let mut told = self.context.told.load().to_vec();
+        told.retain(|it| it.model != *model);
+        told.push(Told { model: model.clone(), fence, marks: marks.clone() });
+        self.context.told.store(Arc::new(told));
     }
 }
 
@@ -311,13 +338,16 @@
     engine: Arc<Endpoint>,
     model: Model,
     version: Version,
+    /// Room among the loads that have been ordered; an engine that waits for it drains.
+    slots: Arc<Semaphore>,
     fence: u64,
-    /// The order may not be given later.
-    until: Time,
+    /// Orders may not be given later, in microseconds.
+    until: Arc<AtomicU64>,
 }
 
 impl Load {
     async fn run(self) -> (Upstream, Model, Version, bool) {
+        let _slot = self.slots.acquire().await;
         let follow = time::timeout(LOAD_LONGEST, self.follow());
         let loaded = follow.await.unwrap_or(false);
         (self.engine.name.clone(), self.model, self.version, loaded)
@@ -344,7 +374,8 @@
             let now = self.context.now();
             let due = ordered.is_none_or(|it| now.since(it) >= ORDER_AGAIN);
             if due && !report.busy {
-                if now >= self.until {
+                let until = Time(self.until.load(Ordering::Acquire));
+                if now >= until {
                     // Another round gives it, under a renewed lease.
                     return false;
                 }
@@ -356,7 +387,7 @@
                     expected: report.accepted,
                 };
                 ordered = Some(now);
-                let accepted = self.context.engines.order(&self.engine, &order, self.until).await;
+                let accepted = self.context.engines.order(&self.engine, &order, until).await;
                 let name = self.engine.name.as_str();
                 info!(engine = name, version = self.version.0, ?accepted, "load ordered");
                 if let Some(Accepted::Refused(_)) = accepted {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -65,23 +65,27 @@
     runs: u32,
     refusals: u32,
     sends: u32,
+    /// Sendings for which no connection opened.
+    unsent: u32,
 }
 
 /// The upstream's share of a call: what is counted there ends with it.
 struct Held {
     choice: Choice,
     unread: u64,
+    begun: bool,
 }
 
 impl Held {
     fn new(choice: Choice) -> Held {
         choice.endpoint.gauge.start(choice.tokens);
-        Held { unread: choice.tokens, choice }
+        Held { unread: choice.tokens, begun: false, choice }
     }
 
-    /// The first event has arrived, so that the prompt was read.
-    fn first(&mut self) {
+    /// The first event has arrived, so that the prompt was read; tells whether that is news.
+    fn first(&mut self) -> bool {
         self.choice.endpoint.gauge.read(std::mem::take(&mut self.unread));
+        !std::mem::replace(&mut self.begun, true)
     }
 }
 
@@ -94,7 +98,8 @@
 
 /// Serves a call.
 pub async fn relay(context: Arc<Context>, call: Call) -> Response<Body> {
-    let mut drive = Drive { context, call, avoid: Vec::new(), runs: 0, refusals: 0, sends: 0 };
+    let mut drive =
+        Drive { context, call, avoid: Vec::new(), runs: 0, refusals: 0, sends: 0, unsent: 0 };
     match drive.run().await {
         Ok((held, reply, answer)) => drive.answer(held, reply, answer).await,
         Err(refusal) => drive.refuse(refusal),
@@ -159,7 +164,8 @@
                     return Ok((held, reply, answer));
                 }
                 Sent::Unreachable(_) => {
-                    gauge.fail(now);
+                    gauge.unreachable(now);
+                    self.unsent += 1;
                     self.refusals += 1;
                 }
                 Sent::NotRun(_) => {
@@ -208,19 +214,22 @@
             return Err(self.unplaced());
         }
         let service = call.route.service(name_hash(&call.ask.attempt));
-        if self.sends == 0 {
-            context.budget().call(service, now);
+        if self.sends == self.unsent {
+            // Nothing has arrived at an upstream yet.
+            if self.sends == 0 {
+                context.budget().call(service, now);
+            }
         } else if !context.budget().repeat(service, context.members.count(), now) {
             info!(attempt = call.ask.attempt, service = service.as_str(), "no repeats left");
             return Err(self.unplaced());
         }
         let progress = context.progress.load();
-        let target = call.ask.prompt.as_ref().and_then(|it| progress.target(&it.model));
         let query = Query {
             prompt: call.ask.prompt.as_ref(),
             owner: self.owner(),
             avoid: &self.avoid,
-            old_weights: target.is_none_or(|it| now.since(it.since) < context.settings.weights),
+            old_weights: context.settings.weights,
+            peers: &context.peers.load(),
             random: rand::random(),
         };
         let view = context.view.load();
@@ -230,6 +239,16 @@
             self.unplaced()
         })?;
         self.sends += 1;
+        info!(
+            attempt = call.ask.attempt,
+            upstream = choice.endpoint.name.as_str(),
+            reason = choice.reason,
+            version = choice.version.map(|it| it.0),
+            source = choice.source.as_ref().map(|it| it.name.as_str()),
+            cost_ms = choice.cost_ms,
+            waited_ms = now.since(call.received).as_millis() as u64,
+            "sent"
+        );
         Ok(Held::new(choice))
     }
 
@@ -386,14 +405,20 @@
         let mut reply = reply;
         let mut splitter = Splitter::default();
         loop {
-            let end = self.events(&mut held, &mut answer, &mut splitter, &mut last_event, &sender);
+            let end = self.events(
+                &mut held,
+                &reply,
+                &mut answer,
+                &mut splitter,
+                &mut last_event,
+                &sender,
+            );
             let end = end.await;
             let now = self.context.now();
             let upstream = held.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
                     held.choice.endpoint.gauge.succeed();
-                    self.learn(&held, &reply, now);
                     self.context.client.release(*answer);
                     self.record();
                     return;
@@ -445,7 +470,8 @@
                 Sent::Answer(reply, answer) if answer.response.status().is_success() => {
                     return Some((held, reply, answer));
                 }
-                Sent::Unreachable(_) | Sent::NotRun(_) => {
+                sent @ (Sent::Unreachable(_) | Sent::NotRun(_)) => {
+                    self.unsent += u32::from(matches!(sent, Sent::Unreachable(_)));
                     self.refusals += 1;
                     self.avoid.push(held.choice.endpoint.name.clone());
                 }
@@ -464,12 +490,15 @@
             return;
         }
         let endpoint = &held.choice.endpoint;
-        self.context.placer().read(prompt, self.owner(), endpoint, version, now);
+        let held = self.context.placer().read(prompt, self.owner(), endpoint, version, now);
+        let mut facts = self.context.peers.facts();
+        held.into_iter().for_each(|it| facts.add(it));
     }
 
     async fn events(
         &self,
         held: &mut Held,
+        reply: &Reply,
         answer: &mut Answer,
         splitter: &mut Splitter,
         last_event: &mut Option<String>,
@@ -493,7 +522,9 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            held.first();
+            if held.first() {
+                self.learn(held, reply, self.context.now());
+            }
             let Some(events) = splitter.push(bytes) else {
                 if splitter.is_overlong() {
                     return End::Broken("an event is too long".to_owned());
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -51,37 +51,57 @@
     pub marks: Vec<Mark>,
 }
 
+/// Versions of a model that are remembered, to tell when each was superseded.
+const MAX_TARGETS: usize = 32;
+
 /// The weights that are wanted, and how far the engines are.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
-    targets: Map<Model, Target>,
-    marks: Map<Model, Marks>,
+    /// The wishes for each model, oldest first.
+    targets: Map<Model, Vec<Target>>,
+    /// What the holder tells, with its fencing token.
+    marks: Map<Model, (u64, Marks)>,
 }
 
 impl Progress {
     /// Takes note of an operator's wish; an older version than the known one changes nothing.
     pub fn want(&mut self, model: &Model, version: Version, now: Time) -> bool {
-        let known = self.targets.get(model);
-        if known.is_some_and(|it| it.version >= version) {
+        let targets = self.targets.entry(model.clone()).or_default();
+        if targets.last().is_some_and(|it| it.version >= version) {
             return false;
         }
-        self.targets.insert(model.clone(), Target { version, since: now });
+        targets.push(Target { version, since: now });
+        if targets.len() > MAX_TARGETS {
+            targets.remove(0);
+        }
         true
     }
 
-    /// Takes note of what the holder tells.
-    pub fn mark(&mut self, model: Model, marks: Marks) {
-        self.marks.insert(model, marks);
+    /// Takes note of what a holder tells; an earlier holder changes nothing. Tells whether it is
+    /// news.
+    pub fn mark(&mut self, model: &Model, fence: u64, marks: &Marks) -> bool {
+        let known = self.marks.get(model);
+        if known.is_some_and(|(known, it)| *known > fence || (*known == fence && it == marks)) {
+            return false;
+        }
+        self.marks.insert(model.clone(), (fence, marks.clone()));
+        true
     }
 
     /// The weights that a model should be served by.
     pub fn target(&self, model: &Model) -> Option<Target> {
-        self.targets.get(model).copied()
+        self.targets.get(model)?.last().copied()
     }
 
     /// All models for which weights were named.
     pub fn targets(&self) -> impl Iterator<Item = (&Model, &Target)> {
-        self.targets.iter()
+        self.targets.iter().filter_map(|(model, targets)| Some((model, targets.last()?)))
+    }
+
+    /// When weights that are newer than `version` were named first, if any were.
+    pub fn superseded(&self, model: &Model, version: Version) -> Option<Time> {
+        let targets = self.targets.get(model)?;
+        targets.iter().find(|it| it.version > version).map(|it| it.since)
     }
 
     /// The version of a model that an engine has now.
@@ -98,13 +118,14 @@
     }
 
     fn mark_of(&self, engine: &Endpoint, model: &Model) -> Option<&Mark> {
-        let marks = &self.marks.get(model)?.marks;
+        let marks = &self.marks.get(model)?.1.marks;
         let own =
             |it: &&Mark| it.engine == engine.name && it.incarnation == engine.record.incarnation;
         marks.iter().find(own)
     }
 
-    /// The engines that should load a model's weights but have not, in the same order everywhere.
+    /// The engines that should load a model's weights but have not: those whose weights are oldest
+    /// come first, so that none stays behind when versions follow each other quickly.
     pub fn pending(&self, view: &View, model: &Model) -> Vec<Arc<Endpoint>> {
         let Some(target) = self.target(model) else {
             return Vec::new();
@@ -113,11 +134,11 @@
         for endpoint in view.all() {
             let version = self.version(endpoint, model);
             if version.is_some_and(|it| it < target.version) {
-                pending.push(endpoint.clone());
+                pending.push((version, endpoint.clone()));
             }
         }
-        pending.sort_by(|left, right| left.name.cmp(&right.name));
-        pending
+        pending.sort_by(|(left, a), (right, b)| (left, &a.name).cmp(&(right, &b.name)));
+        pending.into_iter().map(|(_, endpoint)| endpoint).collect()
     }
 }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -13,6 +13,7 @@
         clock::Time,
         id::{Incarnation, Model, Service, Upstream, Version, Zone},
     },
+    route::pool::name_hash,
 };
 
 /// How long after the store's return a missing entry may still be written again (platform: about
@@ -43,6 +44,8 @@
 pub struct Endpoint {
     /// Its name.
     pub name: Upstream,
+    /// The hash of its name, the same in all daemons.
+    pub hash: u64,
     /// Its own entry.
     pub record: Record,
     /// What this daemon knows of this run of it.
@@ -109,7 +112,8 @@
         let known = self.entries.get(name);
         let same_run = known.filter(|it| it.endpoint.record.incarnation == record.incarnation);
         let gauge = same_run.map_or_else(Arc::default, |it| it.endpoint.gauge.clone());
-        let endpoint = Arc::new(Endpoint { name: name.clone(), record, gauge });
+        let hash = name_hash(name.as_str());
+        let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, gauge });
         self.entries.insert(name.clone(), Entry { endpoint, missing: false });
     }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -25,7 +25,7 @@
     fleet::{
         board::{Fact, Key, Value},
         message::{self, Envelope, Question},
-        service,
+        service, transport,
     },
     kernel::id::{Incarnation, Revision, Workspace},
 };
@@ -137,7 +137,7 @@
     }
     // More than a frame may have: that connection ends, the daemon goes on.
     let huge = Envelope {
-        payload: vec![0; service::MAX_FRAME_BYTES + 1],
+        payload: vec![0; transport::MAX_FRAME_BYTES + 1],
         ..message::seal("test", &question)
     };
     assert!(client.update(tarpc::context::current(), huge).await.is_err());
