--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! orders to engines. What the outside speaks is behind the traits of [`dialect`] and [`store`].
 
 pub mod budget;
+pub mod cache;
 pub mod call;
 pub mod context;
 pub mod controller;
@@ -26,3 +27,4 @@
 pub mod settings;
 pub mod store;
 pub mod stream;
+pub mod watch;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -36,6 +36,11 @@
 }
 
 impl Prompt {
+    /// Tokens of an engine's memory that it takes while it runs.
+    pub fn memory(&self) -> u64 {
+        self.tokens + self.max_output
+    }
+
     /// The parts that other calls may share.
     pub fn shared(&self) -> &[Part] {
         &self.parts[..self.parts.len().saturating_sub(1)]
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -13,6 +13,7 @@
         entry::Entry,
         follow, member, operate, pulse,
         store::Topic,
+        watch,
     },
     http::server::{self, Handler},
 };
@@ -61,6 +62,7 @@
         tasks.spawn(operate::operate(context.clone(), stop.clone()));
         tasks.spawn(pulse::serve(context.clone(), self.peer, stop.clone()));
         tasks.spawn(pulse::ask(context.clone(), stop.clone()));
+        tasks.spawn(watch::watch(context.clone(), stop.clone()));
         tasks.spawn(member::announce(context.clone(), stop.clone()));
         for (listener, handler) in others {
             tasks.spawn(server::serve(listener, handler, stop.clone()));
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -62,6 +62,15 @@
     pub sticky: bool,
 }
 
+/// A KV store, which keeps prompts that engines have read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KvStore {
+    /// Where it serves.
+    pub address: SocketAddr,
+    /// Tokens that it holds.
+    pub capacity_tokens: u64,
+}
+
 /// A service, as far as the operator describes it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Spec {
@@ -71,8 +80,8 @@
     pub capacity_tokens: Option<u64>,
     /// Connections that one upstream takes from all daemons together.
     pub max_connections: u32,
-    /// Where it serves if it is a KV store, which keeps prompts that engines have read.
-    pub kv_store: Option<SocketAddr>,
+    /// Present if it is a KV store.
+    pub kv_store: Option<KvStore>,
 }
 
 /// What a caller may send.
@@ -135,6 +144,8 @@
     hosts: Map<String, Vec<Arc<Route>>>,
     keys: Map<String, Arc<Tenant>>,
     services: Map<Service, Spec>,
+    kv_store: Option<KvStore>,
+    engine_tokens: u64,
     keyed: bool,
 }
 
@@ -164,6 +175,9 @@
             let tenant = Arc::new(tenant);
             keys.extend(own.into_iter().map(|key| (key, tenant.clone())));
         }
+        let engines = parts.services.iter().filter_map(|it| it.capacity_tokens);
+        let engine_tokens = engines.min().unwrap_or_default();
+        let kv_store = parts.services.iter().find_map(|it| it.kv_store);
         let services = parts.services.into_iter().map(|it| (it.name.clone(), it));
         Ok(Document {
             version: parts.version,
@@ -171,6 +185,8 @@
             hosts,
             keys,
             services: services.collect(),
+            kv_store,
+            engine_tokens,
             keyed,
         })
     }
@@ -194,6 +210,16 @@
         self.keys.get(key)
     }
 
+    /// The KV store, if there is one.
+    pub fn kv_store(&self) -> Option<KvStore> {
+        self.kv_store
+    }
+
+    /// Tokens of an engine's memory: the smallest, if services differ.
+    pub fn engine_tokens(&self) -> u64 {
+        self.engine_tokens
+    }
+
     /// A service.
     pub fn service(&self, name: &Service) -> Option<&Spec> {
         self.services.get(name)
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use crate::{gateway::dialect::Load, kernel::clock::Time};
+use tokio_util::sync::CancellationToken;
+
+use crate::kernel::clock::Time;
 
 /// Failures in a row after which an upstream gets no calls for a while.
 const EJECT_FAILURES: u32 = 3;
@@ -20,8 +22,15 @@
 /// The longest pause, so that one that has recovered is found within a few seconds.
 const EJECT_LONGEST: Duration = Duration::from_millis(4_000);
 
-/// A reported load counts for this long; it changes with each request.
-const LOAD_KEPT: Duration = Duration::from_millis(500);
+/// An upstream that gives no sign for this long, though calls wait there, is suspected: engines
+/// give the first event of a call every 50 to 200 ms.
+pub const QUIET: Duration = Duration::from_millis(400);
+
+/// The time between looks at an upstream that is suspected or dead.
+const PROBE_EVERY: Duration = Duration::from_millis(400);
+
+/// Lost probes in a row after which an upstream counts as dead; one may fall to a lost packet.
+const DEAD_PROBES: u32 = 2;
 
 /// The state of one run of an upstream.
 #[derive(Debug, Default)]
@@ -30,15 +39,22 @@
     calls: AtomicU32,
     /// Prompt tokens of own calls that have no first event yet.
     tokens: AtomicU64,
+    /// Tokens that own calls take of its memory.
+    memory: AtomicU64,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
-    load: Load,
-    reported: Option<Time>,
     failures: u32,
     ejected_until: Option<Time>,
+    /// When it last gave a sign, or got a call while it had none.
+    heard: Time,
+    probed: Time,
+    lost_probes: u32,
+    dead: bool,
+    /// Cancelled when it is found dead.
+    death: CancellationToken,
 }
 
 impl Gauge {
@@ -52,28 +68,21 @@
         self.tokens.load(Ordering::Relaxed)
     }
 
-    /// Requests that run and wait: the last report if it is young, own calls at least.
-    pub fn load(&self, now: Time) -> Load {
-        let state = self.state();
-        let own = self.calls();
-        let young = state.reported.is_some_and(|it| now.since(it) < LOAD_KEPT);
-        if !young {
-            return Load { running: own, waiting: 0, slots: state.load.slots };
-        }
-        Load { running: state.load.running.max(own), ..state.load }
+    /// Tokens that own calls take of its memory.
+    pub fn memory(&self) -> u64 {
+        self.memory.load(Ordering::Relaxed)
     }
 
-    /// Takes note of a reported load.
-    pub fn report(&self, load: Load, now: Time) {
+    /// A call is sent that takes `memory` tokens; `tokens` of its prompt are expected to be read.
+    /// The token is cancelled if the upstream is found dead.
+    pub fn start(&self, tokens: u64, memory: u64, now: Time) -> CancellationToken {
         let mut state = self.state();
-        state.load = load;
-        state.reported = Some(now);
-    }
-
-    /// A call is sent; `tokens` of its prompt are expected to be read.
-    pub fn start(&self, tokens: u64) {
-        self.calls.fetch_add(1, Ordering::Relaxed);
+        if self.calls.fetch_add(1, Ordering::Relaxed) == 0 {
+            state.heard = now;
+        }
         self.tokens.fetch_add(tokens, Ordering::Relaxed);
+        self.memory.fetch_add(memory, Ordering::Relaxed);
+        state.death.clone()
     }
 
     /// The prompt of a call was read, or the call ended before.
@@ -81,9 +90,17 @@
         self.tokens.fetch_sub(tokens, Ordering::Relaxed);
     }
 
-    /// A call ended.
-    pub fn end(&self) {
+    /// A call ended that took `memory` tokens.
+    pub fn end(&self, memory: u64) {
         self.calls.fetch_sub(1, Ordering::Relaxed);
+        self.memory.fetch_sub(memory, Ordering::Relaxed);
+    }
+
+    /// The upstream gave a sign of life.
+    pub fn hear(&self, now: Time) {
+        let mut state = self.state();
+        state.heard = now;
+        state.lost_probes = 0;
     }
 
     /// The upstream gave a sound answer.
@@ -106,14 +123,6 @@
         true
     }
 
-    /// No connection opens: its process has ended, or can't be reached.
-    pub fn unreachable(&self, now: Time) {
-        let mut state = self.state();
-        state.failures = state.failures.max(EJECT_FAILURES - 1);
-        drop(state);
-        self.fail(now);
-    }
-
     /// It takes no calls for `pause`, through no fault of its own.
     pub fn pause(&self, pause: Duration, now: Time) {
         let mut state = self.state();
@@ -123,12 +132,78 @@
         }
     }
 
+    /// No connection opens: its process has ended. It gets no calls until a connection opens.
+    pub fn refuse(&self) {
+        self.state().die();
+    }
+
+    /// Another daemon has found it dead; it gets no calls until a connection opens.
+    pub fn suspect(&self, now: Time) {
+        let mut state = self.state();
+        // A sign that came after the other daemon's finding goes before it.
+        if now.since(state.heard) >= QUIET {
+            state.lost_probes = state.lost_probes.max(1);
+        }
+    }
+
+    /// Whether it should be probed now: it is dead, or calls wait there and it gives no sign.
+    pub fn probe(&self, now: Time) -> bool {
+        let mut state = self.state();
+        let quiet = self.calls() > 0 && now.since(state.heard) >= QUIET;
+        if !quiet && !state.dead && state.lost_probes == 0 {
+            return false;
+        }
+        if now.since(state.probed) < PROBE_EVERY {
+            return false;
+        }
+        state.probed = now;
+        true
+    }
+
+    /// Takes note of a probe: whether a connection opened. Tells whether it changed from alive to
+    /// dead or back.
+    pub fn probed(&self, opened: bool, now: Time) -> bool {
+        let mut state = self.state();
+        let dead = state.dead;
+        if opened {
+            state.heard = now;
+            state.lost_probes = 0;
+            if state.dead {
+                state.dead = false;
+                state.death = CancellationToken::new();
+            }
+        } else {
+            state.lost_probes += 1;
+            if state.lost_probes >= DEAD_PROBES {
+                state.die();
+            } else {
+                state.probed = Time::default();
+            }
+        }
+        state.dead != dead
+    }
+
+    /// Whether it was found dead.
+    pub fn is_dead(&self) -> bool {
+        self.state().dead
+    }
+
     /// Whether it gets no calls now.
     pub fn is_ejected(&self, now: Time) -> bool {
-        self.state().ejected_until.is_some_and(|it| now < it)
+        let state = self.state();
+        let suspected = state.dead || state.lost_probes > 0;
+        suspected || state.ejected_until.is_some_and(|it| now < it)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|it| it.into_inner())
     }
 }
+
+impl State {
+    fn die(&mut self) {
+        self.dead = true;
+        self.lost_probes = self.lost_probes.max(DEAD_PROBES);
+        self.death.cancel();
+    }
+}
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     collections::Map,
-    gateway::rollout::Marks,
+    gateway::{cache::Held, rollout::Marks},
     kernel::{
         clock::Time,
         id::{Incarnation, Model, Version},
@@ -38,17 +38,6 @@
     pub incarnation: Incarnation,
 }
 
-/// An engine that has read a prefix.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Held {
-    /// Stands for the prefix, its owner and the weights.
-    pub prefix: u64,
-    /// The hash of the engine's name.
-    pub engine: u64,
-    /// The run of the engine.
-    pub incarnation: Incarnation,
-}
-
 /// What a daemon has at an engine.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Share {
@@ -58,6 +47,8 @@
     pub calls: u32,
     /// Prompt tokens that are still to be read.
     pub tokens: u64,
+    /// Tokens of its memory that the calls take.
+    pub memory: u64,
 }
 
 /// How far the engines of a model are, as the holder of the lease tells it.
@@ -92,6 +83,8 @@
     pub held: Vec<Held>,
     /// What it has at the engines.
     pub shares: Vec<Share>,
+    /// The runs of upstreams that it has found dead, by the hash of their names.
+    pub dead: Vec<(u64, Incarnation)>,
 }
 
 /// The facts of this daemon, numbered.
@@ -130,7 +123,7 @@
 }
 
 /// What all peers have at the engines.
-pub type Load = Map<u64, (u32, u64)>;
+pub type Load = Map<u64, Share>;
 
 /// What is known of the peers.
 #[derive(Debug, Default)]
@@ -168,7 +161,9 @@
         for peer in known.values().filter(|it| now.since(it.answered) < TOLD) {
             for share in &peer.shares {
                 let sum = load.entry(share.engine).or_default();
-                *sum = (sum.0 + share.calls, sum.1 + share.tokens);
+                sum.calls += share.calls;
+                sum.tokens += share.tokens;
+                sum.memory += share.memory;
             }
         }
         self.load.store(Arc::new(load));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,13 +4,15 @@
 //! (rendezvous hashing). Each engine costs the time until the first event: what waits there, and
 //! the reading of what it does not hold. The cheapest is chosen.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     collections::Map,
     gateway::{
+        cache::{Cache, Held, STORE},
         call::Prompt,
-        peer::{Held, Load},
+        document::KvStore,
+        peer::Load,
         rollout::Progress,
         roster::Endpoint,
     },
@@ -21,24 +23,16 @@
     route::pool::{mix, name_hash},
 };
 
-/// A holder that was not used for this long counts as having dropped the prefix.
-const HELD: Duration = Duration::from_secs(10);
-
-/// Prefixes that are remembered.
-const MAX_PREFIXES: usize = 8_192;
-
-/// Holders of one prefix that are remembered.
-const MAX_HOLDERS: usize = 16;
-
-/// Other daemons hear of a holder again after this time, so that they do not forget it.
-const TELL_AGAIN: Duration = Duration::from_secs(3);
-
-/// The cost of another copy of a prefix, in milliseconds: it displaces other prefixes.
-const COPY_MS: f64 = 25.0;
+/// The cost of another copy of a prefix, in milliseconds a token: it displaces prefixes that are
+/// read again later.
+const COPY_MS: f64 = 0.05;
 
 /// The cost of fetching a prefix from another engine, in milliseconds.
 const FETCH_MS: f64 = 4.0;
 
+/// The cost of fetching a prefix from the KV store, in milliseconds; its link is shared by all.
+const STORE_MS: f64 = 25.0;
+
 /// The cost of sending a prompt to another zone, in milliseconds.
 const ZONE_MS: f64 = 2.0;
 
@@ -70,6 +64,12 @@
     pub avoid: &'a [Upstream],
     /// How long after newer weights were named a call may begin on older ones.
     pub old_weights: Duration,
+    /// Tokens that running calls may take of an engine's memory.
+    pub room: u64,
+    /// The KV store.
+    pub kv_store: Option<KvStore>,
+    /// Tokens of an engine's memory.
+    pub capacity: u64,
     /// What the other daemons have at the engines.
     pub peers: &'a Load,
     /// A random number.
@@ -85,14 +85,37 @@
     pub version: Option<Version>,
     /// Prompt tokens that it is expected to read.
     pub tokens: u64,
-    /// Another engine that holds shared parts which the chosen one lacks.
-    pub source: Option<Arc<Endpoint>>,
+    /// Where the shared parts may be fetched that it lacks.
+    pub source: Option<Source>,
+    /// Shared parts that it holds, and that it holds or may fetch, as far as is known.
+    pub depth: (usize, usize),
+    /// Whether the KV store should take the shared parts.
+    pub save: bool,
     /// The expected time to its first event, with what else speaks against it, in milliseconds.
     pub cost_ms: f64,
     /// Why it was chosen.
     pub reason: &'static str,
 }
 
+/// What holds shared parts of a prompt.
+#[derive(Clone, Debug)]
+pub enum Source {
+    /// Another engine.
+    Engine(Arc<Endpoint>),
+    /// The KV store.
+    Store(SocketAddr),
+}
+
+impl Source {
+    /// Where it serves.
+    pub fn address(&self) -> SocketAddr {
+        match self {
+            Source::Engine(endpoint) => endpoint.record.address,
+            Source::Store(address) => *address,
+        }
+    }
+}
+
 /// Why there is no choice.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Unplaced {
@@ -100,15 +123,9 @@
     None,
     /// Those that there are fail, load weights, or have refused this call.
     Closed,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Holder {
-    engine: u64,
-    incarnation: Incarnation,
-    used: Time,
-    /// When other daemons heard of it last.
-    told: Time,
+    /// All engines that could take the call have as much running as leaves room for cached
+    /// prompts.
+    Full,
 }
 
 /// Chooses upstreams, and remembers which engine holds what.
@@ -116,7 +133,7 @@
 pub struct Placer {
     read_rate: f64,
     zone: Zone,
-    holders: Map<u64, Vec<Holder>>,
+    cache: Cache,
 }
 
 /// An engine that may take a call.
@@ -169,15 +186,10 @@
     candidates
 }
 
-/// The prompt's shared prefixes under the weights that compute them, shortest first.
-fn prefixes(prompt: &Prompt, owner: u64, version: Version) -> Vec<u64> {
-    let mut sum = mix(owner ^ mix(version.0 ^ name_hash(prompt.model.as_str())));
-    let mut prefixes = Vec::with_capacity(prompt.parts.len());
-    for part in prompt.shared() {
-        sum = mix(sum ^ part.hash);
-        prefixes.push(sum);
-    }
-    prefixes
+/// The numbers of a prompt's parts under the weights that compute them.
+fn numbers(prompt: &Prompt, owner: u64, version: Version) -> Vec<u64> {
+    let salt = mix(owner ^ mix(version.0 ^ name_hash(prompt.model.as_str())));
+    prompt.parts.iter().map(|it| mix(salt ^ it.hash)).collect()
 }
 
 /// The rank of an engine as the home of a prefix; the highest is the home.
@@ -188,7 +200,7 @@
 impl Placer {
     /// A placer of a daemon in `zone`.
     pub fn new(read_rate: f64, zone: Zone) -> Placer {
-        Placer { read_rate, zone, holders: Map::default() }
+        Placer { read_rate, zone, cache: Cache::default() }
     }
 
     /// Chooses among the upstreams of a service.
@@ -208,17 +220,16 @@
         }
         match query.prompt {
             Some(prompt) => self.engine(query, prompt, endpoints, progress, now),
-            None => self.plain(query, endpoints, now),
+            None => self.plain(query, endpoints, now).ok_or(Unplaced::Closed),
         }
-        .ok_or(Unplaced::Closed)
     }
 
     /// The less loaded of the upstreams, near ones first.
     fn plain(&self, query: &Query<'_>, all: &[Arc<Endpoint>], now: Time) -> Option<Choice> {
         let open = all.iter().filter(|it| is_open(it, query, now));
         let chosen = open.min_by_key(|it| {
-            let (calls, _) = query.peers.get(&it.hash).copied().unwrap_or_default();
-            let busy = u64::from(calls + it.gauge.calls());
+            let peers = query.peers.get(&it.hash).map_or(0, |it| it.calls);
+            let busy = u64::from(peers + it.gauge.calls());
             let full = busy >= u64::from(it.record.slots);
             let far = it.record.zone != self.zone;
             (full, busy + u64::from(far), mix(query.random ^ it.hash))
@@ -228,6 +239,8 @@
             version: None,
             tokens: 0,
             source: None,
+            depth: (0, 0),
+            save: false,
             cost_ms: 0.0,
             reason: "least_load",
         })
@@ -240,38 +253,45 @@
         all: &[Arc<Endpoint>],
         progress: &Progress,
         now: Time,
-    ) -> Option<Choice> {
+    ) -> Result<Choice, Unplaced> {
         let candidates = candidates(query, prompt, all, progress, now);
-        let shared: u64 = prompt.shared().iter().map(|it| it.tokens).sum();
+        let shared = tokens(prompt, prompt.shared().len());
         let mut known: Map<Version, Vec<u64>> = Map::default();
         let mut best: Option<(f64, Choice)> = None;
+        let mut full = false;
         for candidate in &candidates {
             let endpoint = candidate.endpoint;
             let version = candidate.version;
-            let prefixes =
-                known.entry(version).or_insert_with(|| prefixes(prompt, query.owner, version));
-            let depth = self.depth(prefixes, endpoint, now);
-            let held = depth == prefixes.len();
+            let numbers =
+                known.entry(version).or_insert_with(|| numbers(prompt, query.owner, version));
+            let numbers = &numbers[..prompt.shared().len()];
+            let depth = self.depth(query, numbers, endpoint);
+            let held = depth == numbers.len();
             let source = match held {
                 true => None,
-                false => self.source(prefixes, depth, candidate, &candidates, now),
-            };
-            let cached = match (&source, held || candidate.home) {
-                (_, true) => shared,
-                (Some((_, depth)), false) => tokens(prompt, *depth),
-                (None, false) => tokens(prompt, depth),
+                false => self.source(query, numbers, depth, candidate, &candidates),
             };
+            let found = source.as_ref().map_or(depth, |(_, it)| *it).max(depth);
+            let (source, found) = self.or_store(query, numbers, source, found);
+            let cached = tokens(prompt, if held { depth } else { found });
             let tokens = prompt.tokens.saturating_sub(cached);
-            let (calls, unread) = query.peers.get(&endpoint.hash).copied().unwrap_or_default();
-            let unread = unread + endpoint.gauge.tokens() + tokens;
+            let peers = query.peers.get(&endpoint.hash).copied().unwrap_or_default();
+            let running = peers.memory + endpoint.gauge.memory();
+            if running > 0 && running + prompt.memory() > query.room {
+                full = true;
+                continue;
+            }
+            let unread = peers.tokens + endpoint.gauge.tokens() + tokens;
             let mut cost = unread as f64 / self.read_rate;
-            cost += f64::from(calls + endpoint.gauge.calls()) * RUNNING_MS;
+            cost += f64::from(peers.calls + endpoint.gauge.calls()) * RUNNING_MS;
             if !held && !candidate.home {
-                cost += COPY_MS;
-            }
-            if source.is_some() {
-                cost += FETCH_MS;
+                cost += COPY_MS * shared as f64;
             }
+            cost += match source {
+                Some(Source::Engine(_)) => FETCH_MS,
+                Some(Source::Store(_)) => STORE_MS,
+                None => 0.0,
+            };
             if endpoint.record.zone != self.zone {
                 cost += ZONE_MS;
             }
@@ -288,24 +308,30 @@
                 endpoint: endpoint.clone(),
                 version: Some(version),
                 tokens,
-                source: source.map(|(source, _)| source.clone()),
+                source,
+                depth: (depth, found),
+                save: found < numbers.len(),
                 cost_ms: cost,
                 reason,
             };
             best = Some((cost, choice));
         }
-        best.map(|(_, choice)| choice)
+        match best {
+            Some((_, choice)) => Ok(choice),
+            None if full => Err(Unplaced::Full),
+            None => Err(Unplaced::Closed),
+        }
     }
 
-    /// The engine with the same weights that holds the longest prefix, if it is longer than the
-    /// candidate's; else, if nothing is known, the prefix's home before the candidate.
+    /// The engine with the same weights that holds most of the shared parts, if it holds more than
+    /// the candidate; else, if nothing is known, their home before the candidate.
     fn source<'a>(
         &self,
-        prefixes: &[u64],
+        query: &Query<'_>,
+        numbers: &[u64],
         own: usize,
         candidate: &Candidate<'_>,
         all: &[Candidate<'a>],
-        now: Time,
     ) -> Option<(&'a Arc<Endpoint>, usize)> {
         let mut best: Option<(usize, u64, &'a Arc<Endpoint>)> = None;
         for other in all {
@@ -313,7 +339,7 @@
             if !same || other.endpoint.name == candidate.endpoint.name {
                 continue;
             }
-            let depth = self.depth(prefixes, other.endpoint, now);
+            let depth = self.depth(query, numbers, other.endpoint);
             if best.is_none_or(|(most, rank, _)| (most, rank) < (depth, other.rank)) {
                 best = Some((depth, other.rank, other.endpoint));
             }
@@ -322,70 +348,72 @@
         (depth > own || (depth == 0 && own == 0)).then_some((endpoint, depth))
     }
 
-    /// How many of the prefixes an engine is known to hold.
-    fn depth(&self, prefixes: &[u64], engine: &Endpoint, now: Time) -> usize {
-        let held = prefixes.iter().rposition(|it| self.holds(*it, engine, now));
-        held.map_or(0, |it| it + 1)
+    /// The KV store in place of an engine, if it holds more of the shared parts.
+    fn or_store(
+        &self,
+        query: &Query<'_>,
+        numbers: &[u64],
+        engine: Option<(&Arc<Endpoint>, usize)>,
+        found: usize,
+    ) -> (Option<Source>, usize) {
+        if let Some(store) = query.kv_store {
+            let run = Incarnation::default();
+            let stored = |it: &&u64| self.cache.holds(STORE, run, **it, store.capacity_tokens);
+            let stored = numbers.iter().take_while(stored).count();
+            if stored > found {
+                return (Some(Source::Store(store.address)), stored);
+            }
+        }
+        (engine.map(|(it, _)| Source::Engine(it.clone())), found)
     }
 
-    fn holds(&self, prefix: u64, engine: &Endpoint, now: Time) -> bool {
-        let Some(holders) = self.holders.get(&prefix) else {
-            return false;
-        };
-        holders.iter().any(|it| {
-            let own = it.engine == engine.hash && it.incarnation == engine.record.incarnation;
-            own && now.since(it.used) < HELD
-        })
+    /// How many of the shared parts an engine holds, from the first on.
+    fn depth(&self, query: &Query<'_>, numbers: &[u64], engine: &Endpoint) -> usize {
+        let peers = query.peers.get(&engine.hash).map_or(0, |it| it.memory);
+        let running = peers + engine.gauge.memory();
+        let room = query.capacity.saturating_sub(running);
+        let run = engine.record.incarnation;
+        let holds = |it: &&u64| self.cache.holds(engine.hash, run, **it, room);
+        numbers.iter().take_while(holds).count()
     }
 
-    /// Takes note that an engine has read a prompt; tells what to pass on to other daemons.
-    pub fn read(
-        &mut self,
-        prompt: &Prompt,
-        owner: u64,
-        engine: &Endpoint,
-        version: Version,
-        now: Time,
-    ) -> Vec<Held> {
+    /// Takes note that an engine is sent a prompt, and whether the KV store takes or has its parts;
+    /// tells what to pass on to other daemons.
+    pub fn sent(&mut self, query: &Query<'_>, choice: &Choice) -> Vec<Held> {
+        let (Some(prompt), Some(version)) = (query.prompt, choice.version) else {
+            return Vec::new();
+        };
+        let stored = choice.save || matches!(choice.source, Some(Source::Store(_)));
+        let store = query.kv_store.filter(|_| stored);
+        let engine = &choice.endpoint;
         let mut news = Vec::new();
-        for prefix in prefixes(prompt, owner, version) {
-            let held = Held { prefix, engine: engine.hash, incarnation: engine.record.incarnation };
-            if self.hold(held, now) {
-                news.push(held);
+        let shared = prompt.shared().len();
+        for (place, part) in numbers(prompt, query.owner, version).into_iter().enumerate() {
+            let own = Held {
+                cache: engine.hash,
+                incarnation: engine.record.incarnation,
+                part,
+                tokens: prompt.parts[place].tokens,
+                shared: place < shared,
+            };
+            news.push(own);
+            if store.is_some() && (own.shared || choice.save) {
+                news.push(Held { cache: STORE, incarnation: Incarnation::default(), ..own });
             }
         }
+        self.learn(&news, query.capacity, query.kv_store);
         news
     }
 
-    /// Takes note of what other daemons know.
-    pub fn learn(&mut self, held: &[Held], now: Time) {
+    /// Takes note of what caches hold. `capacity` is that of an engine.
+    pub fn learn(&mut self, held: &[Held], capacity: u64, store: Option<KvStore>) {
         for held in held {
-            self.hold(*held, now);
-        }
-    }
-
-    /// Takes note of a holder; tells whether others should hear of it again.
-    fn hold(&mut self, held: Held, now: Time) -> bool {
-        if self.holders.len() >= MAX_PREFIXES {
-            self.holders.retain(|_, it| it.iter().any(|it| now.since(it.used) < HELD));
-        }
-        let Held { prefix, engine, incarnation } = held;
-        let holders = self.holders.entry(prefix).or_default();
-        let same = |it: &&mut Holder| it.engine == engine && it.incarnation == incarnation;
-        if let Some(known) = holders.iter_mut().find(same) {
-            let news = now.since(known.told) >= TELL_AGAIN;
-            known.used = now;
-            if news {
-                known.told = now;
-            }
-            return news;
-        }
-        holders.retain(|it| it.engine != engine && now.since(it.used) < HELD);
-        holders.push(Holder { engine, incarnation, used: now, told: now });
-        if holders.len() > MAX_HOLDERS {
-            holders.remove(0);
+            let room = match held.cache {
+                STORE => store.map_or(0, |it| it.capacity_tokens),
+                _ => capacity,
+            };
+            self.cache.hold(held, room);
         }
-        true
     }
 }
 
--- a/src/gateway/pulse.rs
+++ b/src/gateway/pulse.rs
@@ -73,11 +73,16 @@
     let now = context.now();
     let progress = context.progress.load();
     let weights = progress.targets().map(|(model, target)| (model.clone(), target.version));
-    let mut shares = Vec::new();
+    let (mut shares, mut dead) = (Vec::new(), Vec::new());
     for endpoint in context.view.load().all() {
-        let (calls, tokens) = (endpoint.gauge.calls(), endpoint.gauge.tokens());
+        let (gauge, engine) = (&endpoint.gauge, endpoint.hash);
+        let calls = gauge.calls();
         if calls > 0 {
-            shares.push(Share { engine: endpoint.hash, calls, tokens });
+            let (tokens, memory) = (gauge.tokens(), gauge.memory());
+            shares.push(Share { engine, calls, tokens, memory });
+        }
+        if gauge.is_dead() {
+            dead.push((engine, endpoint.record.incarnation));
         }
     }
     News {
@@ -90,6 +95,7 @@
         last,
         held,
         shares,
+        dead,
     }
 }
 
@@ -191,8 +197,17 @@
         let context = &self.context;
         let now = context.now();
         context.peers.learn(&self.name, &news, now);
-        context.placer().learn(&news.held, now);
+        let document = context.document.load();
+        if let Some(document) = document.as_ref() {
+            let (tokens, store) = (document.engine_tokens(), document.kv_store());
+            context.placer().learn(&news.held, tokens, store);
+        }
         context.tell(&news);
+        for endpoint in context.view.load().all() {
+            if news.dead.contains(&(endpoint.hash, endpoint.record.incarnation)) {
+                endpoint.gauge.suspect(now);
+            }
+        }
         let own = context.document.load().as_ref().map(|it| it.version);
         if news.document > own {
             self.fetch(client).await;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,21 +7,25 @@
 use hyper::{HeaderMap, Request, Response, body::Frame, header};
 use metrics::{counter, histogram};
 use tokio::{sync::mpsc, time};
+use tokio_util::sync::CancellationToken;
 use tracing::info;
 
 use crate::{
     Error,
     gateway::{
-        call::{Call, Dispatch},
+        call::{Call, Dispatch, Prompt},
         context::Context,
-        dialect::{Refusal, Reply},
-        document::Kind,
+        dialect::Refusal,
+        document::{Kind, KvStore},
         entry::end_to_end,
-        place::{Choice, Query},
+        place::{Choice, Query, Source, Unplaced},
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
-    kernel::{clock::Time, id::Upstream},
+    kernel::{
+        clock::Time,
+        id::{Service, Upstream},
+    },
     route::pool::name_hash,
 };
 
@@ -40,13 +44,30 @@
 /// When a caller may come back after a refusal for want of an upstream.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// The share of an engine's memory that running calls may take: the rest keeps cached prompts,
+/// without which engines read several times as much and a short overload does not end.
+const RUNNING_SHARE: f64 = 0.5;
+
+/// The same for calls that can't be answered in time any more.
+const LATE_SHARE: f64 = 0.35;
+
+/// The time between looks for room at an engine.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// When a caller may come back after a refusal because all engines are full, on average: spread,
+/// so that the callers do not return together.
+const FULL_RETRY: Duration = Duration::from_millis(1_000);
+
+/// The time that an engine takes to the first event of a long prompt.
+const FIRST_EVENT: Duration = Duration::from_millis(200);
+
 /// Pieces of a stream that wait for a slow caller.
 const WAITING_PIECES: usize = 8;
 
 /// What a sending came to.
 enum Sent {
     /// The head of an answer.
-    Answer(Reply, Box<Answer>),
+    Answer(Box<Answer>),
     /// Nothing was sent.
     Unreachable(String),
     /// The upstream ran nothing.
@@ -73,26 +94,27 @@
 struct Held {
     choice: Choice,
     unread: u64,
-    begun: bool,
+    memory: u64,
+    /// Cancelled if the upstream is found dead.
+    death: CancellationToken,
 }
 
 impl Held {
-    fn new(choice: Choice) -> Held {
-        choice.endpoint.gauge.start(choice.tokens);
-        Held { unread: choice.tokens, begun: false, choice }
+    fn new(choice: Choice, memory: u64, now: Time) -> Held {
+        let death = choice.endpoint.gauge.start(choice.tokens, memory, now);
+        Held { unread: choice.tokens, memory, death, choice }
     }
 
-    /// The first event has arrived, so that the prompt was read; tells whether that is news.
-    fn first(&mut self) -> bool {
+    /// The first event has arrived, so that the prompt was read.
+    fn first(&mut self) {
         self.choice.endpoint.gauge.read(std::mem::take(&mut self.unread));
-        !std::mem::replace(&mut self.begun, true)
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
         self.first();
-        self.choice.endpoint.gauge.end();
+        self.choice.endpoint.gauge.end(self.memory);
     }
 }
 
@@ -101,7 +123,7 @@
     let mut drive =
         Drive { context, call, avoid: Vec::new(), runs: 0, refusals: 0, sends: 0, unsent: 0 };
     match drive.run().await {
-        Ok((held, reply, answer)) => drive.answer(held, reply, answer).await,
+        Ok((held, answer)) => drive.answer(held, answer).await,
         Err(refusal) => drive.refuse(refusal),
     }
 }
@@ -131,9 +153,9 @@
     }
 
     /// Sends the call until there is an answer to pass on.
-    async fn run(&mut self) -> Result<(Held, Reply, Box<Answer>), Refusal> {
+    async fn run(&mut self) -> Result<(Held, Box<Answer>), Refusal> {
         loop {
-            let held = self.place()?;
+            let held = self.wait().await?;
             let sent = self.send(&held).await;
             let (context, now) = (self.context.clone(), self.context.now());
             let gauge = &held.choice.endpoint.gauge;
@@ -154,17 +176,17 @@
                 );
             }
             match sent {
-                Sent::Answer(reply, answer) => {
+                Sent::Answer(answer) => {
                     let failed = answer.response.status().is_server_error();
                     if failed && self.call.route.kind == Kind::Repeatable && self.may_run_again() {
                         self.runs += 1;
                         self.avoid.push(held.choice.endpoint.name.clone());
                         continue;
                     }
-                    return Ok((held, reply, answer));
+                    return Ok((held, answer));
                 }
                 Sent::Unreachable(_) => {
-                    gauge.unreachable(now);
+                    gauge.refuse();
                     self.unsent += 1;
                     self.refusals += 1;
                 }
@@ -203,10 +225,42 @@
         self.call.route.kind.is_repeatable() && self.runs + 1 < self.call.route.attempts
     }
 
-    fn place(&mut self) -> Result<Held, Refusal> {
+    /// Places the call as soon as an engine has room.
+    async fn wait(&mut self) -> Result<Held, Refusal> {
+        loop {
+            match self.place()? {
+                Some(held) => return Ok(held),
+                None if !self.may_wait() => {
+                    let after = FULL_RETRY.mul_f64(0.5 + rand::random::<f64>());
+                    return Err(match self.runs {
+                        0 => Refusal::NotRun(after),
+                        _ => Refusal::Lost,
+                    });
+                }
+                None => time::sleep(LOOK_AGAIN.mul_f64(0.5 + rand::random::<f64>())).await,
+            }
+        }
+    }
+
+    /// Whether the call may go on waiting for room: beyond its objective, others that can still be
+    /// answered in time would go first again and again.
+    fn may_wait(&self) -> bool {
+        let now = self.context.now();
+        now.since(self.call.received) < self.call.route.objective
+    }
+
+    /// Whether the call can still be answered in time.
+    fn is_early(&self, now: Time) -> bool {
+        now.since(self.call.received) + FIRST_EVENT < self.call.route.objective
+    }
+
+    /// Places the call; `None` if it has to wait for room.
+    fn place(&mut self) -> Result<Option<Held>, Refusal> {
         let (context, call) = (&self.context, &self.call);
         let now = context.now();
-        if now + WAY_BACK >= call.deadline {
+        let streamed = call.ask.prompt.is_some();
+        let needed = if streamed { FIRST_EVENT } else { WAY_BACK };
+        if now + needed >= call.deadline {
             return Err(if self.runs > 0 { Refusal::TimedOut } else { self.unplaced() });
         }
         let fresh = context.freshness.is_within(context.settings.revocation, now);
@@ -214,42 +268,63 @@
             return Err(self.unplaced());
         }
         let service = call.route.service(name_hash(&call.ask.attempt));
-        if self.sends == self.unsent {
-            // Nothing has arrived at an upstream yet.
-            if self.sends == 0 {
-                context.budget().call(service, now);
-            }
-        } else if !context.budget().repeat(service, context.members.count(), now) {
-            info!(attempt = call.ask.attempt, service = service.as_str(), "no repeats left");
-            return Err(self.unplaced());
-        }
         let progress = context.progress.load();
         let query = Query {
             prompt: call.ask.prompt.as_ref(),
             owner: self.owner(),
             avoid: &self.avoid,
             old_weights: context.settings.weights,
+            room: self.room(service, now),
+            kv_store: self.kv_store(),
+            capacity: context.document.load().as_ref().map_or(0, |it| it.engine_tokens()),
             peers: &context.peers.load(),
             random: rand::random(),
         };
         let view = context.view.load();
         let choice = context.placer().choose(&query, view.service(service), &progress, now);
-        let choice = choice.map_err(|reason| {
-            info!(attempt = call.ask.attempt, service = service.as_str(), ?reason, "not placed");
-            self.unplaced()
-        })?;
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(Unplaced::Full) => return Ok(None),
+            Err(reason) => {
+                let service = service.as_str();
+                info!(attempt = call.ask.attempt, service, ?reason, "not placed");
+                return Err(self.unplaced());
+            }
+        };
+        if self.sends == 0 {
+            context.budget().call(service, now);
+        }
+        // What no connection opened for is no repeat to the upstreams.
+        let repeat = self.sends > self.unsent;
+        if repeat && !context.budget().repeat(service, context.members.count(), now) {
+            info!(attempt = call.ask.attempt, service = service.as_str(), "no repeats left");
+            return Err(self.unplaced());
+        }
+        let held = context.placer().sent(&query, &choice);
+        let mut facts = context.peers.facts();
+        held.into_iter().for_each(|it| facts.add(it));
+        drop(facts);
         self.sends += 1;
         info!(
             attempt = call.ask.attempt,
             upstream = choice.endpoint.name.as_str(),
             reason = choice.reason,
             version = choice.version.map(|it| it.0),
-            source = choice.source.as_ref().map(|it| it.name.as_str()),
+            source = choice.source.as_ref().map(|it| it.address().to_string()),
+            held = choice.depth.0,
+            found = choice.depth.1,
+            parts = call.ask.prompt.as_ref().map(|it| {
+                let parts = it.parts.iter().map(|it| format!("{:x}:{}", it.hash, it.tokens));
+                parts.collect::<Vec<_>>().join(",")
+            }),
+            owner = self.owner(),
+            save = choice.save,
             cost_ms = choice.cost_ms,
             waited_ms = now.since(call.received).as_millis() as u64,
             "sent"
         );
-        Ok(Held::new(choice))
+        let memory = call.ask.prompt.as_ref().map_or(0, Prompt::memory);
+        Ok(Some(Held::new(choice, memory, now)))
     }
 
     /// A number for the workspace if it shares no cached prompt.
@@ -258,6 +333,20 @@
         isolated.map_or(0, |it| name_hash(it.workspace.as_str()))
     }
 
+    /// Tokens that running calls may take of an engine's memory. Calls that are late already leave
+    /// some of it to those that can still be answered in time.
+    fn room(&self, service: &Service, now: Time) -> u64 {
+        let document = self.context.document.load();
+        let spec = document.as_ref().and_then(|it| it.service(service));
+        let capacity = spec.and_then(|it| it.capacity_tokens);
+        let share = if self.is_early(now) { RUNNING_SHARE } else { LATE_SHARE };
+        capacity.map_or(u64::MAX, |it| (it as f64 * share) as u64)
+    }
+
+    fn kv_store(&self) -> Option<KvStore> {
+        self.context.document.load().as_ref().and_then(|it| it.kv_store())
+    }
+
     fn dispatch(&self, choice: &Choice, left: Duration, last_event: Option<String>) -> Dispatch {
         Dispatch {
             upstream: choice.endpoint.name.clone(),
@@ -265,8 +354,8 @@
             left,
             version: choice.version,
             salt: choice.version.and_then(|it| self.call.salt(it)),
-            fetch: choice.source.as_ref().map(|it| it.record.address),
-            save: None,
+            fetch: choice.source.as_ref().map(Source::address),
+            save: self.kv_store().filter(|_| choice.save).map(|it| it.address),
             last_event: last_event.or_else(|| self.call.ask.last_event.clone()),
         }
     }
@@ -293,11 +382,17 @@
             true => left.min((call.route.objective * PATIENCE).max(left / 4)),
             false => left,
         };
-        let sent = match call.route.kind.is_repeatable() {
-            true => time::timeout(patience, context.client.send(address, request)).await,
-            // An idle connection may be closed as the request arrives; that would be the end of
-            // a call that may run once only.
-            false => time::timeout(patience, context.client.send_fresh(address, request)).await,
+        let send = async {
+            match call.route.kind.is_repeatable() {
+                true => context.client.send(address, request).await,
+                // An idle connection may be closed as the request arrives; that would be the end
+                // of a call that may run once only.
+                false => context.client.send_fresh(address, request).await,
+            }
+        };
+        let sent = tokio::select! {
+            sent = time::timeout(patience, send) => sent,
+            () = held.death.cancelled() => return Sent::Lost("the upstream is dead".to_owned()),
         };
         match sent {
             Err(_) => Sent::TimedOut,
@@ -315,9 +410,7 @@
         if !reply.own {
             return Sent::Lost("the answer is another request's".to_owned());
         }
-        if let Some(load) = reply.load {
-            gauge.report(load, self.context.now());
-        }
+        gauge.hear(self.context.now());
         if reply.misdirected {
             return Sent::NotRun("another run or other weights are at the address");
         }
@@ -327,14 +420,14 @@
         if status.is_success() && !reply.signed {
             return Sent::Lost("the answer is not signed".to_owned());
         }
-        Sent::Answer(reply, Box::new(answer))
+        Sent::Answer(Box::new(answer))
     }
 
     /// Passes an answer on.
-    async fn answer(mut self, held: Held, reply: Reply, answer: Box<Answer>) -> Response<Body> {
+    async fn answer(mut self, held: Held, answer: Box<Answer>) -> Response<Body> {
         let success = answer.response.status().is_success();
         if success && self.call.route.kind.is_stream() {
-            return self.stream(held, reply, answer);
+            return self.stream(held, answer);
         }
         let (mut held, mut answer) = (held, answer);
         loop {
@@ -368,7 +461,7 @@
             }
             self.runs += 1;
             self.avoid.push(held.choice.endpoint.name.clone());
-            (held, _, answer) = match self.run().await {
+            (held, answer) = match self.run().await {
                 Ok(found) => found,
                 Err(refusal) => return self.refuse(refusal),
             };
@@ -382,11 +475,11 @@
     }
 
     /// Passes a series of events on as they arrive.
-    fn stream(self, held: Held, reply: Reply, answer: Box<Answer>) -> Response<Body> {
+    fn stream(self, held: Held, answer: Box<Answer>) -> Response<Body> {
         let status = answer.response.status();
         let headers = stream_headers(answer.response.headers());
         let (sender, receiver) = mpsc::channel(WAITING_PIECES);
-        tokio::spawn(self.pump(held, reply, answer, sender));
+        tokio::spawn(self.pump(held, answer, sender));
         let body = StreamBody::new(tokio_stream(receiver)).boxed();
         let mut response = Response::new(body);
         *response.status_mut() = status;
@@ -397,22 +490,13 @@
     async fn pump(
         mut self,
         mut held: Held,
-        reply: Reply,
         mut answer: Box<Answer>,
         sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) {
         let mut last_event = self.call.ask.last_event.clone();
-        let mut reply = reply;
         let mut splitter = Splitter::default();
         loop {
-            let end = self.events(
-                &mut held,
-                &reply,
-                &mut answer,
-                &mut splitter,
-                &mut last_event,
-                &sender,
-            );
+            let end = self.events(&mut held, &mut answer, &mut splitter, &mut last_event, &sender);
             let end = end.await;
             let now = self.context.now();
             let upstream = held.choice.endpoint.name.clone();
@@ -451,24 +535,24 @@
                 true => self.resume(last_event.clone()).await,
                 false => None,
             };
-            let Some((next_held, next_reply, next_answer)) = next else {
+            let Some((next_held, next_answer)) = next else {
                 counter!("tealturn_streams_broken_total").increment(1);
                 // The connection must not look as if the answer were complete.
                 let broken = io::Error::other("the upstream's answer broke off");
                 drop(sender.send(Err(broken)).await);
                 return;
             };
-            (held, reply, answer) = (next_held, next_reply, next_answer);
+            (held, answer) = (next_held, next_answer);
         }
     }
 
     /// Continues a stream at another upstream.
-    async fn resume(&mut self, last: Option<String>) -> Option<(Held, Reply, Box<Answer>)> {
+    async fn resume(&mut self, last: Option<String>) -> Option<(Held, Box<Answer>)> {
         while self.refusals < MAX_REFUSALS {
-            let held = self.place().ok()?;
+            let held = self.wait().await.ok()?;
             match self.send_from(&held, last.clone()).await {
-                Sent::Answer(reply, answer) if answer.response.status().is_success() => {
-                    return Some((held, reply, answer));
+                Sent::Answer(answer) if answer.response.status().is_success() => {
+                    return Some((held, answer));
                 }
                 sent @ (Sent::Unreachable(_) | Sent::NotRun(_)) => {
                     self.unsent += u32::from(matches!(sent, Sent::Unreachable(_)));
@@ -481,24 +565,9 @@
         None
     }
 
-    /// Takes note of what an engine holds now.
-    fn learn(&self, held: &Held, reply: &Reply, now: Time) {
-        let (Some(prompt), Some(version)) = (&self.call.ask.prompt, held.choice.version) else {
-            return;
-        };
-        if reply.weights.is_some_and(|it| it != version) {
-            return;
-        }
-        let endpoint = &held.choice.endpoint;
-        let held = self.context.placer().read(prompt, self.owner(), endpoint, version, now);
-        let mut facts = self.context.peers.facts();
-        held.into_iter().for_each(|it| facts.add(it));
-    }
-
     async fn events(
         &self,
         held: &mut Held,
-        reply: &Reply,
         answer: &mut Answer,
         splitter: &mut Splitter,
         last_event: &mut Option<String>,
@@ -509,6 +578,9 @@
             let frame = tokio::select! {
                 frame = answer.response.body_mut().frame() => frame,
                 () = sender.closed() => return End::CallerLeft,
+                () = held.death.cancelled() => {
+                    return End::Broken("the upstream is dead".to_owned());
+                }
                 () = time::sleep(left) => return End::Expired,
             };
             let frame = match frame {
@@ -522,9 +594,8 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            if held.first() {
-                self.learn(held, reply, self.context.now());
-            }
+            held.choice.endpoint.gauge.hear(self.context.now());
+            held.first();
             let Some(events) = splitter.push(bytes) else {
                 if splitter.is_overlong() {
                     return End::Broken("an event is too long".to_owned());
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -208,6 +208,11 @@
         self.keep(answer.address, answer.connection, kept);
     }
 
+    /// Whether a connection to `address` opens within `timeout`. It is closed at once.
+    pub async fn opens(&self, address: SocketAddr, timeout: Duration) -> bool {
+        matches!(time::timeout(timeout, TcpStream::connect(address)).await, Ok(Ok(_)))
+    }
+
     /// Closes the idle connections to an address, for instance after one went silent.
     pub fn forget(&self, address: SocketAddr) {
         self.idle().remove(&address);
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,22 @@
+//! The gateway's decisions.
+
+#[path = "gateway/budget.rs"]
+mod budget;
+#[path = "gateway/cache.rs"]
+mod cache;
+#[path = "gateway/document.rs"]
+mod document;
+#[path = "gateway/gauge.rs"]
+mod gauge;
+#[path = "gateway/peer.rs"]
+mod peer;
+#[path = "gateway/place.rs"]
+mod place;
+#[path = "gateway/rollout.rs"]
+mod rollout;
+#[path = "gateway/roster.rs"]
+mod roster;
+#[path = "gateway/scene.rs"]
+mod scene;
+#[path = "gateway/stream.rs"]
+mod stream;
--- /dev/null
+++ b/tests/gateway/document.rs
@@ -0,0 +1,88 @@
+use std::time::Duration;
+
+use tealturn::{
+    gateway::document::{Document, Fault, Kind, Limits, Parts, Route, Tenant},
+    kernel::id::{Service, Workspace},
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "Wiki.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Repeatable,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 1,
+        backends: vec![(Service::from("old"), 90), (Service::from("new"), 10)],
+        attempts: 2,
+        public: false,
+        sticky: false,
+    }
+}
+
+fn parts(routes: Vec<Route>) -> Parts {
+    let tenant = Tenant { workspace: Workspace::from("clinic"), priority: Some(0), isolated: true };
+    Parts {
+        version: 7,
+        routes,
+        services: Vec::new(),
+        limits: Limits {
+            header_bytes: 16_384,
+            body_bytes: 4_194_304,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+        tenants: vec![(tenant, vec!["key-1".to_owned(), "key-2".to_owned()])],
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let routes = vec![route("short", "/wiki/"), route("long", "/wiki/page/")];
+    let document = Document::new(parts(routes)).expect("a valid document");
+    for case in [
+        Case { host: "wiki.example", path: "/wiki/x", route: Some("short") },
+        Case { host: "wiki.example", path: "/wiki/page/x", route: Some("long") },
+        Case { host: "WIKI.example", path: "/wiki/page/", route: Some("long") },
+        Case { host: "wiki.example", path: "/wiki", route: None },
+        Case { host: "wiki.example", path: "/wikipage/x", route: None },
+        Case { host: "other.example", path: "/wiki/x", route: None },
+    ] {
+        let found = document.route(case.host, case.path).map(|it| it.name.as_str());
+        assert_eq!(found, case.route, "{}{}", case.host, case.path);
+    }
+}
+
+#[test]
+fn keys_belong_to_workspaces_and_public_routes_need_none() {
+    let public = Route { public: true, ..route("public", "/open/") };
+    let document = Document::new(parts(vec![route("keyed", "/wiki/"), public])).expect("valid");
+    let keyed = document.route("wiki.example", "/wiki/x").expect("a route");
+    let public = document.route("wiki.example", "/open/x").expect("a route");
+    assert!(document.needs_key(keyed) && !document.needs_key(public));
+    let tenant = document.tenant("key-2").expect("a workspace");
+    assert_eq!(tenant.workspace.as_str(), "clinic");
+    assert!(document.tenant("key-3").is_none());
+}
+
+#[test]
+fn a_document_that_leads_nowhere_is_refused() {
+    let unslashed = Document::new(parts(vec![route("bad", "/wiki")])).map(|_| ());
+    assert_eq!(unslashed, Err(Fault::Prefix("bad".to_owned())));
+    let nowhere = Route { backends: Vec::new(), ..route("nowhere", "/wiki/") };
+    let nowhere = Document::new(parts(vec![nowhere])).map(|_| ());
+    assert_eq!(nowhere, Err(Fault::Backends("nowhere".to_owned())));
+}
+
+#[test]
+fn calls_are_divided_by_the_shares() {
+    let route = route("split", "/wiki/");
+    let new = (0..1_000).filter(|it| route.service(*it).as_str() == "new").count();
+    assert_eq!(new, 100);
+}
--- /dev/null
+++ b/tests/gateway/place.rs
@@ -0,0 +1,203 @@
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use tealturn::{
+    gateway::{
+        call::Prompt,
+        document::KvStore,
+        peer::{Load, Share},
+        place::{Choice, Placer, Query, Source, Unplaced},
+        rollout::{Mark, Marks, Progress, Stage},
+        roster::Endpoint,
+    },
+    kernel::{
+        clock::Time,
+        id::{Model, Version, Zone},
+    },
+};
+
+use crate::scene::{MODEL, engines, prompt};
+
+const START: Time = Time::from_millis(100_000);
+const CAPACITY: u64 = 115_000;
+const ROOM: u64 = CAPACITY / 2;
+
+fn placer() -> Placer {
+    Placer::new(45.0, Zone::from("a"))
+}
+
+fn query<'a>(prompt: &'a Prompt, peers: &'a Load) -> Query<'a> {
+    Query {
+        prompt: Some(prompt),
+        owner: 0,
+        avoid: &[],
+        old_weights: Duration::from_secs(10),
+        room: ROOM,
+        kv_store: None,
+        capacity: CAPACITY,
+        peers,
+        random: 0,
+    }
+}
+
+fn stored<'a>(prompt: &'a Prompt, peers: &'a Load, store: KvStore) -> Query<'a> {
+    Query { kv_store: Some(store), ..query(prompt, peers) }
+}
+
+fn send(placer: &mut Placer, query: &Query<'_>, engines: &[Arc<Endpoint>]) -> Choice {
+    let choice = placer.choose(query, engines, &Progress::default(), START).expect("a choice");
+    placer.sent(query, &choice);
+    choice
+}
+
+#[test]
+fn daemons_that_know_nothing_agree_on_homes_and_spread_them() {
+    let engines = engines(&[1; 12]);
+    let peers = Load::default();
+    let mut homes: BTreeMap<String, u32> = BTreeMap::new();
+    for subject in 100..500 {
+        let prompt = prompt(subject, 1);
+        let query = query(&prompt, &peers);
+        let chosen: Vec<_> = (0..3)
+            .map(|_| send(&mut placer(), &query, &engines).endpoint.name.to_string())
+            .collect();
+        assert!(chosen.iter().all(|it| *it == chosen[0]), "{subject}: {chosen:?}");
+        *homes.entry(chosen[0].clone()).or_default() += 1;
+    }
+    assert_eq!(homes.len(), 12);
+    assert!(homes.values().all(|it| (15..=60).contains(it)), "{homes:?}");
+}
+
+#[test]
+fn calls_about_one_subject_stay_together_while_others_go_elsewhere() {
+    let engines = engines(&[1; 12]);
+    let peers = Load::default();
+    let mut placer = placer();
+    let first = prompt(7, 1);
+    let home = send(&mut placer, &query(&first, &peers), &engines);
+    assert_eq!((home.reason, home.depth), ("home", (0, 0)));
+    let second = prompt(7, 2);
+    let again = send(&mut placer, &query(&second, &peers), &engines);
+    assert_eq!((again.reason, again.tokens), ("held", 2_890));
+    assert_eq!(again.endpoint.name, home.endpoint.name);
+}
+
+/// Answers the overload in which every engine read everything again: a hot subject moves on only
+/// when its holder has so much to do that the answer would be late, and the copy is fetched.
+#[test]
+fn a_hot_subject_is_copied_by_fetching_only_when_its_holder_is_busy() {
+    let engines = engines(&[1; 12]);
+    let mut placer = placer();
+    let first = prompt(7, 1);
+    let none = Load::default();
+    let home = send(&mut placer, &query(&first, &none), &engines);
+    let busy = |tokens| {
+        let engine = home.endpoint.hash;
+        Load::from_iter([(engine, Share { engine, calls: 3, tokens, memory: 30_000 })])
+    };
+    let second = prompt(7, 2);
+    let stays = send(&mut placer, &query(&second, &busy(6_000)), &engines);
+    assert_eq!(stays.endpoint.name, home.endpoint.name);
+    let moves = send(&mut placer, &query(&second, &busy(30_000)), &engines);
+    assert_ne!(moves.endpoint.name, home.endpoint.name);
+    assert_eq!((moves.reason, moves.depth.1), ("copy", 2));
+    let source = moves.source.map(|it| it.address());
+    assert_eq!(source, Some(home.endpoint.record.address));
+}
+
+#[test]
+fn what_no_engine_holds_any_more_comes_from_the_kv_store() {
+    let engines = engines(&[1; 3]);
+    let peers = Load::default();
+    let mut placer = placer();
+    let store = KvStore { address: ([10, 0, 0, 9], 9_000).into(), capacity_tokens: 2_000_000 };
+    let first = prompt(7, 1);
+    let choice = send(&mut placer, &stored(&first, &peers, store), &engines);
+    assert!(choice.save, "the store has nothing of it yet");
+    for other in 1_000..1_200 {
+        let prompt = prompt(other, other);
+        send(&mut placer, &stored(&prompt, &peers, store), &engines);
+    }
+    let again = prompt(7, 2);
+    let choice = send(&mut placer, &stored(&again, &peers, store), &engines);
+    assert!(matches!(choice.source, Some(Source::Store(_))), "{:?}", choice.source);
+    assert!(!choice.save);
+    assert_eq!(choice.tokens, 2_890);
+}
+
+#[test]
+fn running_calls_leave_room_for_cached_prompts() {
+    let engines = engines(&[1; 2]);
+    let mut placer = placer();
+    let prompt = prompt(7, 1);
+    let taken = |memory| {
+        let share = |it: &Arc<Endpoint>| Share { engine: it.hash, calls: 5, tokens: 0, memory };
+        Load::from_iter(engines.iter().map(|it| (it.hash, share(it))))
+    };
+    let (some, most) = (taken(ROOM - 9_200), taken(ROOM - 9_199));
+    send(&mut placer, &query(&prompt, &some), &engines);
+    let full = placer.choose(&query(&prompt, &most), &engines, &Progress::default(), START);
+    assert_eq!(full.map(|_| ()), Err(Unplaced::Full));
+    let large = Prompt { tokens: 2 * ROOM, ..prompt };
+    let idle = Load::default();
+    let choice = placer.choose(&query(&large, &idle), &engines, &Progress::default(), START);
+    assert!(choice.is_ok(), "an idle engine takes any call");
+}
+
+#[test]
+fn old_weights_serve_only_for_a_time_and_only_if_new_ones_are_busy() {
+    struct Case {
+        since_ms: u64,
+        versions: &'static [u64],
+        chosen: Option<u64>,
+    }
+    for case in [
+        Case { since_ms: 0, versions: &[1, 1], chosen: Some(1) },
+        Case { since_ms: 5_000, versions: &[1, 1], chosen: Some(1) },
+        Case { since_ms: 5_000, versions: &[1, 2], chosen: Some(2) },
+        Case { since_ms: 9_400, versions: &[1, 1], chosen: None },
+        Case { since_ms: 9_400, versions: &[1, 2], chosen: Some(2) },
+    ] {
+        let engines = engines(case.versions);
+        let mut progress = Progress::default();
+        let named = START - Duration::from_millis(case.since_ms);
+        progress.want(&Model::from(MODEL), Version(2), named);
+        let (prompt, peers) = (prompt(7, 1), Load::default());
+        let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
+        let chosen = choice.ok().and_then(|it| it.version).map(|it| it.0);
+        assert_eq!(chosen, case.chosen, "{} ms, {:?}", case.since_ms, case.versions);
+    }
+}
+
+#[test]
+fn an_engine_that_loads_or_is_dead_gets_no_calls() {
+    let engines = engines(&[1; 2]);
+    let (prompt, peers) = (prompt(7, 1), Load::default());
+    let mut progress = Progress::default();
+    let loading = Mark {
+        engine: engines[0].name.clone(),
+        incarnation: engines[0].record.incarnation,
+        version: Version(2),
+        stage: Stage::Loading,
+    };
+    progress.mark(&Model::from(MODEL), 1, &Marks { marks: vec![loading] });
+    let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
+    assert_eq!(choice.expect("a choice").endpoint.name, engines[1].name);
+    engines[1].gauge.refuse();
+    let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
+    assert_eq!(choice.map(|_| ()), Err(Unplaced::Closed));
+    let none = placer().choose(&query(&prompt, &peers), &[], &progress, START);
+    assert_eq!(none.map(|_| ()), Err(Unplaced::None));
+}
+
+#[test]
+fn isolated_workspaces_never_share_a_cached_prompt() {
+    let engines = engines(&[1; 3]);
+    let peers = Load::default();
+    let mut placer = placer();
+    let prompt = prompt(7, 1);
+    let query = query(&prompt, &peers);
+    send(&mut placer, &query, &engines);
+    let other = Query { owner: 99, ..query };
+    let choice = placer.choose(&other, &engines, &Progress::default(), START).expect("a choice");
+    assert_eq!(choice.depth, (0, 0));
+}
--- /dev/null
+++ b/tests/gateway/roster.rs
@@ -0,0 +1,65 @@
+use tealturn::{
+    gateway::roster::{LAPSE, Record, Roster},
+    kernel::{clock::Time, id::Incarnation},
+};
+
+use crate::scene::{name, record};
+
+const START: Time = Time::from_millis(10_000);
+
+fn names(roster: &Roster) -> Vec<String> {
+    let view = roster.view();
+    let mut names: Vec<_> = view.all().map(|it| it.name.to_string()).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn an_entry_that_is_removed_while_the_store_answers_is_gone_at_once() {
+    let mut roster = Roster::default();
+    roster.insert(&name(0), record(0, 1));
+    roster.insert(&name(1), record(1, 1));
+    roster.remove(&name(0));
+    roster.expire(START);
+    assert_eq!(names(&roster), ["engine-1"]);
+}
+
+#[test]
+fn an_entry_that_ran_out_while_the_store_was_away_is_kept_for_a_while() {
+    let mut roster = Roster::default();
+    roster.insert(&name(0), record(0, 1));
+    roster.insert(&name(1), record(1, 1));
+    roster.store_lost();
+    roster.expire(START);
+    roster.store_answered(START);
+    roster.retain(&[]);
+    roster.expire(START);
+    assert_eq!(names(&roster), ["engine-0", "engine-1"]);
+    roster.insert(&name(1), record(1, 1));
+    roster.expire(START + LAPSE);
+    assert_eq!(names(&roster), ["engine-1"], "the other was not written again");
+}
+
+#[test]
+fn a_draining_upstream_gets_no_calls_also_while_the_store_is_away() {
+    let mut roster = Roster::default();
+    roster.insert(&name(0), record(0, 1));
+    roster.store_lost();
+    roster.insert(&name(0), Record { draining: true, ..record(0, 1) });
+    assert!(names(&roster).is_empty());
+}
+
+#[test]
+fn a_restart_under_the_same_name_starts_with_a_clean_slate() {
+    let mut roster = Roster::default();
+    roster.insert(&name(0), record(0, 1));
+    let view = roster.view();
+    let first = view.all().next().expect("an engine").gauge.clone();
+    first.refuse();
+    roster.insert(&name(0), record(0, 2));
+    let same = roster.view().all().next().expect("an engine").gauge.is_dead();
+    assert!(same, "new weights are no new run");
+    roster.insert(&name(0), Record { incarnation: Incarnation(2), ..record(0, 2) });
+    let restarted = roster.view().all().next().expect("an engine").gauge.is_dead();
+    assert!(!restarted);
+}
--- /dev/null
+++ b/tests/gateway/scene.rs
@@ -0,0 +1,53 @@
+//! Engines and prompts for the tests.
+
+use std::sync::Arc;
+
+use tealturn::{
+    gateway::{
+        call::{Part, Prompt},
+        roster::{Endpoint, Record, Roster},
+    },
+    kernel::id::{Incarnation, Model, Service, Upstream, Version, Zone},
+};
+
+pub const MODEL: &str = "wiki";
+
+/// The entry of an engine with weights of `version`.
+pub fn record(number: u16, version: u64) -> Record {
+    Record {
+        service: Service::from("engines"),
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        zone: Zone::from("a"),
+        slots: 64,
+        draining: false,
+        incarnation: Incarnation(1),
+        weights: vec![(Model::from(MODEL), Version(version))],
+    }
+}
+
+pub fn name(number: u16) -> Upstream {
+    Upstream::from(&*format!("engine-{number}"))
+}
+
+/// Engines with these versions, by number.
+pub fn engines(versions: &[u64]) -> Vec<Arc<Endpoint>> {
+    let mut roster = Roster::default();
+    for (number, version) in versions.iter().enumerate() {
+        roster.insert(&name(number as u16), record(number as u16, *version));
+    }
+    roster.view().service(&Service::from("engines")).to_vec()
+}
+
+/// A long prompt about a subject; `own` is the part of this call alone.
+pub fn prompt(subject: u64, own: u64) -> Prompt {
+    Prompt {
+        model: Model::from(MODEL),
+        tokens: 9_190,
+        max_output: 10,
+        parts: vec![
+            Part { hash: 1, tokens: 2_520 },
+            Part { hash: subject, tokens: 3_780 },
+            Part { hash: own, tokens: 2_890 },
+        ],
+    }
+}
