--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,7 +1,7 @@
 //! What callers, upstreams and operators speak. An adapter implements these traits; the gateway
 //! decides.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use http::request;
@@ -73,7 +73,7 @@
 #[derive(Debug)]
 pub enum Edict {
     /// A whole document.
-    Document(Document),
+    Document(Arc<Document>),
     /// The weights that a model should be served by.
     Weights(Model, Version),
     /// A row of no concern.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -188,14 +188,14 @@
 }
 
 /// Puts a document in force unless a newer one is.
-pub fn put_in_force(context: &Context, document: Document, source: &Row) {
+pub fn put_in_force(context: &Context, document: Arc<Document>, source: &Row) {
     let known = context.document.load().as_ref().map(|it| it.version);
     if known.is_some_and(|it| it >= document.version) {
         return;
     }
     info!(version = document.version, before = known, "configuration in force");
     context.source.store(Some(Arc::new(source.clone())));
-    context.document.store(Some(Arc::new(document)));
+    context.document.store(Some(document));
 }
 
 /// Forgets entries that have run out, after the store's return.
