--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -39,9 +39,12 @@
     /// # Errors
     ///
     /// [`crate::Error::Io`] if the address can't be bound.
-    pub async fn bind(setup: Setup) -> Result<Controller> {
+    pub async fn bind(mut setup: Setup) -> Result<Controller> {
         let caller = TcpListener::bind(setup.settings.caller).await?;
         let peer = TcpListener::bind(setup.settings.peer).await?;
+        // With port 0 the system has chosen one.
+        setup.settings.caller = caller.local_addr()?;
+        setup.settings.peer = peer.local_addr()?;
         Ok(Controller { peer, context: Arc::new(Context::new(setup)), caller })
     }
 
