Write the lease on orders beside the work, and look anew for engines that lack weights

Change: renewals are sent every 0.4 s whether earlier ones were answered or not; a conflict with an own row tells its version; the list is made after the loads that ended.

--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -20,7 +20,7 @@
         peer::Told,
         rollout::{Claim, Lease, Mark, Marks, Stage, Watch, loads_at_once},
         roster::Endpoint,
-        store::{Row, Topic, Write, Written},
+        store::{Failure, Row, Topic, Write, Written},
     },
     kernel::{
         clock::Time,
@@ -85,6 +85,8 @@
         marks: Map::default(),
         loads: JoinSet::new(),
         room: Map::default(),
+        writes: JoinSet::new(),
+        wrote: Time::default(),
     };
     tokio::select! {
         () = stop.cancelled() => {}
@@ -103,14 +105,25 @@
     loads: JoinSet<(Upstream, Model, Version, bool)>,
     /// Room for the loads of each model that have been ordered.
     room: Map<Model, Arc<Semaphore>>,
+    /// Writes of the lease that have no answer yet. Work goes on meanwhile, and a lost answer delays
+    /// no other.
+    writes: JoinSet<Attempt>,
+    /// When the lease was written last.
+    wrote: Time,
+}
+
+/// A write of the lease.
+struct Attempt {
+    sent: Time,
+    fence: u64,
+    result: Result<Written, Failure>,
 }
 
 impl Operator {
     async fn run(mut self) {
         loop {
             time::sleep(TICK).await;
-            let work = self.work();
-            if work.is_empty() && self.loading.is_empty() {
+            if self.work().is_empty() && self.loading.is_empty() {
                 self.watch.reset();
                 self.look_at = Time::default();
                 continue;
@@ -118,9 +131,12 @@
             if self.context.leaving.is_cancelled() && self.tenure.is_none() {
                 continue;
             }
+            self.settle();
             self.hold().await;
             if self.tenure.is_some() {
                 self.collect();
+                // Looked at anew: the engines whose loads have just ended are done.
+                let work = self.work();
                 self.start(work);
             }
         }
@@ -144,11 +160,14 @@
     async fn hold(&mut self) {
         let now = self.context.now();
         if let Some(tenure) = &self.tenure {
-            if now.since(tenure.renewed) < RENEW_EVERY {
-                return;
+            if now.since(self.wrote) >= RENEW_EVERY {
+                let (version, fence) = (tenure.version, tenure.fence);
+                self.put(version, fence);
             }
-            let (version, fence) = (tenure.version, tenure.fence);
-            return self.put(Some(version), fence).await;
+            return;
+        }
+        if !self.writes.is_empty() {
+            return;
         }
         if self.look_at == Time::default() {
             self.look_at = now + STAGGER * self.place() as u32;
@@ -165,25 +184,23 @@
     }
 
     async fn decide(&mut self, row: Option<Row>) {
-        let lease = row.as_ref().and_then(|it| it.value.as_deref());
-        let lease: Option<Lease> = lease.and_then(|it| serde_json::from_slice(it).ok());
-        let own = lease.as_ref().is_some_and(|it| {
-            let same = it.holder == self.context.settings.daemon.as_str();
-            same && it.incarnation == self.context.incarnation
-        });
+        let value = row.as_ref().and_then(|it| it.value.as_deref());
+        let lease: Option<Lease> = value.and_then(|it| serde_json::from_slice(it).ok());
+        let own = value.is_some_and(|it| self.is_own(it));
         let idle = TENURE + self.context.settings.lease + MARGIN;
         let version = row.map(|it| it.version);
         let now = self.context.now();
         let fence = lease.map_or(0, |it| it.fence);
         match self.watch.claim(version, own, idle, now) {
-            Claim::Own => self.put(version, fence).await,
-            Claim::Take => self.put(Some(version.unwrap_or(0)), fence + 1).await,
+            Claim::Own => self.put(version.unwrap_or(0), fence),
+            Claim::Take => self.put(version.unwrap_or(0), fence + 1),
             Claim::Wait => {}
         }
     }
 
-    async fn put(&mut self, expected: Option<u64>, fence: u64) {
-        let context = &self.context;
+    /// Writes the lease if its row has the `expected` version.
+    fn put(&mut self, expected: u64, fence: u64) {
+        let context = self.context.clone();
         let lease = Lease {
             holder: context.settings.daemon.as_str().to_owned(),
             incarnation: context.incarnation,
@@ -193,30 +210,70 @@
             Ok(value) => value,
             Err(error) => return warn!(%error, "lease not encoded"),
         };
-        let key = LEASE_KEY.to_owned();
-        let write = Write { topic: Topic::Leases, key, expected, value: Some(value) };
+        let (topic, key) = (Topic::Leases, LEASE_KEY.to_owned());
+        let write = Write { topic, key, expected: Some(expected), value: Some(value) };
         let sent = context.now();
-        match context.store.write(&write).await {
-            Ok(Written::Done(version)) => {
-                let until = match &self.tenure {
-                    Some(tenure) => tenure.until.clone(),
-                    None => {
-                        info!(fence, "lease on orders taken");
-                        Arc::default()
-                    }
-                };
-                until.store((sent + TENURE).0, Ordering::Release);
-                self.tenure = Some(Tenure { fence, version, renewed: sent, until });
+        self.wrote = sent;
+        self.writes.spawn(async move {
+            let result = context.store.write(&write).await;
+            Attempt { sent, fence, result }
+        });
+    }
+
+    /// Takes note of the writes that have an answer.
+    fn settle(&mut self) {
+        while let Some(attempt) = self.writes.try_join_next() {
+            let Ok(Attempt { sent, fence, result }) = attempt else {
+                continue;
+            };
+            match result {
+                Ok(Written::Done(version)) => self.renewed(sent, fence, version),
+                Ok(Written::Conflict(row)) => self.conflict(row),
+                // Orders end with the time of the last renewal. Whether it was written shows in
+                // the answer to the next one.
+                Err(failure) => warn!(%failure, "lease not written"),
             }
-            Ok(Written::Conflict(_)) => self.lose("another daemon wrote it"),
-            Err(failure) => {
-                // Whether it was written shows when it is read next.
-                warn!(%failure, "lease not written");
-                self.lose("no answer");
+        }
+    }
+
+    fn renewed(&mut self, sent: Time, fence: u64, version: u64) {
+        let (until, renewed, version) = match &self.tenure {
+            Some(it) => (it.until.clone(), it.renewed.max(sent), it.version.max(version)),
+            None => {
+                info!(fence, "lease on orders taken");
+                (Arc::default(), sent, version)
             }
+        };
+        until.store((renewed + TENURE).0, Ordering::Release);
+        self.tenure = Some(Tenure { fence, version, renewed, until });
+    }
+
+    /// The row is not as it was expected: a renewal whose answer was lost may have been written.
+    fn conflict(&mut self, row: Option<Row>) {
+        let version = row.as_ref().map(|it| it.version);
+        let own = row.and_then(|it| it.value).is_some_and(|it| self.is_own(&it));
+        match (&mut self.tenure, version) {
+            // An earlier write, whose answer is still on its way or lost.
+            (Some(tenure), Some(version)) if own => {
+                if tenure.version < version {
+                    tenure.version = version;
+                    self.wrote = Time::default();
+                }
+            }
+            (None, _) if own => {}
+            _ => self.lose("another daemon wrote it"),
         }
     }
 
+    /// Whether the value of a lease's row names this run of this daemon.
+    fn is_own(&self, value: &[u8]) -> bool {
+        let lease: Option<Lease> = serde_json::from_slice(value).ok();
+        lease.is_some_and(|it| {
+            let same = it.holder == self.context.settings.daemon.as_str();
+            same && it.incarnation == self.context.incarnation
+        })
+    }
+
     fn lose(&mut self, reason: &str) {
         if let Some(tenure) = self.tenure.take() {
             tenure.until.store(0, Ordering::Release);
