Bar requests that crash upstreams, serve metrics, and write the log by a thread

Cause: the gateway did not know the requests that crash whatever runs them, which come again at any daemon; it had no metrics address; each line of the log was written by the thread that serves.

Change: a broken connection is followed by a probe; if the upstream is gone, what ran there is marked, two marks bar a request, and daemons tell each other their marks. Metrics are served at the address that the deploy file names. Lines wait in a bounded queue; dropped ones are counted.

Ruled out: refusing suspects after one crash, as completions do: a crash takes some ten innocent requests with it, and those that can be resumed would be lost.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,8 +9,9 @@
     gateway::document::{Route, Tenant},
     kernel::{
         clock::Time,
-        id::{Incarnation, Model, Upstream, Version},
+        id::{Incarnation, Model, Upstream, Version, Workspace},
     },
+    request::suspect::Fingerprint,
 };
 
 /// A part of a prompt. Parts that several calls share have the same number.
@@ -94,6 +95,17 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// By which the call is known if it crashes upstreams, whoever sends it again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let none = Workspace::from("");
+        let workspace = self.tenant.as_ref().map_or(&none, |it| &it.workspace);
+        let mut text = Vec::with_capacity(self.target.len() + self.body.len() + 1);
+        text.extend_from_slice(self.target.as_bytes());
+        text.push(0);
+        text.extend_from_slice(&self.body);
+        Fingerprint::new(workspace, &text)
+    }
+
     /// The text under which engines may share this call's cached prompt: other weights, and other
     /// workspaces if one of them is isolated, have another.
     pub fn salt(&self, version: Version) -> Option<String> {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,6 +1,9 @@
 //! What the gateway's tasks share.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicU64, Ordering},
+};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio_util::sync::CancellationToken;
@@ -22,8 +25,9 @@
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
-        id::Incarnation,
+        id::{Incarnation, Request},
     },
+    request::suspect::Table,
 };
 
 /// What an adapter brings.
@@ -83,6 +87,8 @@
     roster: Mutex<Roster>,
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
+    suspects: Mutex<Table>,
+    runs: AtomicU64,
 }
 
 impl Context {
@@ -111,6 +117,8 @@
             roster: Mutex::default(),
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
+            suspects: Mutex::default(),
+            runs: AtomicU64::new(0),
             settings: setup.settings,
         }
     }
@@ -155,6 +163,16 @@
         self.placer.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// The requests that crashed upstreams.
+    pub fn suspects(&self) -> MutexGuard<'_, Table> {
+        self.suspects.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// A number for one sending of a call, unique in this run of the daemon.
+    pub fn next_run(&self) -> Request {
+        Request(u128::from(self.runs.fetch_add(1, Ordering::Relaxed)))
+    }
+
     /// The count of repeats.
     pub fn budget(&self) -> MutexGuard<'_, Budget> {
         self.budget.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     collections::Map,
+    fleet::board::Fact,
     gateway::{cache::Held, rollout::Marks},
     kernel::{
         clock::Time,
@@ -85,6 +86,8 @@
     pub shares: Vec<Share>,
     /// The runs of upstreams that it has found dead, by the hash of their names.
     pub dead: Vec<(u64, Incarnation)>,
+    /// The requests that crashed upstreams.
+    pub suspects: Vec<Fact>,
 }
 
 /// The facts of this daemon, numbered.
--- a/src/gateway/pulse.rs
+++ b/src/gateway/pulse.rs
@@ -96,6 +96,7 @@
         held,
         shares,
         dead,
+        suspects: context.suspects().facts(),
     }
 }
 
@@ -203,6 +204,9 @@
             context.placer().learn(&news.held, tokens, store);
         }
         context.tell(&news);
+        for fact in &news.suspects {
+            context.suspects().learn(fact, now);
+        }
         for endpoint in context.view.load().all() {
             if news.dead.contains(&(endpoint.hash, endpoint.record.incarnation)) {
                 endpoint.gauge.suspect(now);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::{HeaderMap, Request, Response, body::Frame, header};
+use hyper::{HeaderMap, Response, body::Frame, header};
 use metrics::{counter, histogram};
 use tokio::{sync::mpsc, time};
 use tokio_util::sync::CancellationToken;
@@ -19,13 +19,15 @@
         document::{Kind, KvStore},
         entry::end_to_end,
         place::{Choice, Query, Source, Unplaced},
+        roster::Endpoint,
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
     kernel::{
         clock::Time,
-        id::{Service, Upstream},
+        id::{Request, Service, Upstream},
     },
+    request::suspect::Fingerprint,
     route::pool::name_hash,
 };
 
@@ -41,6 +43,9 @@
 /// How long an engine that has refused a call gets no others: it loads weights or is full.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 
+/// The longest wait for a connection to an upstream whose connection broke.
+const CRASH_PROBE: Duration = Duration::from_millis(100);
+
 /// When a caller may come back after a refusal for want of an upstream.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -82,6 +87,7 @@
 struct Drive {
     context: Arc<Context>,
     call: Call,
+    fingerprint: Fingerprint,
     avoid: Vec<Upstream>,
     runs: u32,
     refusals: u32,
@@ -97,12 +103,45 @@
     memory: u64,
     /// Cancelled if the upstream is found dead.
     death: CancellationToken,
+    context: Arc<Context>,
+    /// This sending, among the requests that may have crashed an upstream.
+    run: Request,
+    finished: bool,
 }
 
 impl Held {
-    fn new(choice: Choice, memory: u64, now: Time) -> Held {
-        let death = choice.endpoint.gauge.start(choice.tokens, memory, now);
-        Held { unread: choice.tokens, memory, death, choice }
+    fn new(context: &Arc<Context>, choice: Choice, memory: u64, asked: Fingerprint) -> Held {
+        let endpoint = &choice.endpoint;
+        let death = endpoint.gauge.start(choice.tokens, memory, context.now());
+        let run = context.next_run();
+        let incarnation = endpoint.record.incarnation;
+        let mut suspects = context.suspects();
+        suspects.started(run, asked, &endpoint.name, incarnation);
+        drop(suspects);
+        let (unread, context) = (choice.tokens, context.clone());
+        Held { choice, unread, memory, death, context, run, finished: false }
+    }
+
+    /// The answer is whole.
+    fn finish(&mut self) {
+        self.choice.endpoint.gauge.succeed();
+        self.finished = true;
+    }
+
+    /// The connection broke: finds out whether the upstream has crashed, for which the calls that
+    /// ran there are suspected.
+    async fn broken(&self) {
+        let Endpoint { name, record, gauge, .. } = &*self.choice.endpoint;
+        let now = self.context.now();
+        gauge.fail(now);
+        if self.context.client.opens(record.address, CRASH_PROBE).await {
+            return;
+        }
+        gauge.refuse();
+        let facts = self.context.suspects().crashed(name, record.incarnation, now);
+        if !facts.is_empty() {
+            info!(upstream = name.as_str(), suspects = facts.len(), "upstream crashed");
+        }
     }
 
     /// The first event has arrived, so that the prompt was read.
@@ -115,13 +154,23 @@
     fn drop(&mut self) {
         self.first();
         self.choice.endpoint.gauge.end(self.memory);
+        let now = self.context.now();
+        self.context.suspects().ended(self.run, self.finished, now);
     }
 }
 
 /// Serves a call.
 pub async fn relay(context: Arc<Context>, call: Call) -> Response<Body> {
-    let mut drive =
-        Drive { context, call, avoid: Vec::new(), runs: 0, refusals: 0, sends: 0, unsent: 0 };
+    let mut drive = Drive {
+        context,
+        fingerprint: call.fingerprint(),
+        call,
+        avoid: Vec::new(),
+        runs: 0,
+        refusals: 0,
+        sends: 0,
+        unsent: 0,
+    };
     match drive.run().await {
         Ok((held, answer)) => drive.answer(held, answer).await,
         Err(refusal) => drive.refuse(refusal),
@@ -195,7 +244,7 @@
                     self.refusals += 1;
                 }
                 Sent::Lost(_) => {
-                    gauge.fail(now);
+                    held.broken().await;
                     if !self.may_run_again() {
                         self.runs += 1;
                         return Err(Refusal::Lost);
@@ -267,6 +316,13 @@
         if call.tenant.is_some() && !fresh {
             return Err(self.unplaced());
         }
+        if let Some(after) = context.suspects().bar(self.fingerprint, now) {
+            info!(attempt = call.ask.attempt, "barred: it crashed upstreams");
+            return Err(match self.runs {
+                0 => Refusal::NotRun(after),
+                _ => Refusal::Lost,
+            });
+        }
         let service = call.route.service(name_hash(&call.ask.attempt));
         let progress = context.progress.load();
         let query = Query {
@@ -313,18 +369,13 @@
             source = choice.source.as_ref().map(|it| it.address().to_string()),
             held = choice.depth.0,
             found = choice.depth.1,
-            parts = call.ask.prompt.as_ref().map(|it| {
-                let parts = it.parts.iter().map(|it| format!("{:x}:{}", it.hash, it.tokens));
-                parts.collect::<Vec<_>>().join(",")
-            }),
-            owner = self.owner(),
             save = choice.save,
             cost_ms = choice.cost_ms,
             waited_ms = now.since(call.received).as_millis() as u64,
             "sent"
         );
         let memory = call.ask.prompt.as_ref().map_or(0, Prompt::memory);
-        Ok(Some(Held::new(choice, memory, now)))
+        Ok(Some(Held::new(context, choice, memory, self.fingerprint)))
     }
 
     /// A number for the workspace if it shares no cached prompt.
@@ -370,7 +421,7 @@
         let dispatch = self.dispatch(&held.choice, left, last_event);
         let mut headers = call.headers.clone();
         context.dialect.dispatch(call, &dispatch, &mut headers);
-        let mut request = Request::new(Full::new(call.body.clone()));
+        let mut request = hyper::Request::new(Full::new(call.body.clone()));
         *request.method_mut() = call.method.clone();
         match call.target.parse() {
             Ok(uri) => *request.uri_mut() = uri,
@@ -440,7 +491,7 @@
                     if status.is_server_error() {
                         held.choice.endpoint.gauge.fail(self.context.now());
                     } else {
-                        held.choice.endpoint.gauge.succeed();
+                        held.finish();
                     }
                     self.record();
                     let body = Full::new(body).map_err(|never| match never {}).boxed();
@@ -455,7 +506,7 @@
                 }
                 Err(_) => return self.refuse(Refusal::TimedOut),
             }
-            held.choice.endpoint.gauge.fail(self.context.now());
+            held.broken().await;
             if !self.may_run_again() {
                 return self.refuse(Refusal::Lost);
             }
@@ -502,7 +553,7 @@
             let upstream = held.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
-                    held.choice.endpoint.gauge.succeed();
+                    held.finish();
                     self.context.client.release(*answer);
                     self.record();
                     return;
@@ -513,7 +564,10 @@
                 }
                 End::Expired | End::Broken(_) => {}
             }
-            held.choice.endpoint.gauge.fail(now);
+            match end {
+                End::Broken(_) => held.broken().await,
+                _ => drop(held.choice.endpoint.gauge.fail(now)),
+            }
             let reason = match end {
                 End::Broken(reason) => reason,
                 _ => "the deadline has passed".to_owned(),
--- a/src/report/log.rs
+++ b/src/report/log.rs
@@ -1,7 +1,14 @@
 //! The log: one line for each change of state, to standard error.
 
-use std::io;
+use std::{
+    io::{self, BufWriter, Write},
+    sync::OnceLock,
+    time::Duration,
+};
 
+use metrics::counter;
+use tokio::time;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::{
@@ -30,11 +37,25 @@
     Ok(())
 }
 
-/// Starts the log of this process as one JSON object a line; `RUST_LOG` has no say.
-pub fn start_json<W>(writer: W)
-where
-    W: for<'a> tracing_subscriber::fmt::MakeWriter<'a> + Send + Sync + 'static,
-{
+/// Lines that wait to be written; beyond it lines are dropped and counted, so that no request waits
+/// for the log.
+const WAITING_LINES: usize = 8_192;
+
+/// Bytes that are written at once.
+const WRITE_BYTES: usize = 16 * 1024;
+
+/// The time between counts of dropped lines.
+const COUNT_EVERY: Duration = Duration::from_secs(5);
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Starts the log of this process as one JSON object a line, written by a thread of its own. The
+/// last lines are written when the guard is dropped.
+pub fn start_json(writer: impl Write + Send + 'static) -> WorkerGuard {
+    let writer = BufWriter::with_capacity(WRITE_BYTES, writer);
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(WAITING_LINES);
+    let (writer, guard) = builder.finish(writer);
+    DROPPED.get_or_init(|| writer.error_counter());
     tracing_subscriber::fmt()
         .with_max_level(tracing::Level::INFO)
         .with_writer(writer)
@@ -42,4 +63,14 @@
         .json()
         .flatten_event(true)
         .init();
+    guard
+}
+
+/// Shows the lines that were dropped in the metrics, for as long as the process runs.
+pub async fn count_dropped() {
+    let Some(dropped) = DROPPED.get() else { return };
+    loop {
+        time::sleep(COUNT_EVERY).await;
+        counter!("tealturn_log_dropped_lines_total").absolute(dropped.dropped_lines() as u64);
+    }
 }
--- a/src/report/metric.rs
+++ b/src/report/metric.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    http::server::{self, Body},
+    http::server::{self, Body, Handler},
     kernel::{
         context::Context,
         part::{Audience, Page, Part, Registration, Route},
@@ -51,15 +51,27 @@
 impl Part for Upkeep {
     async fn run(&self, _context: Arc<Context>, stop: CancellationToken) {
         let Some(handle) = handle() else { return };
-        loop {
-            tokio::select! {
-                () = stop.cancelled() => return,
-                () = time::sleep(UPKEEP_EVERY) => handle.run_upkeep(),
-            }
+        upkeep(handle, &stop).await;
+    }
+}
+
+/// Keeps the histograms small until `stop`.
+async fn upkeep(handle: &PrometheusHandle, stop: &CancellationToken) {
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = time::sleep(UPKEEP_EVERY) => handle.run_upkeep(),
         }
     }
 }
 
+/// Keeps the recorder's memory bounded for as long as the process runs.
+pub async fn keep() {
+    if let Some(handle) = handle() {
+        upkeep(handle, &CancellationToken::new()).await;
+    }
+}
+
 inventory::submit! {
     Registration {
         name: "metrics",
@@ -67,15 +79,29 @@
     }
 }
 
+/// Serves the page on a listener of its own, whatever the path.
+pub struct Exposition;
+
+#[async_trait]
+impl Handler for Exposition {
+    async fn handle(&self, _request: Request<Incoming>) -> Response<Body> {
+        page()
+    }
+}
+
 struct MetricsPage;
 
 #[async_trait]
 impl Page for MetricsPage {
     async fn answer(&self, _context: Arc<Context>, _request: Request<Incoming>) -> Response<Body> {
-        match handle() {
-            Some(handle) => server::answer(StatusCode::OK, CONTENT_TYPE, handle.render()),
-            None => server::answer(StatusCode::NOT_FOUND, "text/plain", "no recorder"),
-        }
+        page()
+    }
+}
+
+fn page() -> Response<Body> {
+    match handle() {
+        Some(handle) => server::answer(StatusCode::OK, CONTENT_TYPE, handle.render()),
+        None => server::answer(StatusCode::NOT_FOUND, "text/plain", "no recorder"),
     }
 }
 
--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -145,6 +145,17 @@
         Verdict::RunAlone
     }
 
+    /// When to ask again for a request that has crashed so many upstreams that it may not run;
+    /// `None` if it may, though it may be a suspect. Asking prolongs the bar.
+    pub fn bar(&mut self, fingerprint: Fingerprint, now: Time) -> Option<Duration> {
+        let suspect = self.suspects.get_mut(&fingerprint)?;
+        if !suspect.barred || suspect.is_expired(now) {
+            return None;
+        }
+        suspect.marked = now;
+        Some(BAR)
+    }
+
     /// The upstreams where this daemon runs a suspect: no other suspect may be sent there.
     pub fn occupied(&self) -> Vec<Upstream> {
         let runs = self.running.values();
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -20,6 +20,7 @@
         held: Vec::new(),
         shares,
         dead: Vec::new(),
+        suspects: Vec::new(),
     }
 }
 
