Let one engine drain ahead of its load, and remember what earlier holders loaded

A daemon that had lost the store forgot, at a new holder's first word, what the one before had loaded, and asked for old weights (421) until the store was back.

Change: one engine drains ahead. Loads that any holder told of stay known for the engine's run.

--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -324,7 +324,7 @@
             let ordered = at_once + at_once.div_ceil(2);
             let semaphore = || Arc::new(Semaphore::new(ordered));
             let slots = self.room.entry(model.clone()).or_insert_with(semaphore).clone();
-            let room = (ordered + at_once).saturating_sub(self.loading.len());
+            let room = (ordered + 1).saturating_sub(self.loading.len());
             let free = pending.into_iter().filter(|it| !self.loading.contains_key(&it.name));
             let next: Vec<_> = free.take(room).collect();
             if next.is_empty() {
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -61,6 +61,9 @@
     targets: Map<Model, Vec<Target>>,
     /// What the holder tells, with its fencing token.
     marks: Map<Model, (u64, Marks)>,
+    /// The newest version that a run of an engine was told to have loaded, by any holder: its entry
+    /// may be old if this daemon can't reach the store.
+    loaded: Map<(Model, Upstream), (Incarnation, Version)>,
 }
 
 impl Progress {
@@ -85,6 +88,11 @@
             return false;
         }
         self.marks.insert(model.clone(), (fence, marks.clone()));
+        for mark in marks.marks.iter().filter(|it| it.stage == Stage::Loaded) {
+            let key = (model.clone(), mark.engine.clone());
+            let known = self.loaded.entry(key).or_insert((mark.incarnation, mark.version));
+            *known = (*known).max((mark.incarnation, mark.version));
+        }
         true
     }
 
@@ -107,8 +115,9 @@
     /// The version of a model that an engine has now.
     pub fn version(&self, engine: &Endpoint, model: &Model) -> Option<Version> {
         let own = engine.version(model)?;
-        let loaded = self.mark_of(engine, model).filter(|it| it.stage == Stage::Loaded);
-        Some(loaded.map_or(own, |it| own.max(it.version)))
+        let loaded = self.loaded.get(&(model.clone(), engine.name.clone()));
+        let loaded = loaded.filter(|(run, _)| *run == engine.record.incarnation);
+        Some(loaded.map_or(own, |(_, version)| own.max(*version)))
     }
 
     /// Whether an engine loads weights, so that it runs nothing.
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -66,6 +66,18 @@
     assert!(!progress.mark(&model, 5, &loaded), "no news");
 }
 
+/// A daemon that can't reach the store reads no entries, and a new holder tells only of its own
+/// loads.
+#[test]
+fn what_an_earlier_holder_has_loaded_stays_known() {
+    let model = Model::from(MODEL);
+    let engine = &engines(&[1])[0];
+    let mut progress = Progress::default();
+    progress.mark(&model, 1, &Marks { marks: vec![mark(0, 2, Stage::Loaded)] });
+    progress.mark(&model, 2, &Marks { marks: vec![mark(5, 3, Stage::Loaded)] });
+    assert_eq!(progress.version(engine, &model), Some(Version(2)));
+}
+
 #[test]
 fn marks_of_an_earlier_run_of_an_engine_do_not_count() {
     let model = Model::from(MODEL);
