--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod gauge;
+pub mod hold;
 pub mod member;
 pub mod operate;
 pub mod peer;
--- a/src/gateway/cache.rs
+++ b/src/gateway/cache.rs
@@ -74,11 +74,6 @@
         let pool = self.pools.get(&cache).filter(|it| it.incarnation == incarnation);
         pool.is_some_and(|it| it.holds(part, room))
     }
-
-    /// Forgets a cache, for instance because it turned out to be empty.
-    pub fn forget(&mut self, cache: u64) {
-        self.pools.remove(&cache);
-    }
 }
 
 impl Pool {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -52,21 +52,6 @@
     pub misdirected: bool,
     /// Whether a success bears the upstream's signature.
     pub signed: bool,
-    /// The upstream's load, if it tells.
-    pub load: Option<Load>,
-    /// The weights that answer.
-    pub weights: Option<Version>,
-}
-
-/// The load of an upstream.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that may run at once.
-    pub slots: u32,
 }
 
 /// What an operator wrote.
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -58,8 +58,6 @@
     pub attempts: u32,
     /// Whether it needs no key.
     pub public: bool,
-    /// Whether prompts are cached, so that calls with the same prefix belong together.
-    pub sticky: bool,
 }
 
 /// A KV store, which keeps prompts that engines have read.
@@ -78,8 +76,6 @@
     pub name: Service,
     /// Tokens that an engine's memory holds; `None` for a service that is no engine.
     pub capacity_tokens: Option<u64>,
-    /// Connections that one upstream takes from all daemons together.
-    pub max_connections: u32,
     /// Present if it is a KV store.
     pub kv_store: Option<KvStore>,
 }
@@ -87,14 +83,8 @@
 /// What a caller may send.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
-    /// Bytes of a request's headers.
-    pub header_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
-    /// The time for a request's headers.
-    pub header_timeout: Duration,
-    /// The time that a connection may stay idle.
-    pub idle_timeout: Duration,
 }
 
 /// A workspace that calls with a key.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,13 +1,13 @@
 //! Carries a call from its first sending to the end of its answer.
 
-use std::{io, sync::Arc, time::Duration};
+mod pump;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::{HeaderMap, Response, body::Frame, header};
+use std::{sync::Arc, time::Duration};
+
+use http_body_util::{BodyExt, Full};
+use hyper::Response;
 use metrics::{counter, histogram};
-use tokio::{sync::mpsc, time};
-use tokio_util::sync::CancellationToken;
+use tokio::time;
 use tracing::info;
 
 use crate::{
@@ -18,14 +18,13 @@
         dialect::Refusal,
         document::{Kind, KvStore},
         entry::end_to_end,
+        hold::Hold,
         place::{Choice, Query, Source, Unplaced},
-        roster::Endpoint,
-        stream::Splitter,
     },
     http::{client::Answer, server::Body},
     kernel::{
         clock::Time,
-        id::{Request, Service, Upstream},
+        id::{Service, Upstream},
     },
     request::suspect::Fingerprint,
     route::pool::name_hash,
@@ -43,9 +42,6 @@
 /// How long an engine that has refused a call gets no others: it loads weights or is full.
 const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 
-/// The longest wait for a connection to an upstream whose connection broke.
-const CRASH_PROBE: Duration = Duration::from_millis(100);
-
 /// When a caller may come back after a refusal for want of an upstream.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -66,9 +62,6 @@
 /// The time that an engine takes to the first event of a long prompt.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 
-/// Pieces of a stream that wait for a slow caller.
-const WAITING_PIECES: usize = 8;
-
 /// What a sending came to.
 enum Sent {
     /// The head of an answer.
@@ -96,69 +89,6 @@
     unsent: u32,
 }
 
-/// The upstream's share of a call: what is counted there ends with it.
-struct Held {
-    choice: Choice,
-    unread: u64,
-    memory: u64,
-    /// Cancelled if the upstream is found dead.
-    death: CancellationToken,
-    context: Arc<Context>,
-    /// This sending, among the requests that may have crashed an upstream.
-    run: Request,
-    finished: bool,
-}
-
-impl Held {
-    fn new(context: &Arc<Context>, choice: Choice, memory: u64, asked: Fingerprint) -> Held {
-        let endpoint = &choice.endpoint;
-        let death = endpoint.gauge.start(choice.tokens, memory, context.now());
-        let run = context.next_run();
-        let incarnation = endpoint.record.incarnation;
-        let mut suspects = context.suspects();
-        suspects.started(run, asked, &endpoint.name, incarnation);
-        drop(suspects);
-        let (unread, context) = (choice.tokens, context.clone());
-        Held { choice, unread, memory, death, context, run, finished: false }
-    }
-
-    /// The answer is whole.
-    fn finish(&mut self) {
-        self.choice.endpoint.gauge.succeed();
-        self.finished = true;
-    }
-
-    /// The connection broke: finds out whether the upstream has crashed, for which the calls that
-    /// ran there are suspected.
-    async fn broken(&self) {
-        let Endpoint { name, record, gauge, .. } = &*self.choice.endpoint;
-        let now = self.context.now();
-        gauge.fail(now);
-        if self.context.client.opens(record.address, CRASH_PROBE).await {
-            return;
-        }
-        gauge.refuse();
-        let facts = self.context.suspects().crashed(name, record.incarnation, now);
-        if !facts.is_empty() {
-            info!(upstream = name.as_str(), suspects = facts.len(), "upstream crashed");
-        }
-    }
-
-    /// The first event has arrived, so that the prompt was read.
-    fn first(&mut self) {
-        self.choice.endpoint.gauge.read(std::mem::take(&mut self.unread));
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.first();
-        self.choice.endpoint.gauge.end(self.memory);
-        let now = self.context.now();
-        self.context.suspects().ended(self.run, self.finished, now);
-    }
-}
-
 /// Serves a call.
 pub async fn relay(context: Arc<Context>, call: Call) -> Response<Body> {
     let mut drive = Drive {
@@ -202,7 +132,7 @@
     }
 
     /// Sends the call until there is an answer to pass on.
-    async fn run(&mut self) -> Result<(Held, Box<Answer>), Refusal> {
+    async fn run(&mut self) -> Result<(Hold, Box<Answer>), Refusal> {
         loop {
             let held = self.wait().await?;
             let sent = self.send(&held).await;
@@ -275,7 +205,7 @@
     }
 
     /// Places the call as soon as an engine has room.
-    async fn wait(&mut self) -> Result<Held, Refusal> {
+    async fn wait(&mut self) -> Result<Hold, Refusal> {
         loop {
             match self.place()? {
                 Some(held) => return Ok(held),
@@ -304,7 +234,7 @@
     }
 
     /// Places the call; `None` if it has to wait for room.
-    fn place(&mut self) -> Result<Option<Held>, Refusal> {
+    fn place(&mut self) -> Result<Option<Hold>, Refusal> {
         let (context, call) = (&self.context, &self.call);
         let now = context.now();
         let streamed = call.ask.prompt.is_some();
@@ -375,7 +305,7 @@
             "sent"
         );
         let memory = call.ask.prompt.as_ref().map_or(0, Prompt::memory);
-        Ok(Some(Held::new(context, choice, memory, self.fingerprint)))
+        Ok(Some(Hold::new(context, choice, memory, self.fingerprint)))
     }
 
     /// A number for the workspace if it shares no cached prompt.
@@ -411,11 +341,11 @@
         }
     }
 
-    async fn send(&self, held: &Held) -> Sent {
+    async fn send(&self, held: &Hold) -> Sent {
         self.send_from(held, None).await
     }
 
-    async fn send_from(&self, held: &Held, last_event: Option<String>) -> Sent {
+    async fn send_from(&self, held: &Hold, last_event: Option<String>) -> Sent {
         let (context, call) = (&self.context, &self.call);
         let left = call.deadline.since(context.now()).saturating_sub(WAY_BACK);
         let dispatch = self.dispatch(&held.choice, left, last_event);
@@ -454,7 +384,7 @@
     }
 
     /// Reads the head of an answer.
-    fn judge(&self, held: &Held, answer: Answer) -> Sent {
+    fn judge(&self, held: &Hold, answer: Answer) -> Sent {
         let (status, headers) = (answer.response.status(), answer.response.headers());
         let reply = self.context.dialect.reply(&self.call, status, headers);
         let gauge = &held.choice.endpoint.gauge;
@@ -475,7 +405,7 @@
     }
 
     /// Passes an answer on.
-    async fn answer(mut self, held: Held, answer: Box<Answer>) -> Response<Body> {
+    async fn answer(mut self, held: Hold, answer: Box<Answer>) -> Response<Body> {
         let success = answer.response.status().is_success();
         if success && self.call.route.kind.is_stream() {
             return self.stream(held, answer);
@@ -524,167 +454,4 @@
         counter!("tealturn_calls_answered_total").increment(1);
         histogram!("tealturn_call_seconds").record(took.as_secs_f64());
     }
-
-    /// Passes a series of events on as they arrive.
-    fn stream(self, held: Held, answer: Box<Answer>) -> Response<Body> {
-        let status = answer.response.status();
-        let headers = stream_headers(answer.response.headers());
-        let (sender, receiver) = mpsc::channel(WAITING_PIECES);
-        tokio::spawn(self.pump(held, answer, sender));
-        let body = StreamBody::new(tokio_stream(receiver)).boxed();
-        let mut response = Response::new(body);
-        *response.status_mut() = status;
-        *response.headers_mut() = headers;
-        response
-    }
-
-    async fn pump(
-        mut self,
-        mut held: Held,
-        mut answer: Box<Answer>,
-        sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
-    ) {
-        let mut last_event = self.call.ask.last_event.clone();
-        let mut splitter = Splitter::default();
-        loop {
-            let end = self.events(&mut held, &mut answer, &mut splitter, &mut last_event, &sender);
-            let end = end.await;
-            let now = self.context.now();
-            let upstream = held.choice.endpoint.name.clone();
-            match end {
-                End::Complete => {
-                    held.finish();
-                    self.context.client.release(*answer);
-                    self.record();
-                    return;
-                }
-                End::CallerLeft => {
-                    info!(attempt = self.call.ask.attempt, "the caller left");
-                    return;
-                }
-                End::Expired | End::Broken(_) => {}
-            }
-            match end {
-                End::Broken(_) => held.broken().await,
-                _ => drop(held.choice.endpoint.gauge.fail(now)),
-            }
-            let reason = match end {
-                End::Broken(reason) => reason,
-                _ => "the deadline has passed".to_owned(),
-            };
-            info!(
-                attempt = self.call.ask.attempt,
-                upstream = upstream.as_str(),
-                last_event,
-                reason,
-                "stream broke off"
-            );
-            let resumable = self.call.route.kind == Kind::Stream { resumable: true };
-            let again = resumable && self.may_run_again();
-            self.runs += 1;
-            self.avoid.push(upstream);
-            drop(held);
-            splitter.clear();
-            let next = match again {
-                true => self.resume(last_event.clone()).await,
-                false => None,
-            };
-            let Some((next_held, next_answer)) = next else {
-                counter!("tealturn_streams_broken_total").increment(1);
-                // The connection must not look as if the answer were complete.
-                let broken = io::Error::other("the upstream's answer broke off");
-                drop(sender.send(Err(broken)).await);
-                return;
-            };
-            (held, answer) = (next_held, next_answer);
-        }
-    }
-
-    /// Continues a stream at another upstream.
-    async fn resume(&mut self, last: Option<String>) -> Option<(Held, Box<Answer>)> {
-        while self.refusals < MAX_REFUSALS {
-            let held = self.wait().await.ok()?;
-            match self.send_from(&held, last.clone()).await {
-                Sent::Answer(answer) if answer.response.status().is_success() => {
-                    return Some((held, answer));
-                }
-                sent @ (Sent::Unreachable(_) | Sent::NotRun(_)) => {
-                    self.unsent += u32::from(matches!(sent, Sent::Unreachable(_)));
-                    self.refusals += 1;
-                    self.avoid.push(held.choice.endpoint.name.clone());
-                }
-                Sent::Answer(..) | Sent::Lost(_) | Sent::TimedOut => return None,
-            }
-        }
-        None
-    }
-
-    async fn events(
-        &self,
-        held: &mut Held,
-        answer: &mut Answer,
-        splitter: &mut Splitter,
-        last_event: &mut Option<String>,
-        sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
-    ) -> End {
-        loop {
-            let left = self.call.deadline.since(self.context.now());
-            let frame = tokio::select! {
-                frame = answer.response.body_mut().frame() => frame,
-                () = sender.closed() => return End::CallerLeft,
-                () = held.death.cancelled() => {
-                    return End::Broken("the upstream is dead".to_owned());
-                }
-                () = time::sleep(left) => return End::Expired,
-            };
-            let frame = match frame {
-                Some(Ok(frame)) => frame,
-                Some(Err(error)) => return End::Broken(error.to_string()),
-                None if splitter.is_partial() => {
-                    return End::Broken("it ended within an event".to_owned());
-                }
-                None => return End::Complete,
-            };
-            let Some(bytes) = frame.data_ref() else {
-                continue;
-            };
-            held.choice.endpoint.gauge.hear(self.context.now());
-            held.first();
-            let Some(events) = splitter.push(bytes) else {
-                if splitter.is_overlong() {
-                    return End::Broken("an event is too long".to_owned());
-                }
-                continue;
-            };
-            if events.last_id.is_some() {
-                *last_event = events.last_id;
-            }
-            let sent = time::timeout(left, sender.send(Ok(Frame::data(events.bytes)))).await;
-            match sent {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return End::CallerLeft,
-                Err(_) => return End::Expired,
-            }
-        }
-    }
-}
-
-/// How an upstream's stream ended.
-enum End {
-    Complete,
-    CallerLeft,
-    Expired,
-    Broken(String),
-}
-
-fn stream_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = end_to_end(headers);
-    kept.remove(header::CONTENT_LENGTH);
-    kept
-}
-
-fn tokio_stream<T>(receiver: mpsc::Receiver<T>) -> impl futures::Stream<Item = T> {
-    futures::stream::unfold(receiver, |mut receiver| async move {
-        receiver.recv().await.map(|item| (item, receiver))
-    })
 }
--- a/tests/gateway/document.rs
+++ b/tests/gateway/document.rs
@@ -17,7 +17,6 @@
         backends: vec![(Service::from("old"), 90), (Service::from("new"), 10)],
         attempts: 2,
         public: false,
-        sticky: false,
     }
 }
 
@@ -27,12 +26,7 @@
         version: 7,
         routes,
         services: Vec::new(),
-        limits: Limits {
-            header_bytes: 16_384,
-            body_bytes: 4_194_304,
-            header_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
+        limits: Limits { body_bytes: 4_194_304 },
         tenants: vec![(tenant, vec!["key-1".to_owned(), "key-2".to_owned()])],
     }
 }
