Let engines that fail a part of their calls cost more

Besides, a 500 on a resumable stream was passed on though its route allows another attempt; only repeatable plain calls were sent again.

Ruled out: ejection by ratio, which needs a floor of upstreams that stay in use since plain services answer some calls with 500 by themselves. A cost has no such edge: where all fail alike, it decides nothing.

Change: the gauge of an upstream counts outcomes that fade over 5 s; placement adds the share of failures as a cost. A failure before the first event of any call that may run again is sent elsewhere.

Tests: with the two costs set to zero, the two new placement tests fail.

Each daemon learns by itself; seven learn slowly.

--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -32,6 +32,14 @@
 /// Lost probes in a row after which an upstream counts as dead; one may fall to a lost packet.
 const DEAD_PROBES: u32 = 2;
 
+/// The time over which outcomes fade: long enough for a daemon of many to see a few of them, short
+/// enough that an upstream that has recovered gets calls again soon.
+const OUTCOMES_FADE: Duration = Duration::from_secs(5);
+
+/// Sound answers that an upstream is credited with in advance, so that one failure alone tells
+/// little.
+const OUTCOMES_ASSUMED: f64 = 3.0;
+
 /// The state of one run of an upstream.
 #[derive(Debug, Default)]
 pub struct Gauge {
@@ -55,6 +63,36 @@
     dead: bool,
     /// Cancelled when it is found dead.
     death: CancellationToken,
+    outcomes: Outcomes,
+}
+
+/// Counts of calls and failures that fade.
+#[derive(Debug, Default)]
+struct Outcomes {
+    calls: f64,
+    failures: f64,
+    counted: Time,
+}
+
+impl Outcomes {
+    fn count(&mut self, failed: bool, now: Time) {
+        let kept = self.kept(now);
+        self.calls = self.calls * kept + 1.0;
+        self.failures = self.failures * kept + f64::from(u8::from(failed));
+        self.counted = now;
+    }
+
+    /// The share of failures, from 0 to 1.
+    fn failing(&self, now: Time) -> f64 {
+        let kept = self.kept(now);
+        self.failures * kept / (self.calls * kept + OUTCOMES_ASSUMED)
+    }
+
+    /// What is left now of what was counted.
+    fn kept(&self, now: Time) -> f64 {
+        let age = now.since(self.counted).as_secs_f64();
+        (-age / OUTCOMES_FADE.as_secs_f64()).exp()
+    }
 }
 
 impl Gauge {
@@ -104,8 +142,9 @@
     }
 
     /// The upstream gave a sound answer.
-    pub fn succeed(&self) {
+    pub fn succeed(&self, now: Time) {
         let mut state = self.state();
+        state.outcomes.count(false, now);
         state.failures = 0;
         state.ejected_until = None;
     }
@@ -113,6 +152,7 @@
     /// The upstream failed; tells whether it gets no calls from now on.
     pub fn fail(&self, now: Time) -> bool {
         let mut state = self.state();
+        state.outcomes.count(true, now);
         state.failures = state.failures.saturating_add(1);
         if state.failures < EJECT_FAILURES {
             return false;
@@ -123,6 +163,11 @@
         true
     }
 
+    /// The share of its calls that fail, from 0 to 1, as far as the latest outcomes tell.
+    pub fn failing(&self, now: Time) -> f64 {
+        self.state().outcomes.failing(now)
+    }
+
     /// It takes no calls for `pause`, through no fault of its own.
     pub fn pause(&self, pause: Duration, now: Time) {
         let mut state = self.state();
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -45,7 +45,7 @@
 
     /// The answer is whole.
     pub fn finish(&mut self) {
-        self.choice.endpoint.gauge.succeed();
+        self.choice.endpoint.gauge.succeed(self.context.now());
         self.finished = true;
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -39,6 +39,13 @@
 /// The cost of one running request, in milliseconds: it slows the others.
 const RUNNING_MS: f64 = 0.6;
 
+/// The cost of an engine that fails all its calls, in milliseconds: a failure costs more than the
+/// answer's latency objective, and more than another copy of the longest prompts' prefixes.
+const FAILING_MS: f64 = 1_500.0;
+
+/// Calls in progress that weigh as much as an upstream of a plain service that fails all its calls.
+const FAILING_CALLS: f64 = 8.0;
+
 /// For this long after newer weights were named, answers of older ones have their full value
 /// (rules: 1.5 s).
 const OLD_FULL: Duration = Duration::from_millis(1_400);
@@ -232,7 +239,8 @@
             let busy = u64::from(peers + it.gauge.calls());
             let full = busy >= u64::from(it.record.slots);
             let far = it.record.zone != self.zone;
-            (full, busy + u64::from(far), mix(query.random ^ it.hash))
+            let failing = (it.gauge.failing(now) * FAILING_CALLS) as u64;
+            (full, busy + u64::from(far) + failing, mix(query.random ^ it.hash))
         })?;
         Some(Choice {
             endpoint: chosen.clone(),
@@ -296,6 +304,7 @@
                 cost += ZONE_MS;
             }
             cost += candidate.old_ms;
+            cost += endpoint.gauge.failing(now) * FAILING_MS;
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
         call::{Call, Dispatch, Prompt},
         context::Context,
         dialect::Refusal,
-        document::{Kind, KvStore},
+        document::KvStore,
         entry::end_to_end,
         hold::Hold,
         place::{Choice, Query, Source, Unplaced},
@@ -157,7 +157,8 @@
             match sent {
                 Sent::Answer(answer) => {
                     let failed = answer.response.status().is_server_error();
-                    if failed && self.call.route.kind == Kind::Repeatable && self.may_run_again() {
+                    if failed && self.may_run_again() {
+                        gauge.fail(now);
                         self.runs += 1;
                         self.avoid.push(held.choice.endpoint.name.clone());
                         continue;
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -54,7 +54,7 @@
     let gauge = Gauge::default();
     assert!(!gauge.fail(START));
     assert!(!gauge.fail(START));
-    gauge.succeed();
+    gauge.succeed(START);
     assert!(!gauge.fail(START) && !gauge.fail(START));
     assert!(gauge.fail(START));
     assert!(gauge.is_ejected(START + Duration::from_millis(400)));
@@ -73,3 +73,19 @@
     gauge.end(9_200);
     assert_eq!((gauge.calls(), gauge.tokens(), gauge.memory()), (0, 0, 0));
 }
+
+#[test]
+fn the_share_of_failures_shows_and_fades() {
+    let gauge = Gauge::default();
+    gauge.fail(START);
+    assert!(gauge.failing(START) <= 0.25, "one failure alone tells little");
+    for _ in 0..5 {
+        gauge.succeed(START);
+        gauge.fail(START);
+    }
+    let share = gauge.failing(START);
+    assert!((0.35..0.6).contains(&share), "{share}");
+    let later = START + Duration::from_secs(15);
+    assert!(gauge.failing(later) < 0.15, "{}", gauge.failing(later));
+    assert!(!gauge.is_ejected(START), "no three of them came in a row");
+}
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -201,3 +201,55 @@
     let choice = placer.choose(&other, &engines, &Progress::default(), START).expect("a choice");
     assert_eq!(choice.depth, (0, 0));
 }
+
+/// An engine that fails every other call, never three in a row.
+fn fail_every_other(engine: &Endpoint) {
+    for _ in 0..4 {
+        engine.gauge.succeed(START);
+        engine.gauge.fail(START);
+    }
+}
+
+#[test]
+fn an_engine_that_fails_a_part_of_its_calls_is_left_while_others_do_better() {
+    let engines = engines(&[1; 12]);
+    let peers = Load::default();
+    let mut placer = placer();
+    let prompt = prompt(7, 1);
+    let query = query(&prompt, &peers);
+    let home = send(&mut placer, &query, &engines);
+    fail_every_other(&home.endpoint);
+    let other = send(&mut placer, &query, &engines);
+    assert_ne!(other.endpoint.name, home.endpoint.name);
+    let source = other.source.expect("the home still has the prefix");
+    assert_eq!(source.address(), home.endpoint.record.address);
+    let later = START + Duration::from_secs(20);
+    let again = placer.choose(&query, &engines[..], &Progress::default(), later);
+    assert_ne!(again.expect("a choice").reason, "copy", "an old failure costs no copy");
+
+    for engine in &engines {
+        fail_every_other(engine);
+    }
+    let all = send(&mut placer, &query, &engines);
+    assert_eq!(all.reason, "held", "where all fail alike, the prefix decides");
+}
+
+#[test]
+fn plain_calls_avoid_an_upstream_that_fails_more_than_the_others() {
+    let pages = engines(&[1; 3]);
+    let peers = Load::default();
+    let prompt = prompt(7, 1);
+    fail_every_other(&pages[1]);
+    let mut chosen: BTreeMap<String, u32> = BTreeMap::new();
+    for random in 0..100 {
+        let query = Query { prompt: None, random, ..query(&prompt, &peers) };
+        let choice = placer().choose(&query, &pages, &Progress::default(), START);
+        *chosen.entry(choice.expect("a choice").endpoint.name.to_string()).or_default() += 1;
+    }
+    assert!(!chosen.contains_key(pages[1].name.as_str()), "{chosen:?}");
+    for page in &pages {
+        fail_every_other(page);
+    }
+    let query = Query { prompt: None, ..query(&prompt, &peers) };
+    assert!(placer().choose(&query, &pages, &Progress::default(), START).is_ok());
+}
