Share outcomes of calls between daemons, and move homes off failing engines

Each daemon sends an engine a call or less a second, so that it learns slowly by itself; and an engine stayed home to its prefixes, which spared it the cost of a copy (0.05 ms a token, 315 ms for the long prompts) that any other engine was charged.

Ruled out: a higher cost of failures alone, which would also move calls off an engine after a single lost answer.

Change: daemons tell each other how their last calls ended at the upstreams where any fail; placement takes their sum, or the own share where that is higher. An engine that fails more than 15 in 100 is home to no prefix while others do better.

--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
 use crate::kernel::clock::Time;
@@ -38,7 +39,7 @@
 
 /// Sound answers that an upstream is credited with in advance, so that one failure alone tells
 /// little.
-const OUTCOMES_ASSUMED: f64 = 3.0;
+const OUTCOMES_ASSUMED: f32 = 3.0;
 
 /// The state of one run of an upstream.
 #[derive(Debug, Default)]
@@ -64,34 +65,33 @@
     /// Cancelled when it is found dead.
     death: CancellationToken,
     outcomes: Outcomes,
+    /// The time that the outcomes are of.
+    counted: Time,
 }
 
-/// Counts of calls and failures that fade.
-#[derive(Debug, Default)]
-struct Outcomes {
-    calls: f64,
-    failures: f64,
-    counted: Time,
+/// Calls that ended, and those among them that failed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Outcomes {
+    /// All calls.
+    pub calls: f32,
+    /// Those that failed.
+    pub failures: f32,
 }
 
 impl Outcomes {
-    fn count(&mut self, failed: bool, now: Time) {
-        let kept = self.kept(now);
-        self.calls = self.calls * kept + 1.0;
-        self.failures = self.failures * kept + f64::from(u8::from(failed));
-        self.counted = now;
+    /// The share of failures, from 0 to 1.
+    pub fn failing(&self) -> f32 {
+        self.failures / (self.calls + OUTCOMES_ASSUMED)
     }
 
-    /// The share of failures, from 0 to 1.
-    fn failing(&self, now: Time) -> f64 {
-        let kept = self.kept(now);
-        self.failures * kept / (self.calls * kept + OUTCOMES_ASSUMED)
+    /// These and others.
+    pub fn plus(&self, other: &Outcomes) -> Outcomes {
+        Outcomes { calls: self.calls + other.calls, failures: self.failures + other.failures }
     }
 
-    /// What is left now of what was counted.
-    fn kept(&self, now: Time) -> f64 {
-        let age = now.since(self.counted).as_secs_f64();
-        (-age / OUTCOMES_FADE.as_secs_f64()).exp()
+    fn faded(&self, age: Duration) -> Outcomes {
+        let kept = (-age.as_secs_f32() / OUTCOMES_FADE.as_secs_f32()).exp();
+        Outcomes { calls: self.calls * kept, failures: self.failures * kept }
     }
 }
 
@@ -144,7 +144,7 @@
     /// The upstream gave a sound answer.
     pub fn succeed(&self, now: Time) {
         let mut state = self.state();
-        state.outcomes.count(false, now);
+        state.count(false, now);
         state.failures = 0;
         state.ejected_until = None;
     }
@@ -152,7 +152,7 @@
     /// The upstream failed; tells whether it gets no calls from now on.
     pub fn fail(&self, now: Time) -> bool {
         let mut state = self.state();
-        state.outcomes.count(true, now);
+        state.count(true, now);
         state.failures = state.failures.saturating_add(1);
         if state.failures < EJECT_FAILURES {
             return false;
@@ -163,9 +163,10 @@
         true
     }
 
-    /// The share of its calls that fail, from 0 to 1, as far as the latest outcomes tell.
-    pub fn failing(&self, now: Time) -> f64 {
-        self.state().outcomes.failing(now)
+    /// How the calls of the last seconds ended; earlier ones fade out.
+    pub fn outcomes(&self, now: Time) -> Outcomes {
+        let state = self.state();
+        state.outcomes.faded(now.since(state.counted))
     }
 
     /// It takes no calls for `pause`, through no fault of its own.
@@ -246,6 +247,13 @@
 }
 
 impl State {
+    fn count(&mut self, failed: bool, now: Time) {
+        let failures = if failed { 1.0 } else { 0.0 };
+        let kept = self.outcomes.faded(now.since(self.counted));
+        self.outcomes = kept.plus(&Outcomes { calls: 1.0, failures });
+        self.counted = now;
+    }
+
     fn die(&mut self) {
         self.dead = true;
         self.lost_probes = self.lost_probes.max(DEAD_PROBES);
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -13,7 +13,7 @@
 use crate::{
     collections::Map,
     fleet::board::Fact,
-    gateway::{cache::Held, rollout::Marks},
+    gateway::{cache::Held, gauge::Outcomes, rollout::Marks},
     kernel::{
         clock::Time,
         id::{Incarnation, Model, Version},
@@ -40,7 +40,7 @@
 }
 
 /// What a daemon has at an engine.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Share {
     /// The hash of the engine's name.
     pub engine: u64,
@@ -50,6 +50,8 @@
     pub tokens: u64,
     /// Tokens of its memory that the calls take.
     pub memory: u64,
+    /// How the daemon's last calls there ended.
+    pub outcomes: Outcomes,
 }
 
 /// How far the engines of a model are, as the holder of the lease tells it.
@@ -167,6 +169,7 @@
                 sum.calls += share.calls;
                 sum.tokens += share.tokens;
                 sum.memory += share.memory;
+                sum.outcomes = sum.outcomes.plus(&share.outcomes);
             }
         }
         self.load.store(Arc::new(load));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -43,6 +43,9 @@
 /// answer's latency objective, and more than another copy of the longest prompts' prefixes.
 const FAILING_MS: f64 = 1_500.0;
 
+/// The share of failures from which an engine is home to no prefix, unless all fail as often.
+const HOMELESS: f64 = 0.15;
+
 /// Calls in progress that weigh as much as an upstream of a plain service that fails all its calls.
 const FAILING_CALLS: f64 = 8.0;
 
@@ -149,7 +152,7 @@
     version: Version,
     /// The rank as the home of the prompt's shared parts.
     rank: u64,
-    /// Whether it has the highest rank among the engines with the same weights.
+    /// Whether it has the highest rank among the sound engines with the same weights.
     home: bool,
     /// The cost of its weights' age, in milliseconds.
     old_ms: f64,
@@ -165,7 +168,7 @@
 ) -> Vec<Candidate<'a>> {
     let prefix = prompt.shared().iter().fold(query.owner, |sum, it| mix(sum ^ it.hash));
     let mut candidates: Vec<Candidate<'a>> = Vec::with_capacity(all.len());
-    let mut homes: Map<Version, (u64, usize)> = Map::default();
+    let mut homes: Map<Version, (bool, u64, usize)> = Map::default();
     for endpoint in all {
         if !is_open(endpoint, query, now) || progress.is_loading(endpoint, &prompt.model) {
             continue;
@@ -184,10 +187,11 @@
         };
         let rank = weight(prefix, endpoint);
         let home = homes.entry(version).or_default();
-        *home = (*home).max((rank, candidates.len()));
+        let sound = failing(endpoint, query, now) < HOMELESS;
+        *home = (*home).max((sound, rank, candidates.len()));
         candidates.push(Candidate { endpoint, version, rank, home: false, old_ms });
     }
-    for (_, index) in homes.into_values() {
+    for (_, _, index) in homes.into_values() {
         candidates[index].home = true;
     }
     candidates
@@ -239,7 +243,7 @@
             let busy = u64::from(peers + it.gauge.calls());
             let full = busy >= u64::from(it.record.slots);
             let far = it.record.zone != self.zone;
-            let failing = (it.gauge.failing(now) * FAILING_CALLS) as u64;
+            let failing = (failing(it, query, now) * FAILING_CALLS) as u64;
             (full, busy + u64::from(far) + failing, mix(query.random ^ it.hash))
         })?;
         Some(Choice {
@@ -304,7 +308,7 @@
                 cost += ZONE_MS;
             }
             cost += candidate.old_ms;
-            cost += endpoint.gauge.failing(now) * FAILING_MS;
+            cost += failing(endpoint, query, now) * FAILING_MS;
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
@@ -431,6 +435,14 @@
     prompt.shared()[..depth].iter().map(|it| it.tokens).sum()
 }
 
+/// The share of the calls to an upstream that fail: of this daemon's own, since some fail for a part
+/// of their callers only, or of all daemons', whichever is higher.
+fn failing(endpoint: &Endpoint, query: &Query<'_>, now: Time) -> f64 {
+    let own = endpoint.gauge.outcomes(now);
+    let peers = query.peers.get(&endpoint.hash).map_or(own, |it| own.plus(&it.outcomes));
+    f64::from(own.failing().max(peers.failing()))
+}
+
 fn is_open(endpoint: &Endpoint, query: &Query<'_>, now: Time) -> bool {
     !endpoint.gauge.is_ejected(now) && !query.avoid.contains(&endpoint.name)
 }
--- a/src/gateway/pulse.rs
+++ b/src/gateway/pulse.rs
@@ -40,6 +40,9 @@
 /// The longest wait for an answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// The least failures at an upstream, faded, that other daemons are told of.
+const TOLD_FAILURES: f32 = 0.5;
+
 /// The path of the streams that carry these calls.
 const PATH: &str = "/pulse";
 
@@ -74,12 +77,16 @@
     let progress = context.progress.load();
     let weights = progress.targets().map(|(model, target)| (model.clone(), target.version));
     let (mut shares, mut dead) = (Vec::new(), Vec::new());
+    let load = context.peers.load();
     for endpoint in context.view.load().all() {
         let (gauge, engine) = (&endpoint.gauge, endpoint.hash);
-        let calls = gauge.calls();
-        if calls > 0 {
+        let (calls, outcomes) = (gauge.calls(), gauge.outcomes(now));
+        // Sound answers are told beyond the calls' ends only of upstreams that fail others.
+        let failing = outcomes.failures >= TOLD_FAILURES
+            || load.get(&engine).is_some_and(|it| it.outcomes.failures >= TOLD_FAILURES);
+        if calls > 0 || failing {
             let (tokens, memory) = (gauge.tokens(), gauge.memory());
-            shares.push(Share { engine, calls, tokens, memory });
+            shares.push(Share { engine, calls, tokens, memory, outcomes });
         }
         if gauge.is_dead() {
             dead.push((engine, endpoint.record.incarnation));
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -78,14 +78,14 @@
 fn the_share_of_failures_shows_and_fades() {
     let gauge = Gauge::default();
     gauge.fail(START);
-    assert!(gauge.failing(START) <= 0.25, "one failure alone tells little");
+    assert!(gauge.outcomes(START).failing() <= 0.25, "one failure alone tells little");
     for _ in 0..5 {
         gauge.succeed(START);
         gauge.fail(START);
     }
-    let share = gauge.failing(START);
+    let share = gauge.outcomes(START).failing();
     assert!((0.35..0.6).contains(&share), "{share}");
     let later = START + Duration::from_secs(15);
-    assert!(gauge.failing(later) < 0.15, "{}", gauge.failing(later));
+    assert!(gauge.outcomes(later).failing() < 0.15, "{}", gauge.outcomes(later).failing());
     assert!(!gauge.is_ejected(START), "no three of them came in a row");
 }
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -3,6 +3,7 @@
 use tealturn::{
     gateway::{
         cache::Held,
+        gauge::Outcomes,
         peer::{Facts, News, Peers, SILENT, Share},
     },
     kernel::{clock::Time, id::Incarnation},
@@ -42,10 +43,20 @@
 fn what_peers_have_at_an_engine_adds_up_while_it_is_young() {
     let peers = Peers::default();
     let start = Time::from_millis(1_000);
-    let share = |calls| vec![Share { engine: 5, calls, tokens: 100, memory: 1_000 }];
+    let outcomes = Outcomes { calls: 4.0, failures: 1.0 };
+    let share = |calls| vec![Share { engine: 5, calls, tokens: 100, memory: 1_000, outcomes }];
     peers.learn("b", &news(true, share(2)), start);
     peers.learn("c", &news(true, share(3)), start);
-    assert_eq!(peers.load()[&5], Share { engine: 0, calls: 5, tokens: 200, memory: 2_000 });
+    assert_eq!(
+        peers.load()[&5],
+        Share {
+            engine: 0,
+            calls: 5,
+            tokens: 200,
+            memory: 2_000,
+            outcomes: Outcomes { calls: 8.0, failures: 2.0 },
+        }
+    );
     let later = start + Duration::from_secs(2);
     peers.learn("c", &news(true, share(1)), later);
     assert_eq!(peers.load()[&5].calls, 1, "b has not answered for two seconds");
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -4,6 +4,7 @@
     gateway::{
         call::Prompt,
         document::KvStore,
+        gauge::Outcomes,
         peer::{Load, Share},
         place::{Choice, Placer, Query, Source, Unplaced},
         rollout::{Mark, Marks, Progress, Stage},
@@ -92,7 +93,8 @@
     let home = send(&mut placer, &query(&first, &none), &engines);
     let busy = |tokens| {
         let engine = home.endpoint.hash;
-        Load::from_iter([(engine, Share { engine, calls: 3, tokens, memory: 30_000 })])
+        let share = Share { engine, calls: 3, tokens, memory: 30_000, ..Share::default() };
+        Load::from_iter([(engine, share)])
     };
     let second = prompt(7, 2);
     let stays = send(&mut placer, &query(&second, &busy(6_000)), &engines);
@@ -130,7 +132,8 @@
     let mut placer = placer();
     let prompt = prompt(7, 1);
     let taken = |memory| {
-        let share = |it: &Arc<Endpoint>| Share { engine: it.hash, calls: 5, tokens: 0, memory };
+        let share =
+            |it: &Arc<Endpoint>| Share { engine: it.hash, calls: 5, memory, ..Share::default() };
         Load::from_iter(engines.iter().map(|it| (it.hash, share(it))))
     };
     let (some, most) = (taken(ROOM - 9_200), taken(ROOM - 9_199));
@@ -221,7 +224,8 @@
     fail_every_other(&home.endpoint);
     let other = send(&mut placer, &query, &engines);
     assert_ne!(other.endpoint.name, home.endpoint.name);
-    let source = other.source.expect("the home still has the prefix");
+    assert_eq!(other.reason, "home", "the prefix has a home elsewhere meanwhile");
+    let source = other.source.expect("the first home still has the prefix");
     assert_eq!(source.address(), home.endpoint.record.address);
     let later = START + Duration::from_secs(20);
     let again = placer.choose(&query, &engines[..], &Progress::default(), later);
@@ -234,6 +238,25 @@
     assert_eq!(all.reason, "held", "where all fail alike, the prefix decides");
 }
 
+#[test]
+fn what_other_daemons_see_fail_counts_too() {
+    let engines = engines(&[1; 12]);
+    let (none, prompt) = (Load::default(), prompt(7, 1));
+    let mut placer = placer();
+    let home = send(&mut placer, &query(&prompt, &none), &engines);
+    let hash = home.endpoint.hash;
+    let outcomes = Outcomes { calls: 20.0, failures: 8.0 };
+    let peers = Load::from_iter([(hash, Share { engine: hash, outcomes, ..Share::default() })]);
+    let other = send(&mut placer, &query(&prompt, &peers), &engines);
+    assert_ne!(other.endpoint.name, home.endpoint.name, "no call of its own has failed there");
+    // Where only this daemon's calls fail, the others' sound ones do not hide it.
+    fail_every_other(&home.endpoint);
+    let outcomes = Outcomes { calls: 200.0, failures: 0.0 };
+    let peers = Load::from_iter([(hash, Share { engine: hash, outcomes, ..Share::default() })]);
+    let other = send(&mut placer, &query(&prompt, &peers), &engines);
+    assert_ne!(other.endpoint.name, home.endpoint.name);
+}
+
 #[test]
 fn plain_calls_avoid_an_upstream_that_fails_more_than_the_others() {
     let pages = engines(&[1; 3]);
