Forget an engine's failures when its process has ended

Cause: calls that break as an engine crashes counted as its failures, and an engine that comes back under its name before its entry shows the new start kept them: it would be avoided for seconds while a third of the engines is missing.

Change: outcomes are dropped when an engine is found dead. Test in tests/gateway/gauge.rs.

--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -256,6 +256,8 @@
 
     fn die(&mut self) {
         self.dead = true;
+        // Calls that broke as the process ended say nothing of the next one.
+        self.outcomes = Outcomes::default();
         self.lost_probes = self.lost_probes.max(DEAD_PROBES);
         self.death.cancel();
     }
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -89,3 +89,15 @@
     assert!(gauge.outcomes(later).failing() < 0.15, "{}", gauge.outcomes(later).failing());
     assert!(!gauge.is_ejected(START), "no three of them came in a row");
 }
+
+#[test]
+fn calls_that_a_crash_broke_do_not_count_once_it_is_back() {
+    let gauge = Gauge::default();
+    (0..8).for_each(|_| {
+        gauge.fail(START);
+    });
+    gauge.refuse();
+    let later = START + Duration::from_secs(1);
+    assert!(gauge.probe(later) && gauge.probed(true, later));
+    assert_eq!(gauge.outcomes(later).failing(), 0.0);
+}
