Hold the document's limits on headers and idle connections

Cause: the listener for callers had limits of its own, 32 KB of headers and 10 s; the HTTP library counts the latter also while a connection is idle between requests. The operator's document allows 15 s, and callers send on connections that were idle for up to 12 s: those were closed under them.

Change: a handler names the limits of new connections; the gateway takes them from the document in force. The operator's own limit on the time for headers alone is not kept apart from the idle time.

--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -85,6 +85,10 @@
 pub struct Limits {
     /// Bytes of a request's body.
     pub body_bytes: usize,
+    /// Bytes of a request's headers.
+    pub header_bytes: usize,
+    /// How long a connection may be idle; callers count on it.
+    pub idle: Duration,
 }
 
 /// A workspace that calls with a key.
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -21,7 +21,7 @@
         document::{Document, Tenant},
         relay,
     },
-    http::server::{Body, Handler},
+    http::server::{Body, Handler, Limits},
 };
 
 /// The deadline of a request that names none.
@@ -51,6 +51,14 @@
 
 #[async_trait]
 impl Handler for Entry {
+    fn limits(&self) -> Limits {
+        let document = self.0.document.load();
+        document.as_ref().map_or_else(Limits::default, |it| Limits {
+            header_bytes: it.limits.header_bytes,
+            idle: it.limits.idle,
+        })
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let context = &self.0;
         let mut response = match read(context, request).await {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -13,21 +13,39 @@
 /// The body of an answer, whole or streamed.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
-/// A sender has this long for all headers of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Headers that a request may have.
 const MAX_HEADERS: usize = 64;
 
-/// Bytes of headers that a connection buffers.
-const MAX_HEADER_BYTES: usize = 32 * 1024;
+/// The smallest read buffer that the HTTP library allows.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// What a connection may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Bytes of a request's headers; more are answered 431.
+    pub header_bytes: usize,
+    /// The time from one answer, or the connection's start, to the end of the next request's
+    /// headers.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { header_bytes: 32 * 1024, idle: Duration::from_secs(10) }
+    }
+}
 
 /// Answers requests.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
+    /// The limits of a new connection.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
     /// Answers one request.
     async fn handle(&self, request: Request<Incoming>) -> Response<Body>;
 }
@@ -80,15 +98,17 @@
     handler: Arc<dyn Handler>,
     stop: CancellationToken,
 ) -> impl Future<Output = ()> {
+    let limits = handler.limits();
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(limits.idle)
         .max_headers(MAX_HEADERS)
-        .max_buf_size(MAX_HEADER_BYTES)
+        .max_header_size(limits.header_bytes)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
     async move {
         tokio::pin!(connection);
--- a/tests/gateway/document.rs
+++ b/tests/gateway/document.rs
@@ -26,7 +26,11 @@
         version: 7,
         routes,
         services: Vec::new(),
-        limits: Limits { body_bytes: 4_194_304 },
+        limits: Limits {
+            body_bytes: 4_194_304,
+            header_bytes: 16_384,
+            idle: Duration::from_secs(15),
+        },
         tenants: vec![(tenant, vec!["key-1".to_owned(), "key-2".to_owned()])],
     }
 }
