Let changes of upstreams and daemons gather before asking for more

Cause: a daemon asked the store for further changes the moment it had some, so that each row that changes wakes every daemon: calls grow with the square of the fleet.

Ruled out: longer waits of the calls themselves (idle calls end after 5 s; that is 13 a second of 67 daemons), the operator's topic (it must stay prompt, and changes rarely).

Change: after changes of these two topics a daemon waits 15 ms for each daemon of the fleet, at most 1 s: together 67 calls a second for a topic whatever the size. 1 s is half of the time for draining.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -33,6 +33,14 @@
 /// How long a call for other changes waits; a connection that goes silent is broken earlier.
 const WAIT: Duration = Duration::from_millis(5_000);
 
+/// The wait after changes of upstreams or daemons, for each daemon of the fleet: all of them
+/// together make at most 67 calls a second for a topic, however often rows change.
+const GATHER_EACH: Duration = Duration::from_millis(15);
+
+/// The longest such wait: half of the time after which an upstream that drains must get no more
+/// calls (platform: 2 s).
+const GATHER_LONGEST: Duration = Duration::from_millis(1_000);
+
 /// The key prefix of the daemons' rows.
 pub const MEMBER_PREFIX: &str = "member/";
 
@@ -66,7 +74,13 @@
             }
         };
         match result {
-            Ok(page) => self.answered(page, asked).await,
+            Ok(page) => {
+                let changed = !page.rows.is_empty();
+                self.answered(page, asked);
+                if changed && self.topic != Topic::Operator {
+                    time::sleep(gather(self.context.members.count())).await;
+                }
+            }
             Err(Failure::Compacted) => {
                 info!(topic = ?self.topic, "changes were dropped; listing anew");
                 self.version = None;
@@ -88,7 +102,7 @@
         Ok(whole)
     }
 
-    async fn answered(&mut self, page: Page, asked: Time) {
+    fn answered(&mut self, page: Page, asked: Time) {
         if std::mem::take(&mut self.failures) > 0 {
             info!(topic = ?self.topic, "the store answers again");
         }
@@ -187,6 +201,11 @@
     }
 }
 
+/// How long a daemon of so many lets further changes gather before it asks for them.
+pub fn gather(daemons: usize) -> Duration {
+    (GATHER_EACH * u32::try_from(daemons).unwrap_or(u32::MAX)).min(GATHER_LONGEST)
+}
+
 /// Puts a document in force unless a newer one is.
 pub fn put_in_force(context: &Context, document: Arc<Document>, source: &Row) {
     let known = context.document.load().as_ref().map(|it| it.version);
