Do not take a service that is no table for an empty one

Cause: the client of the table service took any 404 for a missing row, so that a daemon whose table address led to something else called itself ready at revision 0, with an empty configuration.

Change: a table says "no such row" in the body of that 404; any other one is an error. Test: a service that answers 404 to everything, in tests/contract_platform.rs.

--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -11,7 +11,7 @@
     Error, Result,
     http::client::{self, Client},
     platform::{
-        table::{Failure, Outcome, Row, Table, Transaction},
+        table::{Failure, NO_SUCH_ROW, Outcome, Row, Table, Transaction},
         vm::{Entry, List},
     },
 };
@@ -38,14 +38,17 @@
         path: &str,
         body: Bytes,
     ) -> Result<T, Failure> {
+        let body = self.fetch(method, path, body).await?.map_err(failure)?;
+        decode(&body)
+    }
+
+    /// The body of a successful answer, or the error that the call ended with in time.
+    async fn fetch(&self, method: &str, path: &str, body: Bytes) -> Result<Result<Bytes>, Failure> {
         let request = client::request(method, self.table, path, body)
             .map_err(|error| Failure::Unavailable(error.to_string()))?;
         let fetch = self.client.fetch(self.table, request);
-        let body = match time::timeout(ANSWER_TIMEOUT, fetch).await {
-            Ok(fetched) => fetched.map_err(failure)?,
-            Err(elapsed) => return Err(Failure::Lost(elapsed.to_string())),
-        };
-        serde_json::from_slice(&body).map_err(|error| Failure::Lost(error.to_string()))
+        let fetched = time::timeout(ANSWER_TIMEOUT, fetch).await;
+        fetched.map_err(|elapsed| Failure::Lost(elapsed.to_string()))
     }
 }
 
@@ -53,9 +56,10 @@
 impl Table for Remote {
     async fn get(&self, key: &str) -> Result<Option<Row>, Failure> {
         let path = format!("/table/row?key={}", escape(key));
-        match self.call("GET", &path, Bytes::new()).await {
-            Err(Failure::Unavailable(reason)) if reason == NOT_FOUND => Ok(None),
-            row => row.map(Some),
+        match self.fetch("GET", &path, Bytes::new()).await? {
+            Ok(body) => decode(&body).map(Some),
+            Err(error) if is_missing(&error) => Ok(None),
+            Err(error) => Err(failure(error)),
         }
     }
 
@@ -82,11 +86,17 @@
     }
 }
 
-const NOT_FOUND: &str = "not found";
+/// Whether a table says that it has no such row; any other 404 is no answer of a table.
+fn is_missing(error: &Error) -> bool {
+    matches!(error, Error::Status { status: 404, body, .. } if body == NO_SUCH_ROW)
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| Failure::Lost(error.to_string()))
+}
 
 fn failure(error: Error) -> Failure {
     match error {
-        Error::Status { status: 404, .. } => Failure::Unavailable(NOT_FOUND.to_owned()),
         Error::Connect { .. } | Error::Status { status: 429 | 503, .. } => {
             Failure::Unavailable(error.to_string())
         }
--- a/src/platform/table.rs
+++ b/src/platform/table.rs
@@ -4,7 +4,7 @@
 //!
 //! | call | answer |
 //! |---|---|
-//! | `GET /table/row?key=K` | 200 [`Row`], or 404 |
+//! | `GET /table/row?key=K` | 200 [`Row`], or 404 with [`NO_SUCH_ROW`] |
 //! | `GET /table/rows?prefix=P&after=K&limit=N` | 200, a list of [`Row`] by key |
 //! | `POST /table/commit` with a [`Transaction`] | 200 [`Outcome`] |
 //!
@@ -30,6 +30,10 @@
     pub version: Version,
 }
 
+/// The body of the 404 for a row that does not exist. A 404 with another body comes from something
+/// else than a table.
+pub const NO_SUCH_ROW: &str = "no such row";
+
 /// What a transaction asks of a row before anything is written.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Check {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -34,7 +34,10 @@
     collections::Map,
     http::server::{self, Body, Handler},
     kernel::clock::{Clock, System, Time},
-    platform::{table::Transaction, vm::Entry},
+    platform::{
+        table::{NO_SUCH_ROW, Transaction},
+        vm::Entry,
+    },
     standin::{
         ledger::Ledger,
         page::{self, Refused},
@@ -269,8 +272,10 @@
             (&Method::GET, "/table/row") => {
                 let key = page::query(&request, "key").unwrap_or_default();
                 let inner = self.lock();
-                let row = inner.rows.get(&key);
-                Ok(row.map_or_else(page::not_found, page::json))
+                match inner.rows.get(&key) {
+                    Some(row) => Ok(page::json(row)),
+                    None => Ok(server::answer(StatusCode::NOT_FOUND, "text/plain", NO_SUCH_ROW)),
+                }
             }
             (&Method::GET, "/table/rows") => {
                 let prefix = page::query(&request, "prefix").unwrap_or_default();
--- a/tests/contract_platform.rs
+++ b/tests/contract_platform.rs
@@ -9,10 +9,15 @@
     time::{Duration, UNIX_EPOCH},
 };
 
+use async_trait::async_trait;
 use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use tealturn::{
     Error,
-    http::client::{self, Client},
+    http::{
+        client::{self, Client},
+        server::{self, Body, Handler},
+    },
     platform::{
         client::Remote,
         table::{Check, Failure, Outcome, Row, Table, Transaction, Write},
@@ -23,7 +28,7 @@
         platform::{Faults, Platform, weights::Speed},
     },
 };
-use tokio::{task::JoinSet, time};
+use tokio::{net::TcpListener, task::JoinSet, time};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -137,6 +142,30 @@
     assert_eq!(outcome, Outcome::Conflict { rows: Vec::new() });
 }
 
+/// A service that knows none of the table's paths.
+struct Foreign;
+
+#[async_trait]
+impl Handler for Foreign {
+    async fn handle(&self, _: Request<Incoming>) -> Response<Body> {
+        server::answer(StatusCode::NOT_FOUND, "text/plain", "not found")
+    }
+}
+
+#[tokio::test]
+async fn a_service_that_is_no_table_is_not_taken_for_an_empty_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stop = CancellationToken::new();
+    tokio::spawn(server::serve(listener, Arc::new(Foreign), stop.clone()));
+    let _stop = stop.drop_guard();
+    let foreign = Remote::new(Arc::new(Client::new()), address, address);
+    let row = foreign.get("catalog/head").await;
+    assert!(row.is_err(), "{row:?}");
+    let bench = Bench::foreign_or_new().await;
+    assert_eq!(bench.row("none").await, None);
+}
+
 #[tokio::test]
 async fn one_of_racing_transactions_wins() {
     let bench = Arc::new(Bench::foreign_or_new().await);
