--- a/src/gateway/pulse.rs
+++ b/src/gateway/pulse.rs
@@ -81,7 +81,7 @@
     for endpoint in context.view.load().all() {
         let (gauge, engine) = (&endpoint.gauge, endpoint.hash);
         let (calls, outcomes) = (gauge.calls(), gauge.outcomes(now));
-        // Sound answers are told beyond the calls' ends only of upstreams that fail others.
+        // Without calls in progress an upstream is listed only while some daemon's calls fail there.
         let failing = outcomes.failures >= TOLD_FAILURES
             || load.get(&engine).is_some_and(|it| it.outcomes.failures >= TOLD_FAILURES);
         if calls > 0 || failing {
