--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,6 +6,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -15,12 +16,14 @@
         document::Document,
         freshness::Freshness,
         member::Members,
-        peer::{News, Peers, Rollout},
+        mirror::Mirror,
+        peer::Peers,
         place::Placer,
         rollout::Progress,
         roster::{Roster, View},
         settings::Settings,
-        store::{Row, Store},
+        store::Store,
+        topology::Plan,
     },
     http::client::Client,
     kernel::{
@@ -69,8 +72,8 @@
     /// The active document, which is the operator's configuration; replaced only by a higher
     /// version.
     pub document: ArcSwapOption<Document>,
-    /// The row that the document was decoded from, served to other daemons.
-    pub document_row: ArcSwapOption<Row>,
+    /// The rows of the store's topics, passed on to other daemons.
+    pub mirror: Mirror,
     /// When the document was last confirmed to be the latest.
     pub freshness: Freshness,
     /// Registered upstreams that aren't draining, whatever their health.
@@ -81,9 +84,12 @@
     pub members: Members,
     /// Last known state of the other daemons.
     pub peers: Peers,
-    /// Rollout progress to report to peers, while this daemon holds the lease that permits it to
-    /// order engines to load weights.
-    pub rollout_reports: ArcSwap<Vec<Rollout>>,
+    /// The part of this daemon in the exchange.
+    pub plan: ArcSwap<Plan>,
+    /// Wakes the exchange when something must be known to others at once.
+    pub urgent: Notify,
+    /// When another daemon last reported progress of a rollout.
+    pub rollout_news: Freshness,
     /// Cancelled when a planned shutdown begins.
     pub leaving: CancellationToken,
     roster: Mutex<Roster>,
@@ -108,13 +114,15 @@
             store: setup.store,
             engines: setup.engines,
             document: ArcSwapOption::empty(),
-            document_row: ArcSwapOption::empty(),
+            mirror: Mirror::default(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
             members: Members::default(),
             peers: Peers::default(),
-            rollout_reports: ArcSwap::default(),
+            plan: ArcSwap::default(),
+            urgent: Notify::new(),
+            rollout_news: Freshness::default(),
             leaving: CancellationToken::new(),
             roster: Mutex::default(),
             placer: Mutex::new(placer),
@@ -138,21 +146,14 @@
         self.document.load().is_some() && fresh && !self.leaving.is_cancelled()
     }
 
-    /// Merges the weights and rollout progress reported by a peer. The rest of the news is applied
-    /// by [`pulse`](crate::gateway::pulse).
-    pub fn apply_news(&self, news: &News) {
-        let now = self.now();
+    /// Changes the operator's targets and the rollout progress; `change` returns whether it did.
+    pub fn change_progress(&self, change: impl FnOnce(&mut Progress) -> bool) -> bool {
         let mut progress = (**self.progress.load()).clone();
-        let mut changed = false;
-        for (model, version) in &news.weights {
-            changed |= progress.set_target(model, *version, now);
-        }
-        for rollout in &news.rollouts {
-            changed |= progress.update_statuses(&rollout.model, rollout.fence, &rollout.marks);
-        }
+        let changed = change(&mut progress);
         if changed {
             self.progress.store(Arc::new(progress));
         }
+        changed
     }
 
     /// Changes the roster and publishes the resulting view to calls.
@@ -163,6 +164,16 @@
         result
     }
 
+    /// Removes upstreams whose registrations are gone, and publishes the view if there were any.
+    pub fn expire_upstreams(&self) {
+        let now = self.now();
+        let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
+        if roster.has_missing() {
+            roster.expire(now);
+            self.view.store(Arc::new(roster.view()));
+        }
+    }
+
     /// Selects upstreams for calls.
     pub fn placer(&self) -> MutexGuard<'_, Placer> {
         self.placer.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -11,7 +11,7 @@
     gateway::{
         context::{Context, Setup},
         entry::Entry,
-        follow, member, operate, pulse,
+        exchange, follow, member, operate,
         store::Topic,
         watch,
     },
@@ -65,8 +65,8 @@
         }
         tasks.spawn(follow::expire_upstreams(context.clone(), stop.clone()));
         tasks.spawn(operate::run(context.clone(), stop.clone()));
-        tasks.spawn(pulse::serve(context.clone(), self.peer, stop.clone()));
-        tasks.spawn(pulse::poll_peers(context.clone(), stop.clone()));
+        tasks.spawn(exchange::serve(context.clone(), self.peer, stop.clone()));
+        tasks.spawn(exchange::run(context.clone(), stop.clone()));
         tasks.spawn(watch::probe_endpoints(context.clone(), stop.clone()));
         tasks.spawn(member::announce(context.clone(), stop.clone()));
         for (listener, handler) in extra_listeners {
--- /dev/null
+++ b/src/gateway/exchange/compose.rs
@@ -0,0 +1,141 @@
+//! Builds the message to a peer.
+
+use std::time::Duration;
+
+use crate::{
+    gateway::{
+        context::Context,
+        message::{Head, Link, Load, Message, Offset, Rollout, Rows, Sighting, Targets},
+        peer::Known,
+        store::Topic,
+    },
+    kernel::clock::Time,
+    route::pool::name_hash,
+};
+
+/// Minimum decayed number of failures at an upstream for it to be reported to other daemons.
+const MIN_REPORTED_FAILURES: f32 = 0.5;
+
+/// How long it is reported that an upstream was found dead.
+const SIGHTING_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Target versions of each model that are reported: an engine's weights are rarely older.
+const REPORTED_TARGETS: usize = 6;
+
+/// Builds the message to the peer `name`; `link` is what this daemon is to it.
+pub fn compose(context: &Context, name: &str, link: Link) -> Message {
+    let now = context.now();
+    let peers = &context.peers;
+    let known = peers.known(name);
+    let to_link = link.reversed();
+    let (last_update, cache_updates) =
+        peers.cache_updates().after(known.acknowledged_update, to_link, name_hash(name));
+    let own_name = context.settings.daemon.as_str();
+    let mut live = peers.reported_live(name, to_link, now);
+    live.push((name_hash(own_name), context.is_ready()));
+    let progress = context.progress.load();
+    let rollouts_digest = progress.statuses_digest();
+    let mut rollouts = Vec::new();
+    // Before the first message of the peer it is not known what it has.
+    if known != Known::default() && known.rollouts != rollouts_digest {
+        rollouts.extend(progress.statuses().map(|(model, fence, statuses)| Rollout {
+            model: model.clone(),
+            fence,
+            statuses: statuses.clone(),
+        }));
+    }
+    Message {
+        from: own_name.to_owned(),
+        incarnation: context.incarnation,
+        link,
+        stamp: now,
+        to: known.incarnation,
+        echo: known.stamp,
+        acknowledged_update: known.received_update,
+        last_update,
+        cache_updates,
+        loads: loads(context, name, to_link, now),
+        live,
+        heads: Topic::FOLLOWED.map(|topic| head(context, topic, &known)),
+        rows: rows(context, &known),
+        targets: targets(context, &known),
+        rollouts_digest,
+        rollouts,
+        sightings: sightings(context, &known, now),
+        suspects: context.suspects().facts(),
+    }
+}
+
+fn loads(context: &Context, name: &str, to_link: Link, now: Time) -> Vec<Load> {
+    let mut totals = context.peers.reported_load(name, to_link, now);
+    let fleet = context.peers.peer_load(now);
+    for endpoint in context.view.load().all() {
+        let (health, engine) = (&endpoint.health, endpoint.hash);
+        let (calls, outcomes) = (health.calls_in_flight(), health.recent_outcomes(now));
+        // Upstreams without calls in flight are listed only while some daemon's calls fail there,
+        // because the failure rate is computed from the outcomes at all daemons.
+        let is_failing = outcomes.failures >= MIN_REPORTED_FAILURES
+            || fleet.get(&engine).is_some_and(|it| it.outcomes.failures >= MIN_REPORTED_FAILURES);
+        if calls > 0 || is_failing {
+            let (tokens, memory) = (health.pending_prompt_tokens(), health.reserved_tokens());
+            let own = Load { engine, calls, tokens, memory, outcomes };
+            totals.entry(engine).or_default().add(&own);
+        }
+    }
+    totals.into_iter().map(|(engine, load)| Load { engine, ..load }).collect()
+}
+
+fn head(context: &Context, topic: Topic, known: &Known) -> Option<Head> {
+    let head = context.mirror.head(topic)?;
+    let confirmed_at = Offset::new(head.confirmed_at, known.heard_at);
+    Some(Head { version: head.version, confirmed_at })
+}
+
+/// The rows that the peer lacks. Before its first message it is not known which.
+fn rows(context: &Context, known: &Known) -> Vec<Rows> {
+    let mut missing = Vec::new();
+    if *known == Known::default() {
+        return missing;
+    }
+    for (index, topic) in Topic::FOLLOWED.into_iter().enumerate() {
+        let version = known.versions[index];
+        let head = context.mirror.head(topic).map(|it| it.version);
+        if head <= version {
+            continue;
+        }
+        let Some(delta) = context.mirror.after(topic, version) else {
+            continue;
+        };
+        let after = version.filter(|_| !delta.full);
+        missing.push(Rows { topic: index, after, rows: delta.rows });
+    }
+    missing
+}
+
+fn targets(context: &Context, known: &Known) -> Vec<Targets> {
+    let progress = context.progress.load();
+    let mut targets = Vec::new();
+    for (model, recent) in progress.recent_targets(REPORTED_TARGETS) {
+        let recent = recent.iter().filter(|it| !it.is_assumed);
+        let versions = recent.map(|it| (it.version, Offset::new(it.since, known.heard_at)));
+        targets.push(Targets { model: model.clone(), versions: versions.collect() });
+    }
+    targets
+}
+
+fn sightings(context: &Context, known: &Known, now: Time) -> Vec<Sighting> {
+    let mut sightings = Vec::new();
+    for endpoint in context.view.load().all() {
+        let found = endpoint.health.sighting();
+        let Some(dead_at) = found.dead_at.filter(|it| now.since(*it) < SIGHTING_LIFETIME) else {
+            continue;
+        };
+        sightings.push(Sighting {
+            engine: endpoint.hash,
+            incarnation: endpoint.record.incarnation,
+            dead_at: Offset::new(dead_at, known.heard_at),
+            alive_at: found.alive_at.map(|it| Offset::new(it, known.heard_at)),
+        });
+    }
+    sightings
+}
--- /dev/null
+++ b/src/gateway/exchange/take.rs
@@ -0,0 +1,95 @@
+//! Applies a message from a peer.
+
+use crate::{
+    gateway::{
+        context::Context, follow, gauge, message::Message, peer::Origin, rollout::Target,
+        store::Topic,
+    },
+    kernel::clock::Time,
+    route::pool::name_hash,
+};
+
+/// Applies a message.
+pub fn take(context: &Context, message: &Message) {
+    let now = context.now();
+    record_cache_updates(context, message);
+    context.peers.record(message, context.incarnation, now);
+    for fact in &message.suspects {
+        context.suspects().learn(fact, now);
+    }
+    for rollout in &message.rollouts {
+        let (model, fence) = (&rollout.model, rollout.fence);
+        if context.change_progress(|it| it.update_statuses(model, fence, &rollout.statuses)) {
+            context.rollout_news.confirm(now);
+        }
+    }
+    // Offsets refer to a message of this process.
+    let echo = (message.to == context.incarnation && message.echo > Time::default())
+        .then_some(message.echo)
+        .filter(|it| *it <= now);
+    if let Some(echo) = echo {
+        take_targets(context, message, echo);
+        take_sightings(context, message, echo, now);
+    }
+    take_rows(context, message, echo);
+}
+
+fn record_cache_updates(context: &Context, message: &Message) {
+    if message.cache_updates.is_empty() {
+        return;
+    }
+    if let Some(document) = context.document.load().as_ref() {
+        let (tokens, store) = (document.engine_tokens(), document.kv_store());
+        context.placer().record_entries(&message.cache_updates, tokens, store);
+    }
+    let origin = Origin::Peer(message.link, name_hash(&message.from));
+    let mut updates = context.peers.cache_updates();
+    for update in &message.cache_updates {
+        updates.push(origin, *update);
+    }
+}
+
+fn take_targets(context: &Context, message: &Message, echo: Time) {
+    for targets in &message.targets {
+        for (version, since) in &targets.versions {
+            let since = since.resolve(echo);
+            let target = Target { version: *version, since, is_assumed: false };
+            context.change_progress(|it| it.set_target(&targets.model, target));
+        }
+    }
+}
+
+fn take_sightings(context: &Context, message: &Message, echo: Time, now: Time) {
+    if message.sightings.is_empty() {
+        return;
+    }
+    for endpoint in context.view.load().all() {
+        let process = (endpoint.hash, endpoint.record.incarnation);
+        let found = message.sightings.iter().find(|it| (it.engine, it.incarnation) == process);
+        let Some(found) = found else { continue };
+        let found = gauge::Sighting {
+            dead_at: Some(found.dead_at.resolve(echo)),
+            alive_at: found.alive_at.map(|it| it.resolve(echo)),
+        };
+        endpoint.health.record_sighting(found, now);
+    }
+}
+
+/// Takes the rows that this daemon lacks, and the confirmation of those that it has.
+fn take_rows(context: &Context, message: &Message, echo: Option<Time>) {
+    for (index, topic) in Topic::FOLLOWED.into_iter().enumerate() {
+        let Some(head) = message.heads[index] else {
+            continue;
+        };
+        let confirmed_at = echo.map_or(Time::default(), |it| head.confirmed_at.resolve(it));
+        if let Some(rows) = message.rows.iter().find(|it| it.topic == index) {
+            follow::apply(context, topic, &rows.rows, rows.after, head.version, confirmed_at);
+            continue;
+        }
+        let own_version = context.mirror.head(topic).map(|it| it.version);
+        if own_version.is_some_and(|it| it >= head.version) {
+            let after = Some(head.version);
+            follow::apply(context, topic, &[], after, head.version, confirmed_at);
+        }
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,4 +1,9 @@
-//! Follows the store's topics and mirrors their contents in memory.
+//! Follows the store's topics and applies their rows, whether they come from the store or from
+//! another daemon.
+//!
+//! In a large fleet only a few daemons, the watchers, ask the store as long as all goes well. The
+//! others get the rows through the [`exchange`](crate::gateway::exchange), with the time at which a
+//! watcher had asked for them, and ask the store themselves when that is too long ago.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,6 +16,9 @@
         context::Context,
         dialect,
         document::Document,
+        exchange,
+        mirror::Delta,
+        rollout::Target,
         store::{self, Page, Row, Topic},
     },
     kernel::{
@@ -26,6 +34,9 @@
 /// recovery.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
 
+/// The same for a daemon that is no watcher, and hears of the store's recovery from watchers.
+const RETRY_DELAY_MAX_UNWATCHED: Duration = Duration::from_millis(2_000);
+
 /// Long-poll timeout for the operator's rows: the document must be confirmed well within the time
 /// during which a revoked key may still be accepted (`Settings::revocation`, 5 s on the platform).
 const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_800);
@@ -34,6 +45,32 @@
 /// earlier if the other side no longer acknowledges TCP segments.
 const POLL_TIMEOUT: Duration = Duration::from_millis(5_000);
 
+/// Age of the operator's rows from which a daemon that is no watcher asks the store itself: late
+/// enough that watchers' long polls and the exchange don't reach it, early enough that the answer
+/// arrives before calls that need a key must be refused (`Settings::revocation`).
+const OPERATOR_MAX_AGE: Duration = Duration::from_millis(2_800);
+
+/// The same for other topics, which nothing must confirm within a time. It matters only if the
+/// exchange fails.
+const MAX_AGE: Duration = Duration::from_millis(9_000);
+
+/// Time that a daemon which is no watcher waits for the first rows of a topic from its hub.
+const FIRST_ROWS_WAIT: Duration = Duration::from_millis(800);
+
+/// Random addition to the waits of daemons that are no watchers, so that the first of them to ask
+/// the store saves the others their call.
+const AGE_JITTER: Duration = Duration::from_millis(700);
+
+/// Time for which daemons that all start for the first time wait until the others are registered.
+const REGISTRATION_WAIT: Duration = Duration::from_millis(450);
+
+/// Interval at which a daemon that is no watcher checks the age of its rows.
+const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Gap between two confirmations of the upstreams' rows from which the store counts as having been
+/// unavailable, if the rows come from other daemons.
+const OUTAGE_GAP: Duration = Duration::from_millis(8_000);
+
 /// Delay after changes of upstreams or daemons, per daemon in the fleet: together, up to 67 daemons
 /// make at most 67 calls a second for a topic, however often rows change. In a larger fleet,
 /// [`BATCH_DELAY_MAX`] applies, and each daemon makes at most one call a second.
@@ -48,50 +85,106 @@
 
 /// Follows one topic until `stop` is cancelled.
 pub async fn follow(context: Arc<Context>, topic: Topic, stop: CancellationToken) {
-    let mut follower = Follower { context, topic, version: None, failures: 0 };
-    loop {
-        tokio::select! {
-            () = stop.cancelled() => return,
-            () = follower.poll() => {}
-        }
+    let mut follower = Follower { context, topic, must_list: false, failures: 0 };
+    tokio::select! {
+        () = stop.cancelled() => {}
+        () = follower.run() => {}
     }
 }
 
 struct Follower {
     context: Arc<Context>,
     topic: Topic,
-    /// The latest transaction applied; `None` until the topic has been listed in full.
-    version: Option<u64>,
+    /// Whether changes were compacted, so that all rows must be listed.
+    must_list: bool,
     failures: u32,
 }
 
 impl Follower {
+    async fn run(&mut self) {
+        self.wait_for_members().await;
+        loop {
+            self.wait_until_due().await;
+            self.poll().await;
+        }
+    }
+
+    /// Waits until the other daemons are known, which decides whether this one is a watcher.
+    async fn wait_for_members(&self) {
+        let context = &self.context;
+        if self.topic == Topic::Fleet {
+            if context.settings.is_first_start {
+                time::sleep(REGISTRATION_WAIT).await;
+            }
+            return;
+        }
+        while context.mirror.head(Topic::Fleet).is_none() {
+            time::sleep(AGE_CHECK_INTERVAL).await;
+        }
+        exchange::update_plan(context);
+    }
+
+    /// Returns at once if this daemon is a watcher, or else when its rows are too old.
+    async fn wait_until_due(&self) {
+        let started_at = self.context.now();
+        let jitter = AGE_JITTER.mul_f64(rand::random::<f64>());
+        let max_age = match self.topic {
+            Topic::Operator => OPERATOR_MAX_AGE,
+            _ => MAX_AGE,
+        };
+        loop {
+            if self.context.plan.load().is_watcher {
+                return;
+            }
+            let (now, head) = (self.context.now(), self.context.mirror.head(self.topic));
+            let is_due = match head {
+                Some(head) => now.since(head.confirmed_at) >= max_age + jitter,
+                None if self.topic == Topic::Fleet => true,
+                None => now.since(started_at) >= FIRST_ROWS_WAIT + jitter,
+            };
+            if is_due {
+                return;
+            }
+            time::sleep(AGE_CHECK_INTERVAL).await;
+        }
+    }
+
     async fn poll(&mut self) {
         let requested_at = self.context.now();
-        let result = match self.version {
+        let head = self.context.mirror.head(self.topic).filter(|_| !self.must_list);
+        let after = head.map(|it| it.version);
+        let is_watcher = self.context.plan.load().is_watcher;
+        let result = match after {
             None => self.list_all().await,
             Some(after) => {
-                let timeout = if self.topic == Topic::Operator {
-                    OPERATOR_POLL_TIMEOUT
-                } else {
-                    POLL_TIMEOUT
+                let timeout = match self.topic {
+                    _ if !is_watcher => Duration::ZERO,
+                    Topic::Operator => OPERATOR_POLL_TIMEOUT,
+                    _ => POLL_TIMEOUT,
                 };
                 self.context.store.changes(self.topic, after, timeout).await
             }
         };
         match result {
             Ok(page) => {
+                if std::mem::take(&mut self.failures) > 0 {
+                    info!(topic = ?self.topic, "the store responds again");
+                }
+                self.must_list = false;
                 let changed = !page.rows.is_empty();
-                self.apply_page(page, requested_at);
+                if self.topic == Topic::Upstreams {
+                    self.context.change_roster(|it| it.store_answered(self.context.now()));
+                }
+                apply(&self.context, self.topic, &page.rows, after, page.version, requested_at);
                 if changed && self.topic != Topic::Operator {
                     time::sleep(batch_delay(self.context.members.count())).await;
                 }
             }
             Err(store::Error::Compacted) => {
                 info!(topic = ?self.topic, "changes were compacted; listing the topic again");
-                self.version = None;
+                self.must_list = true;
             }
-            Err(failure) => self.back_off(&failure).await,
+            Err(failure) => self.back_off(&failure, is_watcher).await,
         }
     }
 
@@ -109,116 +202,119 @@
         Ok(page)
     }
 
-    fn apply_page(&mut self, page: Page, requested_at: Time) {
-        if std::mem::take(&mut self.failures) > 0 {
-            info!(topic = ?self.topic, "the store responds again");
-        }
-        let is_full_listing = self.version.is_none();
-        self.version = Some(self.version.unwrap_or(0).max(page.version));
-        match self.topic {
-            Topic::Operator => self.apply_operator_rows(&page.rows, requested_at),
-            Topic::Upstreams => self.apply_upstream_rows(&page.rows, is_full_listing),
-            Topic::Fleet => self.apply_fleet_rows(&page.rows, is_full_listing),
-            Topic::Leases => {}
-        }
-    }
-
-    async fn back_off(&mut self, failure: &store::Error) {
+    async fn back_off(&mut self, failure: &store::Error, is_watcher: bool) {
         if self.failures == 0 {
             warn!(topic = ?self.topic, %failure, "call to the store failed; retrying");
         }
         if self.topic == Topic::Upstreams {
             self.context.change_roster(|it| it.store_lost());
         }
-        let delay = (RETRY_DELAY_MIN * 2_u32.pow(self.failures.min(8))).min(RETRY_DELAY_MAX);
+        let max_delay = match is_watcher {
+            true => RETRY_DELAY_MAX,
+            false => RETRY_DELAY_MAX_UNWATCHED,
+        };
+        let delay = (RETRY_DELAY_MIN * 2_u32.pow(self.failures.min(8))).min(max_delay);
         self.failures += 1;
         time::sleep(delay.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
+}
 
-    fn apply_operator_rows(&self, rows: &[Row], requested_at: Time) {
-        let mut all_decoded = true;
-        // The document and the targets stay active when their rows are removed.
-        for row in rows.iter().filter(|it| !it.removed) {
-            match self.context.schema.decode_operator_row(row) {
-                Ok(dialect::Directive::Document(document)) => {
-                    apply_document(&self.context, document, row)
-                }
-                Ok(dialect::Directive::Weights(model, version)) => self.set_target(&model, version),
-                Ok(dialect::Directive::Other) => {}
-                Err(error) => {
-                    all_decoded = false;
-                    warn!(
-                        key = row.key,
-                        version = row.version,
-                        %error,
-                        "ignored an invalid operator row"
-                    );
-                }
-            }
-        }
-        if all_decoded && self.context.document.load().is_some() {
-            self.context.freshness.confirm(requested_at);
+/// Applies rows that reflect the store up to transaction `version`, and were current at
+/// `confirmed_at`. `after` is the transaction that they continue; `None` if they are all rows.
+/// Rows older than those that this daemon has are ignored.
+pub fn apply(
+    context: &Context,
+    topic: Topic,
+    rows: &[Row],
+    after: Option<u64>,
+    version: u64,
+    confirmed_at: Time,
+) {
+    let previous = context.mirror.head(topic);
+    let Some(delta) = context.mirror.merge(topic, rows, after, version, confirmed_at) else {
+        return;
+    };
+    match topic {
+        Topic::Operator => apply_operator_rows(context, &delta, confirmed_at),
+        Topic::Upstreams => {
+            let gap = previous.map(|it| confirmed_at.since(it.confirmed_at));
+            apply_upstream_rows(context, &delta, gap.is_some_and(|it| it >= OUTAGE_GAP));
         }
+        Topic::Fleet => context.members.apply_rows(&delta),
+        Topic::Leases => {}
+    }
+    if previous.is_some() && !delta.rows.is_empty() {
+        context.urgent.notify_one();
     }
+}
 
-    fn set_target(&self, model: &Model, version: Version) {
-        let now = self.context.now();
-        let mut progress = (**self.context.progress.load()).clone();
-        if progress.set_target(model, version, now) {
-            info!(model = model.as_str(), version = version.0, "new target version of weights");
-            self.context.progress.store(Arc::new(progress));
+fn apply_operator_rows(context: &Context, delta: &Delta, confirmed_at: Time) {
+    let mut all_decoded = true;
+    // The document and the targets stay active when their rows are removed.
+    for row in delta.rows.iter().filter(|it| !it.removed) {
+        match context.schema.decode_operator_row(row) {
+            Ok(dialect::Directive::Document(document)) => apply_document(context, document),
+            Ok(dialect::Directive::Weights(model, version)) => {
+                set_target(context, &model, version, delta.full);
+            }
+            Ok(dialect::Directive::Other) => {}
+            Err(error) => {
+                all_decoded = false;
+                let (key, version) = (row.key.as_str(), row.version);
+                warn!(key, version, %error, "ignored an invalid operator row");
+            }
         }
     }
+    if all_decoded && context.document.load().is_some() {
+        context.freshness.confirm(confirmed_at);
+    }
+}
 
-    fn apply_upstream_rows(&self, rows: &[Row], is_full_listing: bool) {
-        let context = &self.context;
-        let now = context.now();
-        context.change_roster(|roster| {
+/// Sets a target that the operator's rows name. In the first listing, it may have been there for
+/// any time: then calls may start on older weights only as long as this daemon is not held to the
+/// deadline.
+fn set_target(context: &Context, model: &Model, version: Version, is_first_listing: bool) {
+    let (now, settings) = (context.now(), &context.settings);
+    let assumed = (now + settings.steady_after) - settings.weights_deadline;
+    let target = match is_first_listing {
+        true => Target { version, since: assumed.min(now), is_assumed: true },
+        false => Target { version, since: now, is_assumed: false },
+    };
+    if context.change_progress(|it| it.set_target(model, target)) {
+        info!(model = model.as_str(), version = version.0, "new target version of weights");
+    }
+}
+
+fn apply_upstream_rows(context: &Context, delta: &Delta, store_was_lost: bool) {
+    let now = context.now();
+    context.change_roster(|roster| {
+        if store_was_lost {
+            roster.store_lost();
             roster.store_answered(now);
-            if is_full_listing {
-                let names: Vec<_> = rows.iter().map(|it| Upstream::from(&*it.key)).collect();
-                roster.retain(&names);
+        }
+        for row in &delta.rows {
+            let name = Upstream::from(&*row.key);
+            if row.removed {
+                info!(upstream = row.key, "upstream's registration was removed");
+                roster.remove(&name);
+                continue;
             }
-            for row in rows {
-                let name = Upstream::from(&*row.key);
-                if row.removed {
-                    info!(upstream = row.key, "upstream's registration was removed");
-                    roster.remove(&name);
-                    continue;
-                }
-                match context.schema.decode_upstream(row) {
-                    Ok(record) => {
-                        if record.draining {
-                            info!(upstream = row.key, "upstream is draining");
-                        }
-                        roster.insert(&name, record);
-                    }
-                    Err(error) => {
-                        warn!(
-                            upstream = row.key,
-                            %error,
-                            "invalid registration; removing the upstream"
-                        );
-                        roster.remove(&name);
+            match context.schema.decode_upstream(row) {
+                Ok(record) => {
+                    if record.draining {
+                        info!(upstream = row.key, "upstream is draining");
                     }
+                    roster.insert(&name, record);
+                }
+                Err(error) => {
+                    let upstream = row.key.as_str();
+                    warn!(upstream, %error, "invalid registration; removing the upstream");
+                    roster.remove(&name);
                 }
-            }
-            roster.expire(now);
-        });
-    }
-
-    fn apply_fleet_rows(&self, rows: &[Row], is_full_listing: bool) {
-        let context = &self.context;
-        if is_full_listing {
-            context.members.clear();
-        }
-        for row in rows {
-            // Rows with other keys are ignored.
-            if let Some(name) = row.key.strip_prefix(MEMBER_PREFIX) {
-                context.members.apply_row(name, row.value.as_deref());
             }
         }
-    }
+        roster.expire(now);
+    });
 }
 
 /// How long to wait for more changes before the next poll in a fleet of `daemons` daemons.
@@ -227,13 +323,12 @@
 }
 
 /// Makes `document` the active document unless the active one is as new or newer.
-pub fn apply_document(context: &Context, document: Arc<Document>, row: &Row) {
+fn apply_document(context: &Context, document: Arc<Document>) {
     let active_version = context.document.load().as_ref().map(|it| it.version);
     if active_version.is_some_and(|it| it >= document.version) {
         return;
     }
     info!(version = document.version, before = active_version, "activated a newer document");
-    context.document_row.store(Some(Arc::new(row.clone())));
     context.document.store(Some(document));
 }
 
@@ -248,7 +343,6 @@
             () = stop.cancelled() => return,
             () = time::sleep(EXPIRY_INTERVAL) => {}
         }
-        let now = context.now();
-        context.change_roster(|it| it.expire(now));
+        context.expire_upstreams();
     }
 }
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -27,10 +27,14 @@
 /// While calls wait there, an engine emits the first event of one of them every 50 to 200 ms.
 pub const INACTIVITY_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Minimum interval between probes of an upstream. A failed probe that doesn't make the upstream
-/// dead is repeated without this delay.
+/// Minimum interval between probes of an upstream by all daemons that exchange state, and of one
+/// that isn't dead by any. A failed probe that doesn't make the upstream dead is repeated without
+/// this delay.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Number of daemons that together probe a dead upstream once in [`PROBE_INTERVAL`].
+const DAEMONS_PER_PROBE: u32 = 4;
+
 /// Consecutive failed probes after which an upstream is considered dead; a single one may be due
 /// to packet loss.
 const FAILED_PROBES_UNTIL_DEAD: u32 = 2;
@@ -68,6 +72,10 @@
     /// it too. Above 0, the upstream is suspected to be dead.
     failed_probes: u32,
     dead: bool,
+    /// When this daemon last found it dead.
+    died_at: Option<Time>,
+    /// When any daemon last found it dead, and alive.
+    sighting: Sighting,
     /// Cancelled when the upstream is found dead.
     cancel_on_death: CancellationToken,
     outcomes: Outcomes,
@@ -84,6 +92,25 @@
     pub failures: f32,
 }
 
+/// When an upstream was last found dead, and alive.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sighting {
+    /// When it was last found dead.
+    pub dead_at: Option<Time>,
+    /// When it last sent something or accepted a connection.
+    pub alive_at: Option<Time>,
+}
+
+impl Sighting {
+    /// The later times of both.
+    pub fn merge(self, other: Sighting) -> Sighting {
+        Sighting {
+            dead_at: self.dead_at.max(other.dead_at),
+            alive_at: self.alive_at.max(other.alive_at),
+        }
+    }
+}
+
 impl Outcomes {
     /// The fraction of failed calls, from 0 to 1, with `ASSUMED_SUCCESSES` added to the calls.
     pub fn failure_rate(&self) -> f32 {
@@ -145,6 +172,7 @@
     pub fn record_activity(&self, now: Time) {
         let mut state = self.state();
         state.last_activity = now;
+        state.sighting.alive_at = Some(now);
         state.failed_probes = 0;
     }
 
@@ -188,31 +216,54 @@
 
     /// Marks the upstream as dead because it refuses connections: its process has ended. It gets no
     /// calls until a connection succeeds.
-    pub fn mark_dead(&self) {
-        self.state().mark_dead();
+    pub fn mark_dead(&self, now: Time) {
+        self.state().mark_dead(now);
     }
 
-    /// Records that another daemon found the upstream dead. It gets no calls until a connection
+    /// Records what other daemons found.
+    ///
+    /// An upstream that was dead after its last sign of life gets no calls until a connection
     /// succeeds or it sends something. The report counts as one failed probe, so that a single
-    /// failed probe by this daemon then makes the upstream dead.
-    pub fn mark_suspected(&self, now: Time) {
+    /// failed probe by this daemon then makes the upstream dead. A dead one that was alive after
+    /// this daemon's last probe is probed at once.
+    pub fn record_sighting(&self, found: Sighting, now: Time) {
         let mut state = self.state();
-        // Recent activity takes precedence over the other daemon's report.
-        if now.since(state.last_activity) >= INACTIVITY_TIMEOUT {
+        let known = state.sighting.merge(found);
+        state.sighting = known;
+        let is_dead = known.dead_at > known.alive_at && known.dead_at > Some(state.last_activity);
+        // Recent activity takes precedence over the other daemons' report.
+        if is_dead && now.since(state.last_activity) >= INACTIVITY_TIMEOUT {
             state.failed_probes = state.failed_probes.max(1);
         }
+        let is_alive = known.alive_at > Some(state.last_probe) && known.alive_at > state.died_at;
+        if state.dead && is_alive {
+            state.last_probe = Time::default();
+        }
+    }
+
+    /// When any daemon last found the upstream dead and alive, as far as this daemon knows.
+    pub fn sighting(&self) -> Sighting {
+        self.state().sighting
     }
 
     /// Whether a probe is due: the upstream is dead or suspected, or it is inactive with calls in
     /// flight. If so, the caller must probe it and call [`Self::record_probe`].
-    pub fn start_probe_if_due(&self, now: Time) -> bool {
+    ///
+    /// `daemons` daemons share the probes of a dead upstream, because each hears of it when another
+    /// one finds it alive.
+    pub fn start_probe_if_due(&self, daemons: usize, now: Time) -> bool {
         let mut state = self.state();
         let inactive =
             self.calls_in_flight() > 0 && now.since(state.last_activity) >= INACTIVITY_TIMEOUT;
         if !inactive && !state.dead && state.failed_probes == 0 {
             return false;
         }
-        if now.since(state.last_probe) < PROBE_INTERVAL {
+        let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
+        let interval = match state.dead && state.last_probe > Time::default() {
+            true => PROBE_INTERVAL * daemons.div_ceil(DAEMONS_PER_PROBE),
+            false => PROBE_INTERVAL,
+        };
+        if now.since(state.last_probe) < interval {
             return false;
         }
         state.last_probe = now;
@@ -227,6 +278,7 @@
         if connected {
             state.last_activity = now;
             state.failed_probes = 0;
+            state.sighting.alive_at = Some(now);
             if state.dead {
                 state.dead = false;
                 state.cancel_on_death = CancellationToken::new();
@@ -234,7 +286,7 @@
         } else {
             state.failed_probes += 1;
             if state.failed_probes >= FAILED_PROBES_UNTIL_DEAD {
-                state.mark_dead();
+                state.mark_dead(now);
             } else {
                 // Makes the next probe due at once.
                 state.last_probe = Time::default();
@@ -268,8 +320,10 @@
         self.outcomes_at = now;
     }
 
-    fn mark_dead(&mut self) {
+    fn mark_dead(&mut self, now: Time) {
         self.dead = true;
+        self.died_at = Some(now);
+        self.sighting.dead_at = Some(now);
         // Calls that failed when the process ended say nothing about its successor, which may
         // accept connections at the same address before its registration replaces this one.
         self.outcomes = Outcomes::default();
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -72,7 +72,7 @@
         if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
             return;
         }
-        health.mark_dead();
+        health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
         if !suspects.is_empty() {
             info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -1,29 +1,37 @@
 //! Daemons registered in the store.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
-};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
+use arc_swap::ArcSwap;
+use rand::{Rng, RngExt};
 use serde::{Deserialize, Serialize};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
 
 use crate::{
-    collections::Map,
     gateway::{
         context::Context,
         follow::MEMBER_PREFIX,
+        mirror::Delta,
         store::{Topic, Write},
     },
     kernel::id::{Incarnation, Zone},
+    route::pool::name_hash,
 };
 
 /// Delay before a failed write of the registration is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of addresses that a caller is given at least, if there are as many, so that it can do
+/// without those that fail.
+const MIN_ZONE_ADDRESSES: usize = 6;
+
+/// Processor time of daemons whose registrations don't name it.
+fn default_cpu_millis() -> u32 {
+    1_000
+}
+
 /// Registration of a daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -35,64 +43,101 @@
     pub caller: SocketAddr,
     /// Address for other daemons.
     pub peer: SocketAddr,
+    /// Its share of a processor core, in thousandths.
+    #[serde(default = "default_cpu_millis")]
+    pub cpu_millis: u32,
     /// Whether it is shutting down and is no longer listed in the addresses given to callers.
     pub leaving: bool,
 }
 
-/// Known daemons, by name.
+/// Known daemons, sorted by name.
 #[derive(Debug, Default)]
-pub struct Members(Mutex<Map<String, Member>>);
+pub struct Members(ArcSwap<Vec<(String, Member)>>);
 
 impl Members {
-    /// Removes all daemons, before a full listing is applied.
-    pub fn clear(&self) {
-        self.lock().clear();
-    }
-
-    /// Applies a row from the store; `value` is `None` if the row was removed.
-    pub fn apply_row(&self, name: &str, value: Option<&[u8]>) {
-        let Some(value) = value else {
-            self.lock().remove(name);
+    /// Applies changed rows from the store.
+    pub fn apply_rows(&self, delta: &Delta) {
+        if delta.rows.is_empty() {
             return;
-        };
-        match serde_json::from_slice(value) {
-            Ok(member) => drop(self.lock().insert(name.to_owned(), member)),
-            Err(error) => warn!(daemon = name, %error, "failed to decode daemon registration"),
         }
+        let mut members: BTreeMap<_, _> = self.0.load().iter().cloned().collect();
+        if delta.full {
+            members.clear();
+        }
+        for row in &delta.rows {
+            // Rows with other keys are ignored.
+            let Some(name) = row.key.strip_prefix(MEMBER_PREFIX) else {
+                continue;
+            };
+            let Some(value) = row.value.as_deref() else {
+                members.remove(name);
+                continue;
+            };
+            match serde_json::from_slice(value) {
+                Ok(member) => drop(members.insert(name.to_owned(), member)),
+                Err(error) => warn!(daemon = name, %error, "failed to decode daemon registration"),
+            }
+        }
+        self.0.store(Arc::new(members.into_iter().collect()));
+    }
+
+    /// Adds or replaces one daemon.
+    fn insert(&self, name: &str, member: Member) {
+        let mut members: BTreeMap<_, _> = self.0.load().iter().cloned().collect();
+        members.insert(name.to_owned(), member);
+        self.0.store(Arc::new(members.into_iter().collect()));
     }
 
     /// Number of known registrations that aren't marked as leaving, but at least 1. That of this
     /// daemon counts like any other: no longer once it is marked because of a shutdown.
     pub fn count(&self) -> usize {
-        self.lock().values().filter(|it| !it.leaving).count().max(1)
+        self.0.load().iter().filter(|(_, it)| !it.leaving).count().max(1)
     }
 
     /// All registrations, sorted by name.
-    pub fn all(&self) -> Vec<(String, Member)> {
-        let mut all: Vec<_> = self.lock().iter().map(|(k, v)| (k.clone(), v.clone())).collect();
-        all.sort_by(|left, right| left.0.cmp(&right.0));
-        all
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Map<String, Member>> {
-        self.0.lock().unwrap_or_else(|it| it.into_inner())
+    pub fn all(&self) -> Arc<Vec<(String, Member)>> {
+        self.0.load_full()
     }
 }
 
-/// Addresses for callers in `zone`: those of all ready daemons, with daemons in the same zone
-/// first; in no order of zones if `zone` is `None`. A daemon that gets no response from any peer
-/// can't tell which ones are alive, and returns all that aren't shutting down.
+/// Addresses for callers in `zone`: those of ready daemons of the same zone, and if these are fewer
+/// than [`MIN_ZONE_ADDRESSES`] or `zone` is `None`, also those of other zones after them. Callers
+/// choose among the addresses at random, so daemons with little processor time are left out of some
+/// of the answers, in proportion.
+///
+/// A daemon that gets no response from any peer can't tell which ones are alive, and returns all
+/// that aren't shutting down.
 pub fn addresses(context: &Context, zone: Option<&str>) -> Vec<SocketAddr> {
     let now = context.now();
     let own = context.settings.daemon.as_str();
     let is_isolated = !context.peers.any_responsive(now);
-    let mut candidates = context.members.all();
-    candidates.retain(|(name, member)| match name == own {
+    let accepting = context.peers.accepting_callers(now);
+    let members = context.members.all();
+    let is_open = |name: &str, member: &Member| match name == own {
         true => context.is_ready(),
-        false => !member.leaving && (is_isolated || context.peers.accepts_callers(name, now)),
-    });
-    candidates.sort_by_key(|(_, it)| zone != Some(it.zone.as_str()));
-    candidates.into_iter().map(|(_, it)| it.caller).collect()
+        false => !member.leaving && (is_isolated || accepting.contains(&name_hash(name))),
+    };
+    let open = members.iter().filter(|(name, member)| is_open(name, member));
+    let (near, far): (Vec<_>, Vec<_>) =
+        open.map(|(_, it)| it).partition(|it| zone == Some(it.zone.as_str()));
+    let mut chosen = sample(&near, &mut rand::rng());
+    if near.len() < MIN_ZONE_ADDRESSES {
+        chosen.extend(sample(&far, &mut rand::rng()));
+    }
+    chosen.into_iter().map(|it| it.caller).collect()
+}
+
+/// Chooses each daemon with a probability in proportion to its processor time, so that the largest
+/// are always chosen. Chooses all if only [`MIN_ZONE_ADDRESSES`] or fewer would be left.
+pub fn sample<'a>(members: &[&'a Member], rng: &mut dyn Rng) -> Vec<&'a Member> {
+    let largest = members.iter().map(|it| it.cpu_millis).max().unwrap_or_default().max(1);
+    let mut is_chosen =
+        |it: &&&'a Member| f64::from(it.cpu_millis) >= rng.random::<f64>() * f64::from(largest);
+    let chosen: Vec<_> = members.iter().filter(|it| is_chosen(it)).copied().collect();
+    match chosen.len() < MIN_ZONE_ADDRESSES {
+        true => members.to_vec(),
+        false => chosen,
+    }
 }
 
 /// Registers this daemon at startup and updates the registration when it begins to shut down.
@@ -115,6 +160,7 @@
         zone: settings.zone.clone(),
         caller: settings.caller,
         peer: settings.peer,
+        cpu_millis: settings.cpu_millis,
         leaving,
     };
     let value = match serde_json::to_vec(&member) {
@@ -122,7 +168,8 @@
         Err(error) => return warn!(%error, "failed to encode daemon registration"),
     };
     let key = format!("{MEMBER_PREFIX}{}", settings.daemon);
-    context.members.apply_row(settings.daemon.as_str(), Some(&value));
+    context.members.insert(settings.daemon.as_str(), member);
+    context.urgent.notify_one();
     let write = Write { topic: Topic::Fleet, key, expected: None, value: Some(value) };
     loop {
         match context.store.write(&write).await {
--- /dev/null
+++ b/src/gateway/message.rs
@@ -0,0 +1,179 @@
+//! The message that daemons send each other, as a request and as its response.
+//!
+//! Daemons don't share a clock. A message carries times as offsets from the moment at which its
+//! sender received the last message of the receiver, and the receiver adds them to the time at which
+//! it had sent that one. The result is never later than the time that is meant, however long either
+//! message was on the way.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    fleet::board::Fact,
+    gateway::{cache, gauge::Outcomes, rollout, store::Row},
+    kernel::{
+        clock::Time,
+        id::{Incarnation, Model, Version},
+    },
+};
+
+/// What the sender of a message is to its receiver.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Link {
+    /// Another member of the full mesh, or another hub.
+    Peer,
+    /// A spoke of the receiver.
+    Spoke,
+    /// The hub that the receiver uses.
+    Hub,
+}
+
+impl Link {
+    /// What the receiver is to the sender.
+    pub fn reversed(self) -> Link {
+        match self {
+            Link::Peer => Link::Peer,
+            Link::Spoke => Link::Hub,
+            Link::Hub => Link::Spoke,
+        }
+    }
+}
+
+/// Load and recent call outcomes at one upstream, of one daemon or of several.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// Hash of the upstream's name; 0 in sums, where it is the map's key.
+    pub engine: u64,
+    /// Calls in progress.
+    pub calls: u32,
+    /// Prompt tokens that the calls are still expected to prefill.
+    pub tokens: u64,
+    /// Engine memory reserved for the calls, in tokens.
+    pub memory: u64,
+    /// Outcomes of recent calls.
+    pub outcomes: Outcomes,
+}
+
+impl Load {
+    /// Adds the load that others place on the same upstream.
+    pub fn add(&mut self, other: &Load) {
+        self.calls += other.calls;
+        self.tokens += other.tokens;
+        self.memory += other.memory;
+        self.outcomes = self.outcomes.combined_with(&other.outcomes);
+    }
+}
+
+/// A time on its way to another daemon, in microseconds after the sender received the last message
+/// of the receiver; negative if before.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Offset(i64);
+
+impl Offset {
+    /// The time `at` for a peer whose last message was received at `heard_at`.
+    pub fn new(at: Time, heard_at: Time) -> Offset {
+        Offset(at.0 as i64 - heard_at.0 as i64)
+    }
+
+    /// The time by the receiver's clock. `echo` is when it sent the message that the offset refers
+    /// to. A time before the origin of the clock becomes the origin.
+    pub fn resolve(self, echo: Time) -> Time {
+        Time((echo.0 as i64).saturating_add(self.0).max(0) as u64)
+    }
+}
+
+/// How far the sender's copy of a topic reaches; see [`mirror`](crate::gateway::mirror).
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    /// The latest transaction that it includes.
+    pub version: u64,
+    /// When it was confirmed to be the latest.
+    pub confirmed_at: Offset,
+}
+
+/// Rows of one topic that the receiver lacks.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Rows {
+    /// Index in [`Topic::FOLLOWED`](crate::gateway::store::Topic::FOLLOWED).
+    pub topic: usize,
+    /// The transaction that the rows continue; `None` if they are all rows.
+    pub after: Option<u64>,
+    /// The rows.
+    pub rows: Vec<Row>,
+}
+
+/// Versions of a model's weights that the operator set, with the time at which that was learned.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Targets {
+    /// The model.
+    pub model: Model,
+    /// The latest versions, oldest first.
+    pub versions: Vec<(Version, Offset)>,
+}
+
+/// Rollout progress of a model's engines, as reported by the holder of the lease on load orders.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Rollout {
+    /// The model.
+    pub model: Model,
+    /// Fencing token of the lease holder; a higher one takes precedence.
+    pub fence: u64,
+    /// Progress of each engine.
+    pub statuses: rollout::Statuses,
+}
+
+/// An upstream process that was found dead recently.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sighting {
+    /// Hash of the upstream's name.
+    pub engine: u64,
+    /// Incarnation of its process.
+    pub incarnation: Incarnation,
+    /// When any daemon last found it dead.
+    pub dead_at: Offset,
+    /// When any daemon last found it alive, if it did.
+    pub alive_at: Option<Offset>,
+}
+
+/// A message from one daemon to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Message {
+    /// Name of the sender.
+    pub from: String,
+    /// Incarnation of the sender's process.
+    pub incarnation: Incarnation,
+    /// What the sender is to the receiver.
+    pub link: Link,
+    /// The sender's clock.
+    pub stamp: Time,
+    /// Incarnation of the receiver's process as far as the sender knows it. The fields that depend
+    /// on what the receiver sent count for that process only.
+    pub to: Incarnation,
+    /// The stamp of the last message received from the receiver, to which offsets refer. Zero if
+    /// there was none; then offsets are meaningless.
+    pub echo: Time,
+    /// The last cache update received from the receiver.
+    pub acknowledged_update: u64,
+    /// Sequence number of the sender's last cache update.
+    pub last_update: u64,
+    /// Cache updates that the receiver lacks.
+    pub cache_updates: Vec<cache::Entry>,
+    /// Load at each upstream where calls are in flight or failed recently.
+    pub loads: Vec<Load>,
+    /// Daemons that are alive, the sender included, by the hash of the name, and whether they may
+    /// be listed in the addresses given to callers.
+    pub live: Vec<(u64, bool)>,
+    /// How far the sender's copies of the followed topics reach.
+    pub heads: [Option<Head>; 3],
+    /// Rows that the receiver lacks.
+    pub rows: Vec<Rows>,
+    /// The operator's target versions.
+    pub targets: Vec<Targets>,
+    /// Digest of the sender's rollout reports.
+    pub rollouts_digest: u64,
+    /// Rollout progress, if the receiver's digest differs.
+    pub rollouts: Vec<Rollout>,
+    /// Upstreams that were found dead recently.
+    pub sightings: Vec<Sighting>,
+    /// Requests suspected of crashing upstreams.
+    pub suspects: Vec<Fact>,
+}
--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -19,7 +19,6 @@
     gateway::{
         context::Context,
         operate::load::Load,
-        peer::Rollout,
         rollout::{self, Lease, max_concurrent_loads},
         roster::Endpoint,
         store::{self, Row, Topic, Write},
@@ -45,9 +44,20 @@
 /// Polling interval for a lease that another daemon holds.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Additional delay before the first lease check, per rank among the daemons' sorted names.
+/// Additional delay before the first lease check, per rank in the daemon's
+/// [`Plan`](crate::gateway::topology::Plan).
 const STAGGER_PER_DAEMON: Duration = Duration::from_millis(150);
 
+/// Longest such delay.
+const MAX_STAGGER: Duration = Duration::from_millis(5_000);
+
+/// Time since the last news of a rollout during which another daemon is assumed to hold the lease,
+/// so that it isn't read.
+const HOLDER_SILENCE: Duration = Duration::from_millis(700);
+
+/// Interval between checks for engines that lack their target weights.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Allowance for network latency and for different rates of the daemons' clocks before a takeover.
 /// Each daemon measures durations with its own clock only.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(500);
@@ -74,6 +84,7 @@
         next_check: Time::default(),
         loading: Map::default(),
         statuses: Map::default(),
+        revision: 0,
         loads: JoinSet::new(),
         permits: Map::default(),
         writes: JoinSet::new(),
@@ -94,6 +105,8 @@
     /// Engines that are loading or scheduled to load.
     loading: Map<Upstream, (Model, Version)>,
     statuses: Map<Model, rollout::Statuses>,
+    /// Counts the published changes of `statuses`, also over several terms of the lease.
+    revision: u64,
     loads: JoinSet<(Upstream, Model, Version, bool)>,
     /// Limits the number of ordered loads of each model.
     permits: Map<Model, Arc<Semaphore>>,
@@ -113,8 +126,10 @@
 
 impl Scheduler {
     async fn run(mut self) {
+        let mut interval = TICK_INTERVAL;
         loop {
-            time::sleep(TICK_INTERVAL).await;
+            time::sleep(interval).await;
+            interval = IDLE_INTERVAL;
             // Without loads, a held lease is not renewed. The next renewal continues it, or fails
             // if another daemon has taken it over.
             if self.pending_loads().is_empty() && self.loading.is_empty() {
@@ -129,6 +144,7 @@
             self.process_lease_writes();
             self.maintain_lease().await;
             if self.held_lease.is_some() {
+                interval = TICK_INTERVAL;
                 self.collect_finished();
                 // Recomputed, because loads that have just finished are no longer pending.
                 let pending_loads = self.pending_loads();
@@ -165,7 +181,11 @@
             return;
         }
         if self.next_check == Time::default() {
-            self.next_check = now + STAGGER_PER_DAEMON * self.rank() as u32;
+            let rank = u32::try_from(self.context.plan.load().rank).unwrap_or(u32::MAX);
+            self.next_check = now + STAGGER_PER_DAEMON.saturating_mul(rank).min(MAX_STAGGER);
+        }
+        if self.context.rollout_news.is_within(HOLDER_SILENCE, now) {
+            self.next_check = self.next_check.max(now + LEASE_POLL_INTERVAL);
         }
         if now < self.next_check {
             return;
@@ -282,18 +302,10 @@
         self.loads.abort_all();
         self.permits.clear();
         self.statuses.clear();
-        self.context.rollout_reports.store(Arc::default());
         self.loading.clear();
         self.watch.reset();
     }
 
-    /// Position of this daemon in the sorted list of daemon names.
-    fn rank(&self) -> usize {
-        let own = self.context.settings.daemon.as_str();
-        let all = self.context.members.all();
-        all.iter().take_while(|(name, _)| name != own).count()
-    }
-
     /// Processes finished loads.
     fn collect_finished(&mut self) {
         let mut changed = Vec::new();
@@ -378,17 +390,14 @@
     }
 
     /// Publishes the model's load statuses to this daemon and its peers.
-    fn publish_statuses(&self, model: &Model) {
-        let Some(statuses) = self.statuses.get(model) else {
+    fn publish_statuses(&mut self, model: &Model) {
+        let Some(statuses) = self.statuses.get_mut(model) else {
             return;
         };
+        self.revision += 1;
+        statuses.revision = self.revision;
         let fence = self.held_lease.as_ref().map_or(0, |it| it.fence);
-        let mut progress = (**self.context.progress.load()).clone();
-        progress.update_statuses(model, fence, statuses);
-        self.context.progress.store(Arc::new(progress));
-        let mut reports = self.context.rollout_reports.load().to_vec();
-        reports.retain(|it| it.model != *model);
-        reports.push(Rollout { model: model.clone(), fence, marks: statuses.clone() });
-        self.context.rollout_reports.store(Arc::new(reports));
+        self.context.change_progress(|it| it.update_statuses(model, fence, statuses));
+        self.context.urgent.notify_one();
     }
 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -1,9 +1,9 @@
-//! Peer state that daemons exchange with each other: liveness, load at each upstream, prefixes
-//! cached by each engine, rollout progress, and the time since each daemon's document was last
-//! confirmed to be the latest.
+//! What this daemon knows of the others through the [`exchange`](crate::gateway::exchange): which
+//! ones take calls, their load at each upstream, and the prompt parts that they sent to engines.
 //!
-//! Messages are encoded with `bincode`, which writes fields by position. The `serde` renames keep
-//! the names of fields that have since been renamed.
+//! Daemons form a tree of two levels, see [`topology`](crate::gateway::topology). A daemon sends
+//! its hubs and fellow hubs the state of its subtree, which is its own and that of its spokes, and
+//! its spokes that of the whole fleet.
 
 use std::{
     collections::VecDeque,
@@ -11,202 +11,290 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwap;
-use serde::{Deserialize, Serialize};
-
 use crate::{
-    collections::Map,
-    fleet::board::Fact,
-    gateway::{cache, gauge::Outcomes, rollout},
-    kernel::{
-        clock::Time,
-        id::{Incarnation, Model, Version},
+    collections::{Map, Set},
+    gateway::{
+        cache,
+        message::{Link, Load, Message},
     },
+    kernel::{clock::Time, id::Incarnation},
+    route::pool::name_hash,
 };
 
-/// A peer that has not responded for this long is not offered to callers, which allow one second
-/// for a new connection.
+/// A daemon from which nothing was heard for this long is not offered to callers, which allow one
+/// second for a new connection.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Upstream loads reported by a peer expire after this time.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_000);
 
-/// Cache updates retained for slow peers; a peer that falls further behind misses the oldest.
-const MAX_CACHE_UPDATES: usize = 2_048;
-
-/// A request for a peer's news.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Request {
-    /// Sequence number of the last cache update received from this process of the peer.
-    pub after: u64,
-    /// Incarnation of the peer's process that the sequence number refers to.
-    pub incarnation: Incarnation,
-}
+/// Maximum age of the combined load, which changes as reports expire.
+const TOTALS_MAX_AGE: Duration = Duration::from_millis(100);
 
-/// Load and recent call outcomes at one upstream: those of one daemon, or in [`Totals`] the sum
-/// over all peers.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Load {
-    /// Hash of the upstream's name; 0 in [`Totals`], where it is the map's key.
-    pub engine: u64,
-    /// Calls in progress.
-    pub calls: u32,
-    /// Prompt tokens that the calls are still expected to prefill.
-    pub tokens: u64,
-    /// Engine memory reserved for the calls, in tokens.
-    pub memory: u64,
-    /// Outcomes of recent calls.
-    pub outcomes: Outcomes,
-}
-
-/// Rollout progress of a model's engines, as reported by the holder of the lease on load orders.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Rollout {
-    /// The model.
-    pub model: Model,
-    /// Fencing token of the lease holder; a higher one takes precedence.
-    pub fence: u64,
-    /// Progress of each engine.
-    pub marks: rollout::Statuses,
-}
+/// How long a peer to which a call failed is not used, unless it calls itself.
+const FAILURE_PAUSE: Duration = Duration::from_millis(3_000);
 
-/// A peer's response.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct News {
-    /// Incarnation of the peer's process.
-    pub incarnation: Incarnation,
-    /// Whether it may be listed in the addresses given to callers.
-    pub ready: bool,
-    /// Version of its document, if it has one.
-    pub document: Option<u64>,
-    /// Microseconds since its document was last confirmed to be the latest.
-    pub age_us: Option<u64>,
-    /// Latest configured version of each model's weights.
-    pub weights: Vec<(Model, Version)>,
-    /// Rollout progress, if the peer holds the lease on load orders.
-    #[serde(rename = "told")]
-    pub rollouts: Vec<Rollout>,
-    /// Sequence number of its last cache update.
-    #[serde(rename = "last")]
-    pub last_update: u64,
-    /// Cache updates after the requested sequence number.
-    #[serde(rename = "held")]
-    pub cache_updates: Vec<cache::Entry>,
-    /// Its load at each upstream where it has calls in flight, or where it or its peers saw calls
-    /// fail recently.
-    #[serde(rename = "shares")]
-    pub engine_loads: Vec<Load>,
-    /// Upstream processes that it found dead: hash of the name, and incarnation.
-    pub dead: Vec<(u64, Incarnation)>,
-    /// Requests suspected of crashing upstreams.
-    pub suspects: Vec<Fact>,
-}
+/// Cache updates retained for slow peers; a peer that falls further behind misses the oldest.
+const MAX_CACHE_UPDATES: usize = 4_096;
 
-/// Log of this daemon's recent cache updates, with sequence numbers.
+/// Log of recent cache updates, with sequence numbers and the peer that each came from.
 #[derive(Debug, Default)]
 pub struct Updates {
     last: u64,
-    updates: VecDeque<cache::Entry>,
+    updates: VecDeque<(Origin, cache::Entry)>,
+}
+
+/// Where a cache update came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// A call of this daemon.
+    Own,
+    /// A peer, by the hash of its name.
+    Peer(Link, u64),
 }
 
 impl Updates {
     /// Appends an update, dropping the oldest if the log is full.
-    pub fn push(&mut self, update: cache::Entry) {
+    pub fn push(&mut self, origin: Origin, update: cache::Entry) {
         self.last += 1;
-        self.updates.push_back(update);
+        self.updates.push_back((origin, update));
         if self.updates.len() > MAX_CACHE_UPDATES {
             self.updates.pop_front();
         }
     }
 
-    /// The last sequence number, and the retained updates after `after`.
-    pub fn after(&self, after: u64) -> (u64, Vec<cache::Entry>) {
+    /// The last sequence number, and the retained updates after `after` that the peer with the hash
+    /// `to` needs: those of the subtree, or for a spoke those of the fleet without its own.
+    pub fn after(&self, after: u64, link: Link, to: u64) -> (u64, Vec<cache::Entry>) {
         let missing = self.last.saturating_sub(after) as usize;
         let skipped = self.updates.len().saturating_sub(missing);
-        (self.last, self.updates.iter().skip(skipped).copied().collect())
+        let is_wanted = |origin: &Origin| match (origin, link) {
+            (Origin::Own, _) => true,
+            (Origin::Peer(_, from), Link::Spoke) => *from != to,
+            (Origin::Peer(from_link, from), _) => *from_link == Link::Spoke && *from != to,
+        };
+        let updates = self.updates.iter().skip(skipped);
+        (self.last, updates.filter(|(it, _)| is_wanted(it)).map(|(_, it)| *it).collect())
     }
 }
 
-/// Last known state of one peer.
+/// What was last heard from one peer.
 #[derive(Clone, Debug)]
 struct State {
     incarnation: Incarnation,
-    last_update: u64,
-    last_response: Time,
-    ready: bool,
-    engine_loads: Vec<Load>,
+    link: Link,
+    heard_at: Time,
+    /// The peer's clock when it sent its last message.
+    stamp: Time,
+    /// The last cache update received from the peer, and the last of this daemon that it has.
+    received_update: u64,
+    acknowledged_update: u64,
+    versions: [Option<u64>; 3],
+    rollouts: u64,
+    loads: Vec<Load>,
+    live: Vec<(u64, bool)>,
+}
+
+/// What a message to a peer builds on. The default is for a peer that was never heard of.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Known {
+    /// Incarnation of the peer's process.
+    pub incarnation: Incarnation,
+    /// When its last message was received.
+    pub heard_at: Time,
+    /// The peer's clock when it sent that message.
+    pub stamp: Time,
+    /// The last cache update received from it.
+    pub received_update: u64,
+    /// The last cache update of this daemon that it has.
+    pub acknowledged_update: u64,
+    /// The versions of its copies of the followed topics.
+    pub versions: [Option<u64>; 3],
+    /// Digest of the rollout reports that it has.
+    pub rollouts: u64,
 }
 
-/// Combined load of all peers, without this daemon, by the hash of the upstream's name.
+/// Combined load of all other daemons, by the hash of the upstream's name.
 pub type Totals = Map<u64, Load>;
 
-/// Last known state of all peers.
+/// What is known of the other daemons.
 #[derive(Debug, Default)]
 pub struct Peers {
-    states: Mutex<Map<String, State>>,
-    /// Combined load of all peers.
-    load: ArcSwap<Totals>,
-    /// Cache updates of this daemon.
-    cache_updates: Mutex<Updates>,
+    inner: Mutex<Inner>,
+    updates: Mutex<Updates>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    states: Map<String, State>,
+    /// The hub that this daemon uses as a spoke.
+    hub: Option<String>,
+    /// When daemons were last heard of, by the hash of the name.
+    heard: Map<u64, Time>,
+    /// When a call to a peer last failed.
+    failed: Map<String, Time>,
+    totals: Arc<Totals>,
+    totals_at: Option<Time>,
 }
 
 impl Peers {
-    /// The next request to a peer.
-    pub fn next_request(&self, name: &str) -> Request {
-        let states = self.lock();
-        let state = states.get(name);
-        state.map_or(Request { after: 0, incarnation: Incarnation::default() }, |it| Request {
-            after: it.last_update,
+    /// What a message to the peer builds on.
+    pub fn known(&self, name: &str) -> Known {
+        self.lock().states.get(name).map_or_else(Known::default, |it| Known {
             incarnation: it.incarnation,
+            heard_at: it.heard_at,
+            stamp: it.stamp,
+            received_update: it.received_update,
+            acknowledged_update: it.acknowledged_update,
+            versions: it.versions,
+            rollouts: it.rollouts,
         })
     }
 
-    /// Records a peer's response and recomputes the combined load.
-    pub fn record_news(&self, name: &str, news: &News, now: Time) {
-        let mut states = self.lock();
-        let entry = State {
-            incarnation: news.incarnation,
-            last_update: news.last_update,
-            last_response: now,
-            ready: news.ready,
-            engine_loads: news.engine_loads.clone(),
+    /// Records a message to the daemon process `own`.
+    pub fn record(&self, message: &Message, own: Incarnation, now: Time) {
+        let mut inner = self.lock();
+        let previous = inner.states.get(&message.from);
+        let same_process = previous.filter(|it| it.incarnation == message.incarnation);
+        // An acknowledgement of an earlier process of this daemon counts for nothing.
+        let acknowledged = if message.to == own { message.acknowledged_update } else { 0 };
+        let state = State {
+            incarnation: message.incarnation,
+            link: message.link,
+            heard_at: now,
+            stamp: message.stamp.max(same_process.map_or(Time::default(), |it| it.stamp)),
+            received_update: message
+                .last_update
+                .max(same_process.map_or(0, |it| it.received_update)),
+            acknowledged_update: acknowledged
+                .max(same_process.map_or(0, |it| it.acknowledged_update)),
+            versions: message.heads.map(|it| it.map(|head| head.version)),
+            rollouts: message.rollouts_digest,
+            loads: message.loads.clone(),
+            live: message.live.clone(),
         };
-        states.insert(name.to_owned(), entry);
-        let mut load = Totals::default();
-        for peer in states.values().filter(|it| now.since(it.last_response) < PEER_LOAD_TTL) {
-            for reported in &peer.engine_loads {
-                let sum = load.entry(reported.engine).or_default();
-                sum.calls += reported.calls;
-                sum.tokens += reported.tokens;
-                sum.memory += reported.memory;
-                sum.outcomes = sum.outcomes.combined_with(&reported.outcomes);
-            }
+        inner.states.insert(message.from.clone(), state);
+        inner.failed.remove(&message.from);
+        inner.heard.insert(name_hash(&message.from), now);
+        for (daemon, _) in &message.live {
+            inner.heard.insert(*daemon, now);
+        }
+        inner.totals_at = None;
+    }
+
+    /// Records that a call to the peer failed.
+    pub fn record_failure(&self, name: &str, now: Time) {
+        self.lock().failed.insert(name.to_owned(), now);
+    }
+
+    /// Sets the hub that this daemon uses as a spoke. What another one sent is dropped, because it
+    /// would be counted twice.
+    pub fn set_hub(&self, name: Option<&str>) {
+        let mut inner = self.lock();
+        if inner.hub.as_deref() == name {
+            return;
         }
-        self.load.store(Arc::new(load));
+        inner.hub = name.map(str::to_owned);
+        inner.totals_at = None;
     }
 
-    /// Combined load and call outcomes of all peers, by upstream.
-    pub fn peer_load(&self) -> Arc<Totals> {
-        self.load.load_full()
+    /// Whether nothing speaks against using the daemon as a hub: it was heard of recently, or it
+    /// was never heard of and no call to it failed.
+    pub fn is_responsive(&self, name: &str, now: Time) -> bool {
+        let inner = self.lock();
+        let failed = inner.failed.get(name);
+        if failed.is_some_and(|it| now.since(*it) < FAILURE_PAUSE) {
+            return false;
+        }
+        match inner.heard.get(&name_hash(name)) {
+            Some(heard) => now.since(*heard) < PEER_TIMEOUT * 2,
+            None => failed.is_none(),
+        }
     }
 
-    /// Whether a peer can be offered to callers: it responded recently and is ready.
-    pub fn accepts_callers(&self, name: &str, now: Time) -> bool {
-        let states = self.lock();
-        states.get(name).is_some_and(|it| it.ready && now.since(it.last_response) < PEER_TIMEOUT)
+    /// When the peer last sent a message itself.
+    pub fn heard_from(&self, name: &str) -> Option<Time> {
+        self.lock().states.get(name).map(|it| it.heard_at)
+    }
+
+    /// Combined load and call outcomes of all other daemons, by upstream.
+    pub fn peer_load(&self, now: Time) -> Arc<Totals> {
+        let mut inner = self.lock();
+        if inner.totals_at.is_none_or(|it| now.since(it) >= TOTALS_MAX_AGE) {
+            inner.totals = Arc::new(inner.sum(None, |_| true, now));
+            inner.totals_at = Some(now);
+        }
+        inner.totals.clone()
+    }
+
+    /// Load that a message to the peer reports, without this daemon's own: that of the subtree, or
+    /// for a spoke that of the fleet without the spoke.
+    pub fn reported_load(&self, name: &str, link: Link, now: Time) -> Totals {
+        let is_reported = |it: Link| link == Link::Spoke || it == Link::Spoke;
+        self.lock().sum(Some(name), is_reported, now)
+    }
+
+    /// Daemons of which a message to the peer reports that they are alive, without this daemon, and
+    /// whether they accept callers.
+    pub fn reported_live(&self, name: &str, link: Link, now: Time) -> Vec<(u64, bool)> {
+        let inner = self.lock();
+        let mut live = Vec::new();
+        for (from, state) in &inner.states {
+            let is_reported = link == Link::Spoke || state.link == Link::Spoke;
+            if from != name && is_reported && inner.is_current(from, state, PEER_TIMEOUT, now) {
+                live.extend(state.live.iter().copied());
+            }
+        }
+        live
     }
 
-    /// Whether any peer responded recently.
+    /// The hashes of the names of all other daemons that accept callers.
+    pub fn accepting_callers(&self, now: Time) -> Set<u64> {
+        let inner = self.lock();
+        let mut accepting = Set::default();
+        for (name, state) in &inner.states {
+            if inner.is_current(name, state, PEER_TIMEOUT, now) {
+                let ready = state.live.iter().filter(|(_, ready)| *ready);
+                accepting.extend(ready.map(|(daemon, _)| *daemon));
+            }
+        }
+        accepting
+    }
+
+    /// Whether any peer was heard from recently.
     pub fn any_responsive(&self, now: Time) -> bool {
-        self.lock().values().any(|it| now.since(it.last_response) < PEER_TIMEOUT)
+        self.lock().states.values().any(|it| now.since(it.heard_at) < PEER_TIMEOUT)
     }
 
-    /// Cache updates of this daemon.
+    /// Cache updates of this daemon and its peers.
     pub fn cache_updates(&self) -> MutexGuard<'_, Updates> {
-        self.cache_updates.lock().unwrap_or_else(|it| it.into_inner())
+        self.updates.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|it| it.into_inner())
+    }
+}
+
+impl Inner {
+    /// Whether the state that a peer sent counts: it is recent, and not that of a hub which this
+    /// daemon no longer uses.
+    fn is_current(&self, name: &str, state: &State, lifetime: Duration, now: Time) -> bool {
+        let is_recent = now.since(state.heard_at) < lifetime;
+        is_recent && (state.link != Link::Hub || self.hub.as_deref() == Some(name))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Map<String, State>> {
-        self.states.lock().unwrap_or_else(|it| it.into_inner())
+    fn sum(&self, except: Option<&str>, counts: impl Fn(Link) -> bool, now: Time) -> Totals {
+        let mut totals = Totals::default();
+        for (name, state) in &self.states {
+            let is_excepted = except == Some(name.as_str()) || !counts(state.link);
+            if is_excepted || !self.is_current(name, state, PEER_LOAD_TTL, now) {
+                continue;
+            }
+            for reported in &state.loads {
+                totals.entry(reported.engine).or_default().add(reported);
+            }
+        }
+        totals
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -155,7 +155,7 @@
                     return Ok((reservation, answer));
                 }
                 Outcome::Unreachable(_) => {
-                    health.mark_dead();
+                    health.mark_dead(now);
                     self.connect_failures += 1;
                     self.rejections += 1;
                 }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -10,6 +10,7 @@
         call::Prompt,
         dialect::Refusal,
         hold::Reservation,
+        peer::Origin,
         place::{self, Query},
         relay::{RESPONSE_MARGIN, Relay},
     },
@@ -104,7 +105,7 @@
                 .load()
                 .as_ref()
                 .map_or(0, |it| it.engine_tokens()),
-            peers: &context.peers.peer_load(),
+            peers: &context.peers.peer_load(now),
             random: rand::random(),
         };
         let view = context.view.load();
@@ -138,7 +139,7 @@
         }
         let entries = context.placer().record_send(&query, &choice);
         let mut updates = context.peers.cache_updates();
-        entries.into_iter().for_each(|it| updates.push(it));
+        entries.into_iter().for_each(|it| updates.push(Origin::Own, it));
         drop(updates);
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -11,6 +11,7 @@
         clock::Time,
         id::{Incarnation, Model, Upstream, Version},
     },
+    route::pool::{mix, name_hash},
 };
 
 /// A version of the weights that a model should serve.
@@ -18,8 +19,11 @@
 pub struct Target {
     /// Version of the weights.
     pub version: Version,
-    /// When this daemon learned of the target.
+    /// When the first daemon learned of the target, as far as this one knows.
     pub since: Time,
+    /// Whether `since` is only an assumption: a daemon that has just started doesn't know when a
+    /// target was set. Not passed on to other daemons.
+    pub is_assumed: bool,
 }
 
 /// Stage of a load on one engine, as published by the lease holder.
@@ -47,6 +51,9 @@
 /// Load statuses of one model's engines, as published by the lease holder.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Statuses {
+    /// Counts the changes since the holder acquired the lease. Reports reach a daemon on different
+    /// ways, and an older one must not replace a newer one.
+    pub revision: u64,
     /// Engines that are loading, and those that have loaded since the holder acquired the lease.
     pub marks: Vec<Status>,
 }
@@ -67,25 +74,50 @@
 }
 
 impl Progress {
-    /// Records a target set by the operator unless a version as new or newer is known. Returns
-    /// whether the target changed.
-    pub fn set_target(&mut self, model: &Model, version: Version, now: Time) -> bool {
+    /// Records a target, which may be known already. An assumed time gives way to a known one, and
+    /// otherwise the earlier one counts. Returns whether anything changed.
+    pub fn set_target(&mut self, model: &Model, target: Target) -> bool {
         let targets = self.targets.entry(model.clone()).or_default();
-        if targets.last().is_some_and(|it| it.version >= version) {
-            return false;
+        let index = targets.partition_point(|it| it.version < target.version);
+        match targets.get_mut(index) {
+            Some(known) if known.version == target.version => {
+                if (known.is_assumed, known.since) <= (target.is_assumed, target.since) {
+                    return false;
+                }
+                *known = target;
+            }
+            _ => targets.insert(index, target),
         }
-        targets.push(Target { version, since: now });
         if targets.len() > MAX_TARGETS {
             targets.remove(0);
         }
         true
     }
 
-    /// Records statuses from a lease holder; those with an older fencing token are ignored. Returns
-    /// whether anything changed.
+    /// The latest targets of each model that has one, oldest first.
+    pub fn recent_targets(&self, count: usize) -> impl Iterator<Item = (&Model, &[Target])> {
+        let recent = move |it: &Vec<Target>| it.len().saturating_sub(count);
+        self.targets.iter().map(move |(model, it)| (model, &it[recent(it)..]))
+    }
+
+    /// The statuses of each model, with the fencing token of the lease holder that reported them.
+    pub fn statuses(&self) -> impl Iterator<Item = (&Model, u64, &Statuses)> {
+        self.statuses.iter().map(|(model, (fence, statuses))| (model, *fence, statuses))
+    }
+
+    /// Identifies the statuses of all models: equal on daemons that know the same.
+    pub fn statuses_digest(&self) -> u64 {
+        let digests = self.statuses().map(|(model, fence, statuses)| {
+            mix(name_hash(model.as_str()) ^ mix(fence ^ mix(statuses.revision)))
+        });
+        digests.fold(0, |sum, it| sum ^ it)
+    }
+
+    /// Records statuses from a lease holder; those with an older fencing token or revision are
+    /// ignored. Returns whether anything changed.
     pub fn update_statuses(&mut self, model: &Model, fence: u64, statuses: &Statuses) -> bool {
-        let known = self.statuses.get(model);
-        if known.is_some_and(|(known, it)| *known > fence || (*known == fence && it == statuses)) {
+        let known = self.statuses.get(model).map(|(fence, it)| (*fence, it.revision));
+        if known.is_some_and(|it| it >= (fence, statuses.revision)) {
             return false;
         }
         self.statuses.insert(model.clone(), (fence, statuses.clone()));
@@ -107,7 +139,7 @@
         self.targets.iter().filter_map(|(model, targets)| Some((model, targets.last()?)))
     }
 
-    /// When this daemon first learned of a target newer than `version`, if there is one.
+    /// When a target newer than `version` was first learned of, if there is one.
     pub fn superseded_since(&self, model: &Model, version: Version) -> Option<Time> {
         let targets = self.targets.get(model)?;
         targets.iter().find(|it| it.version > version).map(|it| it.since)
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -126,12 +126,9 @@
         }
     }
 
-    /// Marks all entries other than `names` as missing from the store; [`Self::expire`] removes
-    /// them.
-    pub fn retain(&mut self, names: &[Upstream]) {
-        for (name, entry) in &mut self.entries {
-            entry.missing |= !names.contains(name);
-        }
+    /// Whether any entry is missing from the store.
+    pub fn has_missing(&self) -> bool {
+        self.entries.values().any(|it| it.missing)
     }
 
     /// Removes missing entries, unless the store is unavailable or recovered too recently. If any
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -18,6 +18,10 @@
     pub caller: SocketAddr,
     /// Address for other daemons.
     pub peer: SocketAddr,
+    /// Its share of a processor core, in thousandths.
+    pub cpu_millis: u32,
+    /// Whether all daemons start for the first time, so that few of them are registered yet.
+    pub is_first_start: bool,
     /// Time after which a revoked key must no longer be accepted.
     pub revocation: Duration,
     /// Limits on retries.
@@ -27,6 +31,8 @@
     /// Time after this daemon learns of newly configured weights, from which new calls must start
     /// on them.
     pub weights_deadline: Duration,
+    /// Time after its start from which a daemon must hold `weights_deadline`.
+    pub steady_after: Duration,
     /// Fraction of a service's engines that load weights at the same time; with more, each loads
     /// more slowly.
     pub load_share: f64,
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -3,24 +3,29 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// A category of rows. Each topic has its own change feed.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Topic {
     /// Rows written by the operator: the document and the weights to serve.
     Operator,
     /// Registrations that upstreams write for themselves.
     Upstreams,
-    /// Registrations that daemons write for each other. Every daemon follows this topic, like the
-    /// two above.
+    /// Registrations that daemons write for each other.
     Fleet,
     /// Leases, which are read on demand instead of followed.
     Leases,
 }
 
+impl Topic {
+    /// The topics whose rows all daemons have.
+    pub const FOLLOWED: [Topic; 3] = [Topic::Operator, Topic::Upstreams, Topic::Fleet];
+}
+
 /// A versioned key-value pair.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
     /// Unique within the topic.
     pub key: String,
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -23,8 +23,13 @@
             () = time::sleep(CHECK_INTERVAL) => {}
         }
         let now = context.now();
+        // Without peers, nobody else probes for this daemon.
+        let daemons = match context.peers.any_responsive(now) {
+            true => context.plan.load().daemons,
+            false => 1,
+        };
         for endpoint in context.view.load().all() {
-            if endpoint.health.start_probe_if_due(now) {
+            if endpoint.health.start_probe_if_due(daemons, now) {
                 probes.spawn(probe(context.clone(), endpoint.clone()));
             }
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -8,6 +8,10 @@
 mod document;
 #[path = "gateway/gauge.rs"]
 mod gauge;
+#[path = "gateway/message.rs"]
+mod message;
+#[path = "gateway/mirror.rs"]
+mod mirror;
 #[path = "gateway/peer.rs"]
 mod peer;
 #[path = "gateway/place.rs"]
@@ -20,3 +24,5 @@
 mod scene;
 #[path = "gateway/stream.rs"]
 mod stream;
+#[path = "gateway/topology.rs"]
+mod topology;
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -1,28 +1,32 @@
 use std::time::Duration;
 
 use tealturn::{
-    gateway::gauge::{Health, INACTIVITY_TIMEOUT},
+    gateway::gauge::{Health, INACTIVITY_TIMEOUT, Sighting},
     kernel::clock::Time,
 };
 
 const START: Time = Time::from_millis(10_000);
 
+fn dead_at(time: Time) -> Sighting {
+    Sighting { dead_at: Some(time), alive_at: None }
+}
+
 #[test]
 fn an_inactive_upstream_with_calls_in_flight_is_probed_and_marked_dead() {
     let health = Health::default();
-    assert!(!health.start_probe_if_due(START), "no calls are in flight");
+    assert!(!health.start_probe_if_due(1, START), "no calls are in flight");
     let death = health.start_call(100, 100, START);
-    assert!(!health.start_probe_if_due(START + INACTIVITY_TIMEOUT / 2));
+    assert!(!health.start_probe_if_due(1, START + INACTIVITY_TIMEOUT / 2));
     let later = START + INACTIVITY_TIMEOUT;
-    assert!(health.start_probe_if_due(later));
+    assert!(health.start_probe_if_due(1, later));
     assert!(!health.record_probe(false, later), "a single failed probe may be due to packet loss");
     assert!(health.is_unavailable(later), "a suspected upstream gets no calls");
     assert!(!death.is_cancelled());
-    assert!(health.start_probe_if_due(later), "the second probe follows at once");
+    assert!(health.start_probe_if_due(1, later), "the second probe follows at once");
     assert!(health.record_probe(false, later));
     assert!(health.is_dead() && death.is_cancelled(), "its calls are cancelled");
     let later = later + Duration::from_secs(1);
-    assert!(health.start_probe_if_due(later), "a dead upstream is probed even without calls");
+    assert!(health.start_probe_if_due(1, later), "a dead upstream is probed even without calls");
     assert!(health.record_probe(true, later));
     assert!(!health.is_dead() && !health.is_unavailable(later));
     assert!(!health.start_call(0, 0, later).is_cancelled());
@@ -33,11 +37,12 @@
     let health = Health::default();
     let _death = health.start_call(100, 100, START);
     let later = START + INACTIVITY_TIMEOUT;
-    health.mark_suspected(later);
+    health.record_sighting(dead_at(later), later);
     assert!(health.is_unavailable(later), "another daemon reported it dead");
     health.record_activity(later);
     assert!(!health.is_unavailable(later));
-    health.mark_suspected(later + INACTIVITY_TIMEOUT / 2);
+    let shortly_after = later + INACTIVITY_TIMEOUT / 2;
+    health.record_sighting(dead_at(shortly_after), shortly_after);
     assert!(!health.is_unavailable(later), "recent activity takes precedence over the report");
 }
 
@@ -45,7 +50,7 @@
 fn a_refused_connection_cancels_calls_at_once() {
     let health = Health::default();
     let death = health.start_call(100, 100, START);
-    health.mark_dead();
+    health.mark_dead(START);
     assert!(health.is_unavailable(START) && death.is_cancelled());
 }
 
@@ -112,8 +117,52 @@
     (0..8).for_each(|_| {
         health.record_failure(START);
     });
-    health.mark_dead();
+    health.mark_dead(START);
     let later = START + Duration::from_secs(1);
-    assert!(health.start_probe_if_due(later) && health.record_probe(true, later));
+    assert!(health.start_probe_if_due(1, later) && health.record_probe(true, later));
     assert_eq!(health.recent_outcomes(later).failure_rate(), 0.0);
 }
+
+/// A dark engine is probed by each of hundreds of daemons; together they must not probe it more
+/// often than a few daemons do, and all must use it again soon after one of them reached it.
+#[test]
+fn daemons_of_a_large_fleet_share_the_probes_of_a_dead_upstream() {
+    const DAEMONS: usize = 195;
+    const DARK: Duration = Duration::from_secs(16);
+    const STEP: Duration = Duration::from_millis(100);
+    let fleet: Vec<_> = (0..DAEMONS).map(|_| Health::default()).collect();
+    let mut now = START;
+    fleet.iter().for_each(|it| it.mark_dead(now));
+    let mut probes = 0;
+    while now < START + DARK {
+        for daemon in fleet.iter().filter(|it| it.start_probe_if_due(DAEMONS, now)) {
+            daemon.record_probe(false, now);
+            probes += 1;
+        }
+        now = now + STEP;
+    }
+    // Each daemon probes once on its own; a fleet of four would make 40 probes.
+    assert!(probes < DAEMONS + 4 * 40, "{probes} probes");
+    let first = &fleet[0];
+    assert!(first.record_probe(true, now));
+    let later = now + STEP;
+    for daemon in &fleet[1..] {
+        daemon.record_sighting(first.sighting(), later);
+        assert!(daemon.is_dead(), "a daemon trusts its own probe only");
+        assert!(daemon.start_probe_if_due(DAEMONS, later), "which is due at once");
+    }
+}
+
+#[test]
+fn an_old_report_of_a_death_does_not_outweigh_a_later_sign_of_life() {
+    let health = Health::default();
+    health.record_activity(START);
+    let later = START + INACTIVITY_TIMEOUT * 2;
+    health.record_sighting(dead_at(START), later);
+    assert!(!health.is_unavailable(later), "it answered this daemon after that");
+    let alive = Sighting { dead_at: Some(later), alive_at: Some(later) };
+    health.record_sighting(alive, later);
+    assert!(!health.is_unavailable(later), "it answered another daemon after that");
+    health.record_sighting(dead_at(later + INACTIVITY_TIMEOUT), later + INACTIVITY_TIMEOUT);
+    assert!(health.is_unavailable(later + INACTIVITY_TIMEOUT));
+}
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -4,38 +4,55 @@
     gateway::{
         cache::Entry,
         gauge::Outcomes,
-        peer::{Load, News, PEER_TIMEOUT, Peers, Updates},
+        message::{Link, Load, Message},
+        peer::{Origin, PEER_TIMEOUT, Peers, Updates},
     },
     kernel::{clock::Time, id::Incarnation},
+    route::pool::name_hash,
 };
 
-fn news(ready: bool, engine_loads: Vec<Load>) -> News {
-    News {
+const OWN: Incarnation = Incarnation(9);
+
+fn message(from: &str, link: Link, ready: bool, loads: Vec<Load>) -> Message {
+    Message {
+        from: from.to_owned(),
         incarnation: Incarnation(1),
-        ready,
-        document: Some(3),
-        age_us: Some(0),
-        weights: Vec::new(),
-        rollouts: Vec::new(),
+        link,
+        stamp: Time::from_millis(1),
+        to: OWN,
+        echo: Time::default(),
+        acknowledged_update: 0,
         last_update: 0,
         cache_updates: Vec::new(),
-        engine_loads,
-        dead: Vec::new(),
+        loads,
+        live: vec![(name_hash(from), ready)],
+        heads: [None; 3],
+        rows: Vec::new(),
+        targets: Vec::new(),
+        rollouts_digest: 0,
+        rollouts: Vec::new(),
+        sightings: Vec::new(),
         suspects: Vec::new(),
     }
 }
 
+fn load(calls: u32) -> Vec<Load> {
+    let outcomes = Outcomes { calls: 4.0, failures: 1.0 };
+    vec![Load { engine: 5, calls, tokens: 100, memory: 1_000, outcomes }]
+}
+
 #[test]
 fn an_unresponsive_or_unready_peer_is_not_offered_to_callers() {
     let peers = Peers::default();
     let start = Time::from_millis(1_000);
-    assert!(!peers.accepts_callers("b", start), "it has never responded");
-    peers.record_news("b", &news(true, Vec::new()), start);
-    assert!(peers.accepts_callers("b", start));
-    assert!(!peers.accepts_callers("b", start + PEER_TIMEOUT));
+    let accepts = |now| peers.accepting_callers(now).contains(&name_hash("b"));
+    assert!(!accepts(start), "it has never responded");
+    peers.record(&message("b", Link::Peer, true, Vec::new()), OWN, start);
+    assert!(accepts(start));
+    assert!(!accepts(start + PEER_TIMEOUT));
     assert!(!peers.any_responsive(start + PEER_TIMEOUT));
-    peers.record_news("b", &news(false, Vec::new()), start + PEER_TIMEOUT);
-    assert!(!peers.accepts_callers("b", start + PEER_TIMEOUT));
+    peers.record(&message("b", Link::Peer, false, Vec::new()), OWN, start + PEER_TIMEOUT);
+    assert!(!accepts(start + PEER_TIMEOUT));
     assert!(peers.any_responsive(start + PEER_TIMEOUT));
 }
 
@@ -43,12 +60,10 @@
 fn recent_engine_loads_of_all_peers_are_summed() {
     let peers = Peers::default();
     let start = Time::from_millis(1_000);
-    let outcomes = Outcomes { calls: 4.0, failures: 1.0 };
-    let loads = |calls| vec![Load { engine: 5, calls, tokens: 100, memory: 1_000, outcomes }];
-    peers.record_news("b", &news(true, loads(2)), start);
-    peers.record_news("c", &news(true, loads(3)), start);
+    peers.record(&message("b", Link::Peer, true, load(2)), OWN, start);
+    peers.record(&message("c", Link::Peer, true, load(3)), OWN, start);
     assert_eq!(
-        peers.peer_load()[&5],
+        peers.peer_load(start)[&5],
         Load {
             engine: 0,
             calls: 5,
@@ -58,8 +73,62 @@
         }
     );
     let later = start + Duration::from_secs(2);
-    peers.record_news("c", &news(true, loads(1)), later);
-    assert_eq!(peers.peer_load()[&5].calls, 1, "the load reported by b has expired");
+    peers.record(&message("c", Link::Peer, true, load(1)), OWN, later);
+    assert_eq!(peers.peer_load(later)[&5].calls, 1, "the load reported by b has expired");
+}
+
+/// Load that came from a hub must not go back up, or hubs would count it again and again.
+#[test]
+fn a_hub_reports_its_subtree_to_hubs_and_the_fleet_to_spokes() {
+    let peers = Peers::default();
+    let now = Time::from_millis(1_000);
+    for (name, link, calls) in [
+        ("spoke-1", Link::Spoke, 1),
+        ("spoke-2", Link::Spoke, 10),
+        ("hub-1", Link::Peer, 100),
+        ("hub-2", Link::Peer, 1_000),
+    ] {
+        peers.record(&message(name, link, true, load(calls)), OWN, now);
+    }
+    struct Case {
+        to: &'static str,
+        link: Link,
+        calls: u32,
+        live: usize,
+    }
+    for case in [
+        Case { to: "hub-1", link: Link::Peer, calls: 11, live: 2 },
+        Case { to: "spoke-1", link: Link::Spoke, calls: 1_110, live: 3 },
+        Case { to: "spoke-3", link: Link::Spoke, calls: 1_111, live: 4 },
+    ] {
+        let reported = peers.reported_load(case.to, case.link, now);
+        assert_eq!(reported[&5].calls, case.calls, "{}", case.to);
+        assert_eq!(peers.reported_live(case.to, case.link, now).len(), case.live, "{}", case.to);
+    }
+}
+
+/// A spoke that changes its hub would otherwise count the fleet's load twice for a second.
+#[test]
+fn what_a_hub_reported_is_dropped_when_another_one_is_used() {
+    let peers = Peers::default();
+    let now = Time::from_millis(1_000);
+    peers.set_hub(Some("hub-1"));
+    peers.record(&message("hub-1", Link::Hub, true, load(7)), OWN, now);
+    peers.set_hub(Some("hub-2"));
+    peers.record(&message("hub-2", Link::Hub, true, load(8)), OWN, now);
+    assert_eq!(peers.peer_load(now)[&5].calls, 8);
+}
+
+#[test]
+fn a_daemon_that_does_not_answer_is_not_used_until_it_is_heard_of() {
+    let peers = Peers::default();
+    let now = Time::from_millis(1_000);
+    assert!(peers.is_responsive("b", now), "nothing is known of it");
+    peers.record_failure("b", now);
+    assert!(!peers.is_responsive("b", now + Duration::from_secs(60)));
+    peers.record(&message("b", Link::Peer, true, Vec::new()), OWN, now);
+    assert!(peers.is_responsive("b", now));
+    assert!(!peers.is_responsive("b", now + PEER_TIMEOUT * 2));
 }
 
 #[test]
@@ -67,14 +136,44 @@
     let mut updates = Updates::default();
     let update =
         |part| Entry { cache: 1, incarnation: Incarnation(1), part, tokens: 1, shared: true };
-    (1..=3).for_each(|it| updates.push(update(it)));
-    let (last, all) = updates.after(0);
+    (1..=3).for_each(|it| updates.push(Origin::Own, update(it)));
+    let (last, all) = updates.after(0, Link::Peer, 1);
     assert_eq!((last, all.len()), (3, 3));
-    let (last, new) = updates.after(2);
+    let (last, new) = updates.after(2, Link::Peer, 1);
     assert_eq!((last, new), (3, vec![update(3)]));
-    assert!(updates.after(3).1.is_empty());
-    (0..5_000).for_each(|it| updates.push(update(it)));
-    let (last, kept) = updates.after(3);
+    assert!(updates.after(3, Link::Peer, 1).1.is_empty());
+    (0..5_000).for_each(|it| updates.push(Origin::Own, update(it)));
+    let (last, kept) = updates.after(3, Link::Peer, 1);
     assert_eq!(last, 5_003);
     assert!(kept.len() < 5_000 && kept.last() == Some(&update(4_999)));
 }
+
+#[test]
+fn cache_updates_are_passed_on_along_the_tree_only() {
+    let update =
+        |part| Entry { cache: 1, incarnation: Incarnation(1), part, tokens: 1, shared: true };
+    let mut updates = Updates::default();
+    for (part, origin) in [
+        (1, Origin::Own),
+        (2, Origin::Peer(Link::Spoke, 20)),
+        (3, Origin::Peer(Link::Peer, 30)),
+        (4, Origin::Peer(Link::Hub, 40)),
+    ] {
+        updates.push(origin, update(part));
+    }
+    struct Case {
+        link: Link,
+        to: u64,
+        parts: &'static [u64],
+    }
+    for case in [
+        Case { link: Link::Peer, to: 30, parts: &[1, 2] },
+        Case { link: Link::Hub, to: 40, parts: &[1, 2] },
+        Case { link: Link::Spoke, to: 20, parts: &[1, 3, 4] },
+        Case { link: Link::Spoke, to: 21, parts: &[1, 2, 3, 4] },
+    ] {
+        let (_, sent) = updates.after(0, case.link, case.to);
+        let parts: Vec<_> = sent.iter().map(|it| it.part).collect();
+        assert_eq!(parts, case.parts, "to {} as {:?}", case.to, case.link);
+    }
+}
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -5,9 +5,10 @@
         call::Prompt,
         document::KvStore,
         gauge::Outcomes,
-        peer::{Load, Totals},
+        message::Load,
+        peer::Totals,
         place::{self, Choice, Placer, Query, Source},
-        rollout::{self, Progress},
+        rollout::{self, Progress, Target},
         roster::Endpoint,
     },
     kernel::{
@@ -163,7 +164,8 @@
         let engines = engines(case.versions);
         let mut progress = Progress::default();
         let named = START - Duration::from_millis(case.since_ms);
-        progress.set_target(&Model::from(MODEL), Version(2), named);
+        let target = Target { version: Version(2), since: named, is_assumed: false };
+        progress.set_target(&Model::from(MODEL), target);
         let (prompt, peers) = (prompt(7, 1), Totals::default());
         let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
         let chosen = choice.ok().and_then(|it| it.version).map(|it| it.0);
@@ -182,10 +184,14 @@
         version: Version(2),
         stage: rollout::Stage::Loading,
     };
-    progress.update_statuses(&Model::from(MODEL), 1, &rollout::Statuses { marks: vec![loading] });
+    progress.update_statuses(
+        &Model::from(MODEL),
+        1,
+        &rollout::Statuses { revision: 1, marks: vec![loading] },
+    );
     let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
     assert_eq!(choice.expect("a choice").endpoint.name, engines[1].name);
-    engines[1].health.mark_dead();
+    engines[1].health.mark_dead(START);
     let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
     assert_eq!(choice.map(|_| ()), Err(place::Error::Closed));
     let none = placer().choose(&query(&prompt, &peers), &[], &progress, START);
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -2,7 +2,7 @@
 
 use tealturn::{
     gateway::{
-        rollout::{self, Progress, max_concurrent_loads},
+        rollout::{self, Progress, Target, max_concurrent_loads},
         roster::Roster,
     },
     kernel::{
@@ -15,6 +15,10 @@
 
 const START: Time = Time::from_millis(10_000);
 
+fn known(version: u64, since: Time) -> Target {
+    Target { version: Version(version), since, is_assumed: false }
+}
+
 fn status(number: u16, version: u64, stage: rollout::Stage) -> rollout::Status {
     rollout::Status {
         engine: name(number),
@@ -32,7 +36,7 @@
         roster.insert(&name(number), record(number, version));
     }
     let mut progress = Progress::default();
-    progress.set_target(&model, Version(4), START);
+    progress.set_target(&model, known(4, START));
     let pending = progress.pending(&roster.view(), &model);
     let order: Vec<_> = pending.iter().map(|it| it.name.to_string()).collect();
     assert_eq!(order, ["engine-1", "engine-3", "engine-2", "engine-0"]);
@@ -44,8 +48,8 @@
     let mut progress = Progress::default();
     for (version, second) in [(2, 0), (3, 4), (4, 8)] {
         let now = START + Duration::from_secs(second);
-        assert!(progress.set_target(&model, Version(version), now));
-        assert!(!progress.set_target(&model, Version(version), now), "already the target");
+        assert!(progress.set_target(&model, known(version, now)));
+        assert!(!progress.set_target(&model, known(version, now)), "already the target");
     }
     let superseded = |version| progress.superseded_since(&model, Version(version));
     assert_eq!(superseded(1), Some(START));
@@ -54,13 +58,54 @@
     assert_eq!(progress.target(&model).map(|it| it.version), Some(Version(4)));
 }
 
+/// A daemon that starts doesn't know how long a target has been set. Counting from its start would
+/// let calls begin on old weights too late (see docs/incidents/cascade-b38c.md).
+#[test]
+fn what_a_daemon_assumes_at_its_start_gives_way_to_what_others_know() {
+    let model = Model::from(MODEL);
+    let assumed = Target { is_assumed: true, ..known(2, START) };
+    let superseded = |it: &Progress| it.superseded_since(&model, Version(1));
+    struct Case {
+        known_since: Time,
+        what: &'static str,
+    }
+    for case in [
+        Case { known_since: START - Duration::from_secs(5), what: "named before the assumed time" },
+        Case { known_since: START + Duration::from_secs(5), what: "named after the assumed time" },
+    ] {
+        let known = known(2, case.known_since);
+        let mut progress = Progress::default();
+        assert!(progress.set_target(&model, assumed));
+        assert_eq!(superseded(&progress), Some(START), "{}", case.what);
+        assert!(progress.set_target(&model, known), "{}", case.what);
+        assert!(!progress.set_target(&model, assumed), "{}", case.what);
+        assert_eq!(superseded(&progress), Some(case.known_since), "{}", case.what);
+        let earlier = Target { since: case.known_since - Duration::from_secs(1), ..known };
+        assert!(progress.set_target(&model, earlier), "the earliest time counts");
+        assert!(!progress.set_target(&model, known));
+    }
+}
+
+/// An engine that stays on version 1 while 2 and 3 are set: a daemon may hear of 3 first.
+#[test]
+fn targets_that_are_heard_of_out_of_order_are_sorted() {
+    let model = Model::from(MODEL);
+    let mut progress = Progress::default();
+    progress.set_target(&model, known(3, START + Duration::from_secs(4)));
+    progress.set_target(&model, known(2, START));
+    assert_eq!(progress.superseded_since(&model, Version(1)), Some(START));
+    assert_eq!(progress.target(&model).map(|it| it.version), Some(Version(3)));
+}
+
 #[test]
 fn statuses_with_an_older_fence_are_ignored() {
     let model = Model::from(MODEL);
     let engine = &engines(&[1])[0];
     let mut progress = Progress::default();
-    let loading = rollout::Statuses { marks: vec![status(0, 2, rollout::Stage::Loading)] };
-    let loaded = rollout::Statuses { marks: vec![status(0, 2, rollout::Stage::Loaded)] };
+    let loading =
+        rollout::Statuses { revision: 1, marks: vec![status(0, 2, rollout::Stage::Loading)] };
+    let loaded =
+        rollout::Statuses { revision: 2, marks: vec![status(0, 2, rollout::Stage::Loaded)] };
     assert!(progress.update_statuses(&model, 5, &loading));
     assert!(progress.is_loading(engine, &model));
     assert!(!progress.update_statuses(&model, 4, &loaded), "older fencing token");
@@ -69,6 +114,8 @@
     assert!(!progress.is_loading(engine, &model));
     assert_eq!(progress.version(engine, &model), Some(Version(2)));
     assert!(!progress.update_statuses(&model, 5, &loaded), "unchanged");
+    assert!(!progress.update_statuses(&model, 5, &loading), "older revision");
+    assert!(!progress.is_loading(engine, &model));
 }
 
 /// Guards against forgetting loads reported by an earlier lease holder: a daemon that can't reach
@@ -81,12 +128,12 @@
     progress.update_statuses(
         &model,
         1,
-        &rollout::Statuses { marks: vec![status(0, 2, rollout::Stage::Loaded)] },
+        &rollout::Statuses { revision: 1, marks: vec![status(0, 2, rollout::Stage::Loaded)] },
     );
     progress.update_statuses(
         &model,
         2,
-        &rollout::Statuses { marks: vec![status(5, 3, rollout::Stage::Loaded)] },
+        &rollout::Statuses { revision: 1, marks: vec![status(5, 3, rollout::Stage::Loaded)] },
     );
     assert_eq!(progress.version(engine, &model), Some(Version(2)));
 }
@@ -98,7 +145,7 @@
     let mut progress = Progress::default();
     let earlier =
         rollout::Status { incarnation: Incarnation(0), ..status(0, 2, rollout::Stage::Loaded) };
-    progress.update_statuses(&model, 1, &rollout::Statuses { marks: vec![earlier] });
+    progress.update_statuses(&model, 1, &rollout::Statuses { revision: 1, marks: vec![earlier] });
     assert_eq!(progress.version(engine, &model), Some(Version(1)));
 }
 
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -32,7 +32,8 @@
     roster.store_lost();
     roster.expire(START);
     roster.store_answered(START);
-    roster.retain(&[]);
+    roster.remove(&name(0));
+    roster.remove(&name(1));
     roster.expire(START);
     assert_eq!(names(&roster), ["engine-0", "engine-1"]);
     roster.insert(&name(1), record(1, 1));
@@ -55,7 +56,7 @@
     roster.insert(&name(0), record(0, 1));
     let view = roster.view();
     let first = view.all().next().expect("an engine").health.clone();
-    first.mark_dead();
+    first.mark_dead(START);
     roster.insert(&name(0), record(0, 2));
     let same = roster.view().all().next().expect("an engine").health.is_dead();
     assert!(same, "new weights are not a restart");
