--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -1,13 +1,16 @@
 //! Limits retries so that they cannot amplify an outage.
 //!
 //! In any window, a service may receive a number of retries proportional to its calls, plus a fixed
-//! extra. The limit applies to the whole fleet: each daemon uses its fraction of the fixed extra.
+//! extra. The limit applies to the whole fleet. Daemons report their calls and retries to each
+//! other, so that one whose calls fail may use what others don't need.
 
 use std::{collections::VecDeque, time::Duration};
 
 use crate::{
     collections::Map,
+    gateway::message::Usage,
     kernel::{clock::Time, id::Service},
+    route::pool::name_hash,
 };
 
 /// The number of slices in a window. Calls and retries are counted per slice; the sums cover this
@@ -18,6 +21,20 @@
 /// with a state change, count towards the same limit.
 const USED_SHARE: f64 = 0.6;
 
+/// The number of slices in which retries of this daemon may not yet be in the reports of others.
+const UNREPORTED_SLICES: u64 = 2;
+
+/// What a daemon knows of the others when it is about to send a retry.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// The number of daemons, this one included.
+    pub daemons: usize,
+    /// The use of the service's budget by all others; `None` if nothing was heard of them.
+    pub others: Option<Usage>,
+    /// A random number from 0 to 1, which decides if the daemon's share is a fraction of a retry.
+    pub random: f64,
+}
+
 /// Limits on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
@@ -54,20 +71,50 @@
         self.slice(service, now).calls += 1;
     }
 
-    /// Returns whether one of `daemons` daemons may send a retry, and counts the retry if so.
-    pub fn try_retry(&mut self, service: &Service, daemons: usize, now: Time) -> bool {
-        let extra = self.limits.extra / daemons.max(1) as f64;
-        let ratio = self.limits.ratio;
-        self.slice(service, now);
+    /// Returns whether this daemon may send a retry, and counts the retry if so.
+    ///
+    /// What the fleet has left is shared out evenly for the time that reports of its use take. A
+    /// daemon without such reports has an even share of the fixed extra, and the ratio of its own
+    /// calls.
+    pub fn try_retry(&mut self, service: &Service, fleet: Fleet, now: Time) -> bool {
+        let Limits { ratio, extra, .. } = self.limits;
+        let daemons = fleet.daemons.max(1) as f64;
+        let newest = self.slice(service, now).number;
         let slices = &self.services[service];
         let calls: u32 = slices.iter().map(|it| it.calls).sum();
         let retries: u32 = slices.iter().map(|it| it.retries).sum();
-        let allowed = (f64::from(calls) * ratio + extra) * USED_SHARE;
-        if f64::from(retries + 1) > allowed {
-            return false;
+        let is_allowed = match fleet.others {
+            None => {
+                let allowed = (f64::from(calls) * ratio + extra / daemons) * USED_SHARE;
+                f64::from(retries + 1) <= allowed
+            }
+            Some(others) => {
+                let calls = f64::from(calls) + f64::from(others.calls);
+                let used = f64::from(retries) + f64::from(others.retries);
+                let recent = slices.iter().filter(|it| it.number + UNREPORTED_SLICES > newest);
+                let recent: u32 = recent.map(|it| it.retries).sum();
+                let left = (calls * ratio + extra) * USED_SHARE - used + f64::from(recent);
+                f64::from(recent) + fleet.random < left / daemons
+            }
+        };
+        if is_allowed {
+            self.slice(service, now).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// The calls and retries of this daemon in the current window, by service.
+    pub fn usages(&mut self, now: Time) -> Vec<Usage> {
+        let services: Vec<_> = self.services.keys().cloned().collect();
+        let mut usages = Vec::with_capacity(services.len());
+        for service in services {
+            self.slice(&service, now);
+            let slices = self.services[&service].iter();
+            let (calls, retries) = slices
+                .fold((0, 0), |(calls, retries), it| (calls + it.calls, retries + it.retries));
+            usages.push(Usage { service: name_hash(service.as_str()), calls, retries });
         }
-        self.slice(service, now).retries += 1;
-        true
+        usages
     }
 
     fn slice(&mut self, service: &Service, now: Time) -> &mut Slice {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -10,14 +10,16 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    fleet::board::Fact,
     gateway::{
         budget::Budget,
         dialect::{Dialect, Engines, Schema},
         document::Document,
         freshness::Freshness,
         member::Members,
+        message::{News, Update},
         mirror::Mirror,
-        peer::Peers,
+        peer::{Origin, Peers},
         place::Placer,
         rollout::Progress,
         roster::{Roster, View},
@@ -184,6 +186,19 @@
         self.suspects.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Tells the other daemons of requests that crashed upstreams, or were cleared of that.
+    pub fn publish_suspects(&self, facts: Vec<Fact>) {
+        if facts.is_empty() {
+            return;
+        }
+        let mut updates = self.peers.updates();
+        for fact in facts {
+            updates.push(Origin::Own, Update { hops: 0, news: News::Suspect(fact) });
+        }
+        drop(updates);
+        self.urgent.notify_one();
+    }
+
     /// An identifier for one attempt of a call, unique within this daemon process.
     pub fn next_attempt_id(&self) -> Request {
         Request(u128::from(self.attempt_counter.fetch_add(1, Ordering::Relaxed)))
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -34,7 +34,7 @@
 
 /// The same for two hubs, if there are no more hubs than a full mesh has daemons; with more, it
 /// grows in proportion, so that the messages of a hub stay the same.
-const HUB_INTERVAL: Duration = Duration::from_millis(150);
+const HUB_INTERVAL: Duration = Duration::from_millis(180);
 
 /// Interval between messages of a spoke to its hub.
 const SPOKE_INTERVAL: Duration = Duration::from_millis(250);
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -5,8 +5,11 @@
 use crate::{
     gateway::{
         context::Context,
-        message::{Head, Link, Load, Message, Offset, Rollout, Rows, Sighting, Targets},
-        peer::Known,
+        message::{
+            Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Targets, Update,
+            Usage,
+        },
+        peer::{Known, live_digest},
         store::Topic,
     },
     kernel::clock::Time,
@@ -28,11 +31,11 @@
     let peers = &context.peers;
     let known = peers.known(name);
     let to_link = link.reversed();
-    let (last_update, cache_updates) =
-        peers.cache_updates().after(known.acknowledged_update, to_link, name_hash(name));
+    let (last_update, updates) = updates(context, name, to_link, &known);
     let own_name = context.settings.daemon.as_str();
     let mut live = peers.reported_live(name, to_link, now);
     live.push((name_hash(own_name), context.is_ready()));
+    let is_known = known != Known::default() && live_digest(&live) == known.sent_live;
     let progress = context.progress.load();
     let rollouts_digest = progress.statuses_digest();
     let mut rollouts = Vec::new();
@@ -53,19 +56,43 @@
         echo: known.stamp,
         acknowledged_update: known.received_update,
         last_update,
-        cache_updates,
+        updates,
+        usages: usages(context, name, to_link, now),
         loads: loads(context, name, to_link, now),
-        live,
+        live_digest: known.received_live,
+        live: (!is_known).then_some(live),
         heads: Topic::FOLLOWED.map(|topic| head(context, topic, &known)),
         rows: rows(context, &known),
         targets: targets(context, &known),
         rollouts_digest,
         rollouts,
         sightings: sightings(context, &known, now),
-        suspects: context.suspects().facts(),
     }
 }
 
+/// The updates that the peer lacks. One that has none yet gets all suspects. Before its first
+/// message nothing is sent: it may never answer.
+fn updates(context: &Context, name: &str, to_link: Link, known: &Known) -> (u64, Vec<Update>) {
+    if *known == Known::default() {
+        return (0, Vec::new());
+    }
+    let after = known.acknowledged_update;
+    let (last, mut updates) = context.peers.updates().after(after, to_link, name_hash(name));
+    if after == 0 {
+        let facts = context.suspects().facts();
+        updates.extend(facts.into_iter().map(|it| Update { hops: 0, news: News::Suspect(it) }));
+    }
+    (last, updates)
+}
+
+fn usages(context: &Context, name: &str, to_link: Link, now: Time) -> Vec<Usage> {
+    let mut sums = context.peers.reported_usage(name, to_link, now);
+    for usage in context.budget().usages(now) {
+        sums.entry(usage.service).or_default().add(&usage);
+    }
+    sums.into_iter().map(|(service, usage)| Usage { service, ..usage }).collect()
+}
+
 fn loads(context: &Context, name: &str, to_link: Link, now: Time) -> Vec<Load> {
     let mut totals = context.peers.reported_load(name, to_link, now);
     let fleet = context.peers.peer_load(now);
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -2,7 +2,11 @@
 
 use crate::{
     gateway::{
-        context::Context, follow, gauge, message::Message, peer::Origin, rollout::Target,
+        context::Context,
+        follow, gauge,
+        message::{Message, News, Update},
+        peer::Origin,
+        rollout::Target,
         store::Topic,
     },
     kernel::clock::Time,
@@ -12,11 +16,8 @@
 /// Applies a message.
 pub fn take(context: &Context, message: &Message) {
     let now = context.now();
-    record_cache_updates(context, message);
+    take_updates(context, message, now);
     context.peers.record(message, context.incarnation, now);
-    for fact in &message.suspects {
-        context.suspects().learn(fact, now);
-    }
     for rollout in &message.rollouts {
         let (model, fence) = (&rollout.model, rollout.fence);
         if context.change_progress(|it| it.update_statuses(model, fence, &rollout.statuses)) {
@@ -34,18 +35,26 @@
     take_rows(context, message, echo);
 }
 
-fn record_cache_updates(context: &Context, message: &Message) {
-    if message.cache_updates.is_empty() {
-        return;
-    }
-    if let Some(document) = context.document.load().as_ref() {
-        let (tokens, store) = (document.engine_tokens(), document.kv_store());
-        context.placer().record_entries(&message.cache_updates, tokens, store);
-    }
+/// Takes updates, and keeps them to be passed on.
+fn take_updates(context: &Context, message: &Message, now: Time) {
+    let document = context.document.load();
+    let capacities = document.as_ref().map(|it| (it.engine_tokens(), it.kv_store()));
     let origin = Origin::Peer(message.link, name_hash(&message.from));
-    let mut updates = context.peers.cache_updates();
-    for update in &message.cache_updates {
-        updates.push(origin, *update);
+    for update in &message.updates {
+        match &update.news {
+            News::Cached(entry) => {
+                if let Some((tokens, store)) = capacities {
+                    context.placer().record_entries(&[*entry], tokens, store);
+                }
+            }
+            News::Suspect(fact) => {
+                if !context.suspects().learn(fact, now) {
+                    continue;
+                }
+            }
+        }
+        let update = Update { hops: update.hops + 1, news: update.news.clone() };
+        context.peers.updates().push(origin, update);
     }
 }
 
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     gateway::{context::Context, place::Choice, roster::Endpoint},
+    http::client::Probe,
     kernel::id::Request,
     request::suspect::Fingerprint,
 };
@@ -69,14 +70,16 @@
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
         health.record_failure(now);
-        if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
+        let probe = self.context.client.probe(record.address, CRASH_PROBE_TIMEOUT).await;
+        if probe == Probe::Open {
             return;
         }
-        health.mark_dead(now);
+        health.mark_dead(probe == Probe::Refused, now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
         if !suspects.is_empty() {
             info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
         }
+        self.context.publish_suspects(suspects);
     }
 
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
@@ -91,6 +94,7 @@
         self.mark_prompt_read();
         self.choice.endpoint.health.end_call(self.memory_tokens);
         let now = self.context.now();
-        self.context.suspects().ended(self.attempt_id, self.succeeded, now);
+        let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
+        self.context.publish_suspects(cleared);
     }
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -134,6 +134,48 @@
     pub alive_at: Option<Offset>,
 }
 
+/// News that is passed on along the tree.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum News {
+    /// A prompt part that was sent to an engine.
+    Cached(cache::Entry),
+    /// A request suspected of crashing upstreams, or cleared of that.
+    Suspect(Fact),
+}
+
+/// News and how many daemons have passed it on. It is dropped after [`MAX_HOPS`], because daemons
+/// whose views of the tree differ may form a circle.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Update {
+    /// The number of daemons that have passed it on.
+    pub hops: u8,
+    /// The news.
+    pub news: News,
+}
+
+/// The longest way through the tree: from a spoke to its hub, to another hub and to its spoke.
+pub const MAX_HOPS: u8 = 3;
+
+/// Calls to a service and retries of them in the window of the retry budget, of one daemon or of
+/// several.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Hash of the service's name; 0 in sums, where it is the map's key.
+    pub service: u64,
+    /// First attempts of calls.
+    pub calls: u32,
+    /// Further attempts.
+    pub retries: u32,
+}
+
+impl Usage {
+    /// Adds the use by others of the same service.
+    pub fn add(&mut self, other: &Usage) {
+        self.calls = self.calls.saturating_add(other.calls);
+        self.retries = self.retries.saturating_add(other.retries);
+    }
+}
+
 /// A message from one daemon to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Message {
@@ -151,17 +193,21 @@
     /// The stamp of the last message received from the receiver, to which offsets refer. Zero if
     /// there was none; then offsets are meaningless.
     pub echo: Time,
-    /// The last cache update received from the receiver.
+    /// The last update received from the receiver.
     pub acknowledged_update: u64,
-    /// Sequence number of the sender's last cache update.
+    /// Sequence number of the sender's last update.
     pub last_update: u64,
-    /// Cache updates that the receiver lacks.
-    pub cache_updates: Vec<cache::Entry>,
+    /// Updates that the receiver lacks.
+    pub updates: Vec<Update>,
+    /// Use of the retry budget, by service.
+    pub usages: Vec<Usage>,
     /// Load at each upstream where calls are in flight or failed recently.
     pub loads: Vec<Load>,
+    /// Digest of the last list of live daemons received from the receiver.
+    pub live_digest: u64,
     /// Daemons that are alive, the sender included, by the hash of the name, and whether they may
-    /// be listed in the addresses given to callers.
-    pub live: Vec<(u64, bool)>,
+    /// be listed in the addresses given to callers. `None` if the receiver has the same list.
+    pub live: Option<Vec<(u64, bool)>>,
     /// How far the sender's copies of the followed topics reach.
     pub heads: [Option<Head>; 3],
     /// Rows that the receiver lacks.
@@ -174,6 +220,4 @@
     pub rollouts: Vec<Rollout>,
     /// Upstreams that were found dead recently.
     pub sightings: Vec<Sighting>,
-    /// Requests suspected of crashing upstreams.
-    pub suspects: Vec<Fact>,
 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -13,12 +13,9 @@
 
 use crate::{
     collections::{Map, Set},
-    gateway::{
-        cache,
-        message::{Link, Load, Message},
-    },
+    gateway::message::{Link, Load, MAX_HOPS, Message, Update, Usage},
     kernel::{clock::Time, id::Incarnation},
-    route::pool::name_hash,
+    route::pool::{mix, name_hash},
 };
 
 /// A daemon from which nothing was heard for this long is not offered to callers, which allow one
@@ -34,17 +31,17 @@
 /// How long a peer to which a call failed is not used, unless it calls itself.
 const FAILURE_PAUSE: Duration = Duration::from_millis(3_000);
 
-/// Cache updates retained for slow peers; a peer that falls further behind misses the oldest.
-const MAX_CACHE_UPDATES: usize = 4_096;
+/// Updates retained for slow peers; a peer that falls further behind misses the oldest.
+const MAX_UPDATES: usize = 4_096;
 
-/// Log of recent cache updates, with sequence numbers and the peer that each came from.
+/// Log of recent updates, with sequence numbers and the peer that each came from.
 #[derive(Debug, Default)]
 pub struct Updates {
     last: u64,
-    updates: VecDeque<(Origin, cache::Entry)>,
+    updates: VecDeque<(Origin, Update)>,
 }
 
-/// Where a cache update came from.
+/// Where an update came from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
     /// A call of this daemon.
@@ -55,17 +52,20 @@
 
 impl Updates {
     /// Appends an update, dropping the oldest if the log is full.
-    pub fn push(&mut self, origin: Origin, update: cache::Entry) {
+    pub fn push(&mut self, origin: Origin, update: Update) {
+        if update.hops >= MAX_HOPS {
+            return;
+        }
         self.last += 1;
         self.updates.push_back((origin, update));
-        if self.updates.len() > MAX_CACHE_UPDATES {
+        if self.updates.len() > MAX_UPDATES {
             self.updates.pop_front();
         }
     }
 
     /// The last sequence number, and the retained updates after `after` that the peer with the hash
     /// `to` needs: those of the subtree, or for a spoke those of the fleet without its own.
-    pub fn after(&self, after: u64, link: Link, to: u64) -> (u64, Vec<cache::Entry>) {
+    pub fn after(&self, after: u64, link: Link, to: u64) -> (u64, Vec<Update>) {
         let missing = self.last.saturating_sub(after) as usize;
         let skipped = self.updates.len().saturating_sub(missing);
         let is_wanted = |origin: &Origin| match (origin, link) {
@@ -74,7 +74,7 @@
             (Origin::Peer(from_link, from), _) => *from_link == Link::Spoke && *from != to,
         };
         let updates = self.updates.iter().skip(skipped);
-        (self.last, updates.filter(|(it, _)| is_wanted(it)).map(|(_, it)| *it).collect())
+        (self.last, updates.filter(|(it, _)| is_wanted(it)).map(|(_, it)| it.clone()).collect())
     }
 }
 
@@ -86,13 +86,16 @@
     heard_at: Time,
     /// The peer's clock when it sent its last message.
     stamp: Time,
-    /// The last cache update received from the peer, and the last of this daemon that it has.
+    /// The last update received from the peer, and the last of this daemon that it has.
     received_update: u64,
     acknowledged_update: u64,
     versions: [Option<u64>; 3],
     rollouts: u64,
     loads: Vec<Load>,
+    usages: Vec<Usage>,
     live: Vec<(u64, bool)>,
+    /// Digest of this daemon's list that the peer has.
+    live_digest: u64,
 }
 
 /// What a message to a peer builds on. The default is for a peer that was never heard of.
@@ -104,14 +107,18 @@
     pub heard_at: Time,
     /// The peer's clock when it sent that message.
     pub stamp: Time,
-    /// The last cache update received from it.
+    /// The last update received from it.
     pub received_update: u64,
-    /// The last cache update of this daemon that it has.
+    /// The last update of this daemon that it has.
     pub acknowledged_update: u64,
     /// The versions of its copies of the followed topics.
     pub versions: [Option<u64>; 3],
     /// Digest of the rollout reports that it has.
     pub rollouts: u64,
+    /// Digest of the list of live daemons received from it.
+    pub received_live: u64,
+    /// Digest of the list of live daemons that it has from this daemon.
+    pub sent_live: u64,
 }
 
 /// Combined load of all other daemons, by the hash of the upstream's name.
@@ -148,6 +155,8 @@
             acknowledged_update: it.acknowledged_update,
             versions: it.versions,
             rollouts: it.rollouts,
+            received_live: live_digest(&it.live),
+            sent_live: it.live_digest,
         })
     }
 
@@ -171,14 +180,19 @@
             versions: message.heads.map(|it| it.map(|head| head.version)),
             rollouts: message.rollouts_digest,
             loads: message.loads.clone(),
-            live: message.live.clone(),
+            usages: message.usages.clone(),
+            live: match &message.live {
+                Some(live) => live.clone(),
+                None => same_process.map_or_else(Vec::new, |it| it.live.clone()),
+            },
+            live_digest: message.live_digest,
         };
-        inner.states.insert(message.from.clone(), state);
         inner.failed.remove(&message.from);
         inner.heard.insert(name_hash(&message.from), now);
-        for (daemon, _) in &message.live {
+        for (daemon, _) in &state.live {
             inner.heard.insert(*daemon, now);
         }
+        inner.states.insert(message.from.clone(), state);
         inner.totals_at = None;
     }
 
@@ -234,6 +248,38 @@
         self.lock().sum(Some(name), is_reported, now)
     }
 
+    /// Use of the retry budget for a service by all other daemons; `None` if no peer was heard from
+    /// recently.
+    pub fn usage(&self, service: u64, now: Time) -> Option<Usage> {
+        let inner = self.lock();
+        let mut sum = None;
+        for (name, state) in &inner.states {
+            if !inner.is_current(name, state, PEER_LOAD_TTL, now) {
+                continue;
+            }
+            let sum = sum.get_or_insert(Usage::default());
+            if let Some(usage) = state.usages.iter().find(|it| it.service == service) {
+                sum.add(usage);
+            }
+        }
+        sum
+    }
+
+    /// Use of the retry budget that a message to the peer reports, without this daemon's own.
+    pub fn reported_usage(&self, name: &str, link: Link, now: Time) -> Map<u64, Usage> {
+        let inner = self.lock();
+        let mut sums: Map<u64, Usage> = Map::default();
+        for (from, state) in &inner.states {
+            let is_reported = link == Link::Spoke || state.link == Link::Spoke;
+            if from != name && is_reported && inner.is_current(from, state, PEER_LOAD_TTL, now) {
+                for usage in &state.usages {
+                    sums.entry(usage.service).or_default().add(usage);
+                }
+            }
+        }
+        sums
+    }
+
     /// Daemons of which a message to the peer reports that they are alive, without this daemon, and
     /// whether they accept callers.
     pub fn reported_live(&self, name: &str, link: Link, now: Time) -> Vec<(u64, bool)> {
@@ -266,8 +312,8 @@
         self.lock().states.values().any(|it| now.since(it.heard_at) < PEER_TIMEOUT)
     }
 
-    /// Cache updates of this daemon and its peers.
-    pub fn cache_updates(&self) -> MutexGuard<'_, Updates> {
+    /// Updates of this daemon and its peers.
+    pub fn updates(&self) -> MutexGuard<'_, Updates> {
         self.updates.lock().unwrap_or_else(|it| it.into_inner())
     }
 
@@ -276,6 +322,11 @@
     }
 }
 
+/// Identifies a list of live daemons in any order. An empty list, which no daemon sends, has 0.
+pub fn live_digest(live: &[(u64, bool)]) -> u64 {
+    live.iter().fold(0, |sum, (daemon, ready)| sum ^ mix(daemon.rotate_left(1) ^ u64::from(*ready)))
+}
+
 impl Inner {
     /// Whether the state that a peer sent counts: it is recent, and not that of a hub which this
     /// daemon no longer uses.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -7,17 +7,20 @@
 //! Penalties are added to it, and the engine with the lowest cost is selected.
 
 mod candidate;
+mod holder;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    collections::Map,
     gateway::{
         cache::{self, Estimate, STORE},
         call::Prompt,
         document::KvStore,
         peer::Totals,
-        place::candidate::{Candidate, candidates, failure_rate, is_eligible},
+        place::{
+            candidate::{candidates, failure_rate, is_eligible},
+            holder::Holders,
+        },
         rollout::Progress,
         roster::Endpoint,
     },
@@ -203,22 +206,28 @@
         now: Time,
     ) -> Result<Choice, Error> {
         let candidates = candidates(query, prompt, all, progress, now);
+        let depth = |keys: &[u64], engine: &Endpoint| self.cached_depth(query, keys, engine);
+        let holders = Holders::new(query, prompt, &candidates, depth);
         let shared_tokens = prefix_tokens(prompt, prompt.shared().len());
-        let mut keys_by_version: Map<Version, Vec<u64>> = Map::default();
         let mut best: Option<(f64, Choice)> = None;
         let mut any_full = false;
-        for candidate in &candidates {
+        let weighed = |is_weighed| {
+            let all = candidates.iter().enumerate();
+            all.filter(move |(_, it)| it.is_weighed == is_weighed)
+        };
+        for (index, candidate) in weighed(true).chain(weighed(false)) {
+            if !candidate.is_weighed && best.is_some() {
+                break;
+            }
             let endpoint = candidate.endpoint;
             let version = candidate.version;
-            let keys = keys_by_version
-                .entry(version)
-                .or_insert_with(|| part_keys(prompt, query.cache_owner, version));
-            let keys = &keys[..prompt.shared().len()];
-            let depth = self.cached_depth(query, keys, endpoint);
+            let depth = holders.depths[index];
+            let holders = &holders.by_version[&version];
+            let keys = &holders.keys[..prompt.shared().len()];
             let is_held = depth == keys.len();
             let source = match is_held {
                 true => None,
-                false => self.fetch_source(query, keys, depth, candidate, &candidates),
+                false => holders.fetch_source(index, depth, &candidates),
             };
             let available_depth = source.as_ref().map_or(depth, |(_, it)| *it).max(depth);
             let (source, available_depth) = self.prefer_store(query, keys, source, available_depth);
@@ -277,32 +286,6 @@
         }
     }
 
-    /// Returns the engine with the same weights that holds the longest prefix, if it is longer than
-    /// the candidate's. If no engine is known to hold any part, returns the highest-ranked other
-    /// engine.
-    fn fetch_source<'a>(
-        &self,
-        query: &Query<'_>,
-        keys: &[u64],
-        own_depth: usize,
-        candidate: &Candidate<'_>,
-        all: &[Candidate<'a>],
-    ) -> Option<(&'a Arc<Endpoint>, usize)> {
-        let mut best: Option<(usize, u64, &'a Arc<Endpoint>)> = None;
-        for other in all {
-            let same = other.version == candidate.version;
-            if !same || other.endpoint.name == candidate.endpoint.name {
-                continue;
-            }
-            let depth = self.cached_depth(query, keys, other.endpoint);
-            if best.is_none_or(|(most, rank, _)| (most, rank) < (depth, other.rank)) {
-                best = Some((depth, other.rank, other.endpoint));
-            }
-        }
-        let (depth, _, endpoint) = best?;
-        (depth > own_depth || (depth == 0 && own_depth == 0)).then_some((endpoint, depth))
-    }
-
     /// Replaces the engine by the KV store if the store holds a longer prefix.
     fn prefer_store(
         &self,
@@ -383,6 +366,11 @@
     }
 }
 
+/// Identifies the shared parts of a prompt, whatever the version of the weights.
+fn prefix_hash(query: &Query<'_>, prompt: &Prompt) -> u64 {
+    prompt.shared().iter().fold(query.cache_owner, |sum, it| mix(sum ^ it.hash))
+}
+
 /// The number of tokens in the first `depth` shared parts.
 fn prefix_tokens(prompt: &Prompt, depth: usize) -> u64 {
     prompt.shared()[..depth].iter().map(|it| it.tokens).sum()
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -1,10 +1,15 @@
 //! Determines which engines may take a call, and the inputs to their cost.
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use crate::{
     collections::Map,
-    gateway::{call::Prompt, place::Query, rollout::Progress, roster::Endpoint},
+    gateway::{
+        call::Prompt,
+        place::{Query, prefix_hash},
+        rollout::Progress,
+        roster::Endpoint,
+    },
     kernel::{clock::Time, id::Version},
     route::pool::mix,
 };
@@ -28,6 +33,21 @@
 /// receive no calls from this long before the end of their grace period.
 const MAX_START_DELAY: Duration = Duration::from_millis(700);
 
+/// Number of engines up to which each call weighs all of them.
+///
+/// In a larger pool many daemons would send their calls to the same engine: the one with the least
+/// load by reports that are some hundred milliseconds old. A call there weighs only the engines
+/// that rank highest for its prefix and a few random ones. Copies of a prefix then lie on few
+/// engines, too.
+const WHOLE_POOL_ENGINES: usize = 24;
+
+/// Number of engines with each version of the weights that are weighed for a prefix in a larger
+/// pool, the home included.
+const RANKED_ENGINES: usize = 4;
+
+/// Number of random engines that are weighed besides.
+const RANDOM_ENGINES: usize = 2;
+
 /// An engine that may take a call.
 pub(super) struct Candidate<'a> {
     pub(super) endpoint: &'a Arc<Endpoint>,
@@ -37,6 +57,8 @@
     /// Whether it has the highest rank among the engines with the same weights, those below
     /// [`MAX_HOME_FAILURE_RATE`] first.
     pub(super) is_home: bool,
+    /// Whether it is weighed unless none of the weighed ones has room.
+    pub(super) is_weighed: bool,
     /// The cost of serving superseded weights, in milliseconds.
     pub(super) version_cost_ms: f64,
 }
@@ -49,7 +71,7 @@
     progress: &Progress,
     now: Time,
 ) -> Vec<Candidate<'a>> {
-    let prefix = prompt.shared().iter().fold(query.cache_owner, |sum, it| mix(sum ^ it.hash));
+    let prefix = prefix_hash(query, prompt);
     let mut candidates: Vec<Candidate<'a>> = Vec::with_capacity(all.len());
     let mut homes: Map<Version, (bool, u64, usize)> = Map::default();
     for endpoint in all {
@@ -72,14 +94,46 @@
         let home = homes.entry(version).or_default();
         let is_healthy = failure_rate(endpoint, query, now) < MAX_HOME_FAILURE_RATE;
         *home = (*home).max((is_healthy, rank, candidates.len()));
-        candidates.push(Candidate { endpoint, version, rank, is_home: false, version_cost_ms });
+        candidates.push(Candidate {
+            endpoint,
+            version,
+            rank,
+            is_home: false,
+            is_weighed: true,
+            version_cost_ms,
+        });
     }
     for (_, _, index) in homes.into_values() {
         candidates[index].is_home = true;
     }
+    if candidates.len() > WHOLE_POOL_ENGINES {
+        weigh_few(&mut candidates, query.random);
+    }
     candidates
 }
 
+/// Leaves only a few engines weighed.
+fn weigh_few(candidates: &mut [Candidate<'_>], random: u64) {
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    order.sort_unstable_by_key(|it| {
+        let candidate = &candidates[*it];
+        (Reverse(candidate.version), Reverse(candidate.rank))
+    });
+    let mut of_version = (None, 0);
+    for index in order {
+        let candidate = &mut candidates[index];
+        if of_version.0 != Some(candidate.version) {
+            of_version = (Some(candidate.version), 0);
+        }
+        of_version.1 += 1;
+        candidate.is_weighed = of_version.1 <= RANKED_ENGINES || candidate.is_home;
+    }
+    for number in 0..RANDOM_ENGINES {
+        let index = mix(random ^ number as u64) % candidates.len() as u64;
+        candidates[index as usize].is_weighed = true;
+    }
+}
+
 /// The rendezvous rank of an engine for a prefix. The engine with the highest rank is its home.
 fn home_rank(prefix: u64, engine: &Endpoint) -> u64 {
     mix(prefix ^ engine.hash)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,7 +22,10 @@
         hold::Reservation,
         place::{Choice, Source},
     },
-    http::{client::Answer, server::Body},
+    http::{
+        client::{self, Answer},
+        server::Body,
+    },
     kernel::id::Upstream,
     request::suspect::Fingerprint,
 };
@@ -50,7 +53,12 @@
     Answer(Box<Answer>),
     /// Nothing was sent, because no connection could be opened or the request target is not a valid
     /// URI.
-    Unreachable(String),
+    Unreachable {
+        /// Why.
+        reason: String,
+        /// Whether nothing listens at the upstream's address.
+        is_refused: bool,
+    },
     /// The upstream did not execute the call.
     NotExecuted(&'static str),
     /// The attempt failed, and the upstream may have executed the call.
@@ -129,7 +137,7 @@
             let health = &reservation.choice.endpoint.health;
             let outcome = match &result {
                 Outcome::Answer(..) => "answer",
-                Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
+                Outcome::Unreachable { reason, .. } | Outcome::Lost(reason) => reason,
                 Outcome::NotExecuted(reason) => reason,
                 Outcome::TimedOut => "timed out",
             };
@@ -154,8 +162,8 @@
                     }
                     return Ok((reservation, answer));
                 }
-                Outcome::Unreachable(_) => {
-                    health.mark_dead(now);
+                Outcome::Unreachable { is_refused, .. } => {
+                    health.mark_dead(is_refused, now);
                     self.connect_failures += 1;
                     self.rejections += 1;
                 }
@@ -234,7 +242,10 @@
         *request.method_mut() = call.method.clone();
         match call.target.parse() {
             Ok(uri) => *request.uri_mut() = uri,
-            Err(_) => return Outcome::Unreachable("request target is not a valid URI".to_owned()),
+            Err(_) => {
+                let reason = "request target is not a valid URI".to_owned();
+                return Outcome::Unreachable { reason, is_refused: false };
+            }
         }
         *request.headers_mut() = headers;
         let address = reservation.choice.endpoint.record.address;
@@ -260,7 +271,10 @@
         };
         match sent {
             Err(_) => Outcome::TimedOut,
-            Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable(source.to_string()),
+            Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable {
+                reason: source.to_string(),
+                is_refused: client::is_refused(&source),
+            },
             Ok(Err(error)) => Outcome::Lost(error.to_string()),
             Ok(Ok(answer)) => self.classify(reservation, answer),
         }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -7,9 +7,11 @@
 
 use crate::{
     gateway::{
+        budget::Fleet,
         call::Prompt,
         dialect::Refusal,
         hold::Reservation,
+        message::{News, Update},
         peer::Origin,
         place::{self, Query},
         relay::{RESPONSE_MARGIN, Relay},
@@ -129,7 +131,12 @@
         }
         // An attempt that failed to connect reached no upstream, so the next one is not a retry.
         let is_retry = self.sends > self.connect_failures;
-        if is_retry && !context.budget().try_retry(service, context.members.count(), now) {
+        let fleet = Fleet {
+            daemons: context.members.count(),
+            others: context.peers.usage(name_hash(service.as_str()), now),
+            random: rand::random(),
+        };
+        if is_retry && !context.budget().try_retry(service, fleet, now) {
             info!(
                 attempt = call.head.attempt,
                 service = service.as_str(),
@@ -138,8 +145,10 @@
             return Err(self.no_upstream());
         }
         let entries = context.placer().record_send(&query, &choice);
-        let mut updates = context.peers.cache_updates();
-        entries.into_iter().for_each(|it| updates.push(Origin::Own, it));
+        let mut updates = context.peers.updates();
+        for entry in entries {
+            updates.push(Origin::Own, Update { hops: 0, news: News::Cached(entry) });
+        }
         drop(updates);
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,7 +22,13 @@
 mod roster;
 #[path = "gateway/scene.rs"]
 mod scene;
+#[path = "gateway/simulation.rs"]
+mod simulation;
+#[path = "gateway/stale.rs"]
+mod stale;
 #[path = "gateway/stream.rs"]
 mod stream;
 #[path = "gateway/topology.rs"]
 mod topology;
+#[path = "gateway/tree.rs"]
+mod tree;
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -4,7 +4,7 @@
     gateway::{
         cache::Entry,
         gauge::Outcomes,
-        message::{Link, Load, Message},
+        message::{Link, Load, MAX_HOPS, Message, News, Update},
         peer::{Origin, PEER_TIMEOUT, Peers, Updates},
     },
     kernel::{clock::Time, id::Incarnation},
@@ -23,16 +23,17 @@
         echo: Time::default(),
         acknowledged_update: 0,
         last_update: 0,
-        cache_updates: Vec::new(),
+        updates: Vec::new(),
+        usages: Vec::new(),
         loads,
-        live: vec![(name_hash(from), ready)],
+        live_digest: 0,
+        live: Some(vec![(name_hash(from), ready)]),
         heads: [None; 3],
         rows: Vec::new(),
         targets: Vec::new(),
         rollouts_digest: 0,
         rollouts: Vec::new(),
         sightings: Vec::new(),
-        suspects: Vec::new(),
     }
 }
 
@@ -131,11 +132,14 @@
     assert!(!peers.is_responsive("b", now + PEER_TIMEOUT * 2));
 }
 
+fn update(part: u64) -> Update {
+    let entry = Entry { cache: 1, incarnation: Incarnation(1), part, tokens: 1, shared: true };
+    Update { hops: 0, news: News::Cached(entry) }
+}
+
 #[test]
-fn cache_updates_are_returned_once_and_the_oldest_are_dropped() {
+fn updates_are_returned_once_and_the_oldest_are_dropped() {
     let mut updates = Updates::default();
-    let update =
-        |part| Entry { cache: 1, incarnation: Incarnation(1), part, tokens: 1, shared: true };
     (1..=3).for_each(|it| updates.push(Origin::Own, update(it)));
     let (last, all) = updates.after(0, Link::Peer, 1);
     assert_eq!((last, all.len()), (3, 3));
@@ -149,9 +153,7 @@
 }
 
 #[test]
-fn cache_updates_are_passed_on_along_the_tree_only() {
-    let update =
-        |part| Entry { cache: 1, incarnation: Incarnation(1), part, tokens: 1, shared: true };
+fn updates_are_passed_on_along_the_tree_only() {
     let mut updates = Updates::default();
     for (part, origin) in [
         (1, Origin::Own),
@@ -161,6 +163,7 @@
     ] {
         updates.push(origin, update(part));
     }
+    updates.push(Origin::Peer(Link::Spoke, 20), Update { hops: MAX_HOPS, ..update(5) });
     struct Case {
         link: Link,
         to: u64,
@@ -173,7 +176,7 @@
         Case { link: Link::Spoke, to: 21, parts: &[1, 2, 3, 4] },
     ] {
         let (_, sent) = updates.after(0, case.link, case.to);
-        let parts: Vec<_> = sent.iter().map(|it| it.part).collect();
-        assert_eq!(parts, case.parts, "to {} as {:?}", case.to, case.link);
+        let expected: Vec<_> = case.parts.iter().map(|it| update(*it)).collect();
+        assert_eq!(sent, expected, "to {} as {:?}", case.to, case.link);
     }
 }
--- /dev/null
+++ b/tests/gateway/simulation.rs
@@ -0,0 +1,447 @@
+//! Daemons that exchange state in virtual time, without a network.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bincode::Options;
+use http::request;
+use hyper::{HeaderMap, Response, StatusCode};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+use tealturn::{
+    gateway::{
+        budget,
+        call::{Call, Dispatch, Head},
+        context::{Context, Setup},
+        dialect::{self, Directive, Evidence, Order, Refusal, Reply, Report},
+        document::{self, Document, Limits},
+        exchange,
+        follow::{self, MEMBER_PREFIX},
+        member::Member,
+        message::{Link, Message},
+        roster::{Endpoint, Record},
+        settings::Settings,
+        store::{self, Page, Row, Store, Topic, Write},
+    },
+    http::{client::Client, server::Body},
+    kernel::{
+        clock::{Clock, Time},
+        id::{Daemon, Incarnation, Zone},
+    },
+};
+
+use crate::scene;
+
+/// Steps of virtual time.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time after which an exchange without a response has failed.
+const TIMEOUT: Duration = Duration::from_millis(350);
+
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The longest time between two questions of a watcher to the store.
+const STORE_INTERVAL: Duration = Duration::from_millis(1_800);
+
+pub const ZONES: usize = 5;
+
+/// The time of one VM: that of the simulation and an offset of its own.
+struct VmClock {
+    now: Arc<AtomicU64>,
+    ahead: u64,
+}
+
+impl Clock for VmClock {
+    fn now(&self) -> Time {
+        Time(self.now.load(Ordering::Relaxed) + self.ahead)
+    }
+
+    fn wall_micros(&self) -> u64 {
+        self.now().0
+    }
+}
+
+/// Nothing here calls the platform.
+struct Unused;
+
+#[async_trait]
+impl Store for Unused {
+    async fn list(&self, _: Topic, _: Option<&str>) -> Result<Page, store::Error> {
+        unreachable!()
+    }
+    async fn changes(&self, _: Topic, _: u64, _: Duration) -> Result<Page, store::Error> {
+        unreachable!()
+    }
+    async fn get(&self, _: Topic, _: &str) -> Result<Option<Row>, store::Error> {
+        unreachable!()
+    }
+    async fn write(&self, _: &Write) -> Result<store::Outcome, store::Error> {
+        unreachable!()
+    }
+}
+
+impl dialect::Dialect for Unused {
+    fn parse_request(&self, _: &request::Parts) -> Result<Head, Refusal> {
+        unreachable!()
+    }
+    fn write_request_headers(&self, _: &Call, _: &Dispatch, _: &mut HeaderMap) {
+        unreachable!()
+    }
+    fn parse_response(&self, _: &Call, _: StatusCode, _: &HeaderMap) -> Evidence {
+        unreachable!()
+    }
+    fn error_response(&self, _: Refusal) -> Response<Body> {
+        unreachable!()
+    }
+}
+
+#[async_trait]
+impl dialect::Engines for Unused {
+    async fn report(&self, _: &Endpoint) -> Option<Report> {
+        unreachable!()
+    }
+    async fn order(&self, _: &Endpoint, _: &Order, _: Time) -> Option<Reply> {
+        unreachable!()
+    }
+}
+
+/// A document is a row of the operator whose version is that of the row; an upstream is an engine.
+struct Schema;
+
+impl dialect::Schema for Schema {
+    fn decode_operator_row(&self, row: &Row) -> Result<Directive, dialect::Error> {
+        let parts = document::Parts {
+            version: row.version,
+            routes: Vec::new(),
+            services: Vec::new(),
+            limits: Limits { body_bytes: 1, header_bytes: 1, idle: Duration::from_secs(1) },
+            tenants: Vec::new(),
+        };
+        let document = Document::new(parts).map_err(|error| dialect::Error(error.to_string()))?;
+        Ok(Directive::Document(Arc::new(document)))
+    }
+
+    fn decode_upstream(&self, row: &Row) -> Result<Record, dialect::Error> {
+        let number = row.key.trim_start_matches("engine-").parse();
+        let number = number.map_err(|_| dialect::Error("no number".to_owned()))?;
+        Ok(scene::record(number, 1))
+    }
+}
+
+/// What a daemon has sent and received.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    /// Calls made and answered.
+    pub calls: u64,
+    /// Bytes of all messages, both ways.
+    pub bytes: u64,
+}
+
+struct Vm {
+    name: String,
+    zone: usize,
+    cpu_millis: u32,
+    clock: Arc<VmClock>,
+    /// `None` while it is down.
+    context: Option<Arc<Context>>,
+    /// When each running caller sends its next message.
+    calls: BTreeMap<String, (Link, Time)>,
+    planned_at: Time,
+    asked_at: Time,
+    traffic: Traffic,
+    /// Messages to and from it are lost.
+    is_cut: bool,
+}
+
+/// A fleet of daemons, and a store that only watchers ask.
+pub struct Fleet {
+    vms: Vec<Vm>,
+    pub now: Time,
+    clock: Arc<AtomicU64>,
+    rng: StdRng,
+    /// Probability that a message is lost.
+    pub loss: f64,
+    /// Whether the store answers.
+    pub store_answers: bool,
+    rows: [Vec<Row>; 3],
+    version: u64,
+    started: u64,
+}
+
+impl Fleet {
+    /// A fleet whose daemons all start at once and know the rows of all.
+    pub fn new(daemons: usize, engines: u16, seed: u64) -> Fleet {
+        let clock = Arc::new(AtomicU64::new(1_000_000));
+        let mut rng = StdRng::seed_from_u64(seed);
+        let vms = (0..daemons).map(|number| Vm {
+            name: format!("vm-{number:03}"),
+            zone: number % ZONES,
+            cpu_millis: if number % 13 == 0 { 500 } else { 120 },
+            clock: Arc::new(VmClock {
+                now: clock.clone(),
+                ahead: rng.random_range(0..100_000_000),
+            }),
+            context: None,
+            calls: BTreeMap::new(),
+            planned_at: Time::default(),
+            asked_at: Time::default(),
+            traffic: Traffic::default(),
+            is_cut: false,
+        });
+        let vms: Vec<_> = vms.collect();
+        let mut fleet = Fleet {
+            now: Time(1_000_000),
+            clock,
+            rng,
+            loss: 0.0,
+            store_answers: true,
+            rows: Default::default(),
+            version: 0,
+            started: 0,
+            vms,
+        };
+        fleet.write(Topic::Operator, "document");
+        for number in 0..engines {
+            fleet.write(Topic::Upstreams, &format!("engine-{number}"));
+        }
+        for index in 0..daemons {
+            fleet.register(index);
+        }
+        for index in 0..daemons {
+            fleet.start(index);
+        }
+        fleet
+    }
+
+    /// Writes a row, which only the store knows at first.
+    pub fn write(&mut self, topic: Topic, key: &str) -> u64 {
+        self.write_value(topic, key, Vec::new())
+    }
+
+    fn write_value(&mut self, topic: Topic, key: &str, value: Vec<u8>) -> u64 {
+        self.version += 1;
+        let rows = &mut self.rows[topic as usize];
+        rows.retain(|it| it.key != key);
+        let (key, version) = (key.to_owned(), self.version);
+        rows.push(Row { key, value: Some(value), version, removed: false });
+        version
+    }
+
+    fn register(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        let member = Member {
+            incarnation: Incarnation(1),
+            zone: Zone::from(&*format!("zone-{}", vm.zone)),
+            caller: SocketAddr::from(([10, 0, 0, 1], index as u16 + 1)),
+            peer: SocketAddr::from(([10, 0, 0, 2], index as u16 + 1)),
+            cpu_millis: vm.cpu_millis,
+            leaving: false,
+        };
+        let value = serde_json::to_vec(&member).expect("a member can be encoded");
+        let key = format!("{MEMBER_PREFIX}{}", vm.name);
+        self.write_value(Topic::Fleet, &key, value);
+    }
+
+    /// Starts a daemon's process, which has read the registrations of daemons from the store.
+    pub fn start(&mut self, index: usize) {
+        self.started += 1;
+        let vm = &mut self.vms[index];
+        let setup = Setup {
+            settings: settings(&vm.name, vm.zone, vm.cpu_millis),
+            clock: vm.clock.clone(),
+            client: Arc::new(Client::new()),
+            dialect: Arc::new(Unused),
+            schema: Arc::new(Schema),
+            store: Arc::new(Unused),
+            engines: Arc::new(Unused),
+        };
+        let context = Arc::new(Context::new(setup));
+        vm.context = Some(context.clone());
+        vm.calls.clear();
+        vm.planned_at = Time::default();
+        let rows = &self.rows[Topic::Fleet as usize];
+        follow::apply(&context, Topic::Fleet, rows, None, self.version, context.now());
+    }
+
+    /// Ends a daemon's process.
+    pub fn kill(&mut self, index: usize) {
+        self.vms[index].context = None;
+    }
+
+    /// Cuts a daemon off from all others, and from the store, or ends that.
+    pub fn cut(&mut self, index: usize, is_cut: bool) {
+        self.vms[index].is_cut = is_cut;
+    }
+
+    /// The states of the daemons that run and aren't cut off.
+    pub fn contexts(&self) -> Vec<Arc<Context>> {
+        self.vms.iter().filter(|it| !it.is_cut).filter_map(|it| it.context.clone()).collect()
+    }
+
+    /// The state of one daemon.
+    pub fn context(&self, index: usize) -> &Arc<Context> {
+        self.vms[index].context.as_ref().expect("the daemon should run")
+    }
+
+    /// What each daemon has sent and received since the last call.
+    pub fn take_traffic(&mut self) -> Vec<Traffic> {
+        self.vms.iter_mut().map(|it| std::mem::take(&mut it.traffic)).collect()
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        self.run_until(time, |_| false);
+    }
+
+    /// Lets time pass until a condition holds; returns how long that took, or `None` if `time` was
+    /// not enough.
+    pub fn run_until(
+        &mut self,
+        time: Duration,
+        condition: impl Fn(&Fleet) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now < start + time {
+            self.step();
+            if condition(self) {
+                return Some(self.now.since(start));
+            }
+        }
+        None
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.clock.store(self.now.0, Ordering::Relaxed);
+        let mut order: Vec<_> = (0..self.vms.len()).collect();
+        order.shuffle(&mut self.rng);
+        for index in order {
+            self.ask_store(index);
+            self.plan(index);
+            self.send_due(index);
+        }
+    }
+
+    /// A watcher's long poll returns at once if a row changed.
+    fn ask_store(&mut self, index: usize) {
+        let vm = &self.vms[index];
+        let Some(context) = vm.context.clone().filter(|_| !vm.is_cut && self.store_answers) else {
+            return;
+        };
+        if !context.plan.load().is_watcher {
+            return;
+        }
+        let is_due = self.now.since(vm.asked_at) >= STORE_INTERVAL;
+        for topic in Topic::FOLLOWED {
+            let known = context.mirror.head(topic).map(|it| it.version);
+            let rows = self.rows[topic as usize].iter();
+            let rows: Vec<_> = rows.filter(|it| known.is_none_or(|v| it.version > v)).collect();
+            if rows.is_empty() && !is_due {
+                continue;
+            }
+            let rows: Vec<_> = rows.into_iter().cloned().collect();
+            follow::apply(&context, topic, &rows, known, self.version, context.now());
+        }
+        if is_due {
+            self.vms[index].asked_at = self.now;
+        }
+    }
+
+    fn plan(&mut self, index: usize) {
+        let now = self.now;
+        let vm = &mut self.vms[index];
+        let Some(context) = &vm.context else { return };
+        if now.since(vm.planned_at) < PLAN_INTERVAL {
+            return;
+        }
+        vm.planned_at = now;
+        exchange::update_plan(context);
+        let is_running = |name: &str| vm.calls.get(name).is_some_and(|it| it.0 == Link::Peer);
+        let wanted = exchange::peers_to_call(context, &is_running);
+        vm.calls.retain(|name, (link, _)| {
+            wanted.iter().any(|(it, _, wanted)| it == name && wanted == link)
+        });
+        for (name, _, link) in wanted {
+            vm.calls.entry(name).or_insert((link, now));
+        }
+    }
+
+    fn send_due(&mut self, index: usize) {
+        let due = self.vms[index].calls.iter().filter(|(_, (_, at))| *at <= self.now);
+        let due: Vec<_> = due.map(|(name, (link, _))| (name.clone(), *link)).collect();
+        let Some(context) = self.vms[index].context.clone() else { return };
+        for (name, link) in due {
+            let answered = self.exchange(index, &context, &name, link);
+            let interval = match answered {
+                true => exchange::interval(&context.plan.load(), link),
+                false => {
+                    context.peers.record_failure(&name, context.now());
+                    self.vms[index].planned_at = Time::default();
+                    TIMEOUT
+                }
+            };
+            let interval = interval.mul_f64(self.rng.random_range(0.75..1.25));
+            if let Some((_, at)) = self.vms[index].calls.get_mut(&name) {
+                *at = self.now + interval;
+            }
+        }
+    }
+
+    fn exchange(&mut self, from: usize, context: &Context, to: &str, link: Link) -> bool {
+        let request = exchange::compose(context, to, link);
+        self.count(from, &request);
+        self.vms[from].traffic.calls += 1;
+        let Ok(to) = self.vms.binary_search_by(|it| it.name.as_str().cmp(to)) else {
+            return false;
+        };
+        let is_cut = self.vms[from].is_cut || self.vms[to].is_cut;
+        if is_cut || self.rng.random::<f64>() < self.loss {
+            return false;
+        }
+        let Some(peer) = self.vms[to].context.clone() else { return false };
+        exchange::take(&peer, &request);
+        let response = exchange::compose(&peer, &request.from, link.reversed());
+        self.count(to, &request);
+        self.count(to, &response);
+        self.vms[to].traffic.calls += 1;
+        if self.rng.random::<f64>() < self.loss {
+            return false;
+        }
+        self.count(from, &response);
+        exchange::take(context, &response);
+        true
+    }
+
+    fn count(&mut self, index: usize, message: &Message) {
+        let bytes = bincode::DefaultOptions::new().serialized_size(message);
+        self.vms[index].traffic.bytes += bytes.expect("a message can be encoded");
+    }
+}
+
+fn settings(name: &str, zone: usize, cpu_millis: u32) -> Settings {
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    Settings {
+        daemon: Daemon::from(name),
+        zone: Zone::from(&*format!("zone-{zone}")),
+        caller: address,
+        peer: address,
+        cpu_millis,
+        is_first_start: false,
+        revocation: Duration::from_secs(5),
+        budget: budget::Limits { ratio: 0.2, extra: 430.0, window: Duration::from_secs(10) },
+        order_gap: Duration::from_secs(3),
+        weights_deadline: Duration::from_secs(12),
+        steady_after: Duration::from_secs(5),
+        load_share: 0.2,
+        address_lifetime: Duration::from_secs(1),
+        grace: Duration::from_secs(8),
+        prefill_tokens_per_ms: 45.0,
+    }
+}
--- /dev/null
+++ b/tests/gateway/tree.rs
@@ -0,0 +1,208 @@
+//! What the exchange costs each daemon and how old what it carries is, for fleets of any size.
+
+use std::time::Duration;
+
+use tealturn::{
+    gateway::{context::Context, member, store::Topic},
+    kernel::clock::Time,
+};
+
+use crate::simulation::Fleet;
+
+const SIZES: [usize; 4] = [7, 86, 195, 350];
+
+/// A confirmation must reach each daemon within the time after which one that is no watcher would
+/// ask the store itself; watchers ask every 1.8 s at least.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(2_800);
+
+/// Keys and drained upstreams must be given up 4 s after the store has confirmed the change; the
+/// rest of that time is for watchers, whose reads wait up to a second for more changes.
+const MAX_SPREAD: Duration = Duration::from_millis(1_500);
+
+/// Callers allow one second for a connection.
+const MAX_DEAD_LISTED: Duration = Duration::from_millis(2_000);
+
+/// Calls made and answered by any daemon in a second: 4 % of the core of the smallest VM at 0.1 ms
+/// for each, for a hub; the largest VMs become hubs first.
+const MAX_CALLS_A_SECOND: f64 = 190.0;
+
+/// The same for half of the daemons of a fleet that is no full mesh.
+const MAX_SPOKE_CALLS_A_SECOND: f64 = 8.0;
+
+/// Bytes sent and received by any daemon in a second: 5 % of the smallest link of 20 Mbit/s.
+const MAX_BYTES_A_SECOND: f64 = 125_000.0;
+
+fn settled(daemons: usize, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(daemons, 78, seed);
+    fleet.run(Duration::from_secs(5));
+    fleet
+}
+
+fn age(context: &Context) -> Duration {
+    context.freshness.age(context.now()).unwrap_or(Duration::MAX)
+}
+
+fn oldest(fleet: &Fleet) -> Duration {
+    fleet.contexts().iter().map(|it| age(it)).max().unwrap_or_default()
+}
+
+fn have_document(fleet: &Fleet, version: u64) -> bool {
+    let contexts = fleet.contexts();
+    contexts.iter().all(|it| it.document.load().as_ref().is_some_and(|it| it.version == version))
+}
+
+/// Starts calls at one engine, as many as the daemon's index says, and returns their sum.
+fn load_engine(fleet: &Fleet, name: &str) -> u32 {
+    let mut sum = 0;
+    for (index, context) in fleet.contexts().iter().enumerate() {
+        let view = context.view.load();
+        let engine = view.all().find(|it| it.name.as_str() == name).expect("a known engine");
+        for _ in 0..index % 3 {
+            engine.health.start_call(100, 1_000, context.now());
+            sum += 1;
+        }
+    }
+    sum
+}
+
+fn calls_known(context: &Context, name: &str) -> u32 {
+    let view = context.view.load();
+    let engine = view.all().find(|it| it.name.as_str() == name).expect("a known engine");
+    let others = context.peers.peer_load(context.now());
+    engine.health.calls_in_flight() + others.get(&engine.hash).map_or(0, |it| it.calls)
+}
+
+#[test]
+fn the_cost_of_a_daemon_does_not_grow_with_the_fleet() {
+    const WINDOW: Duration = Duration::from_secs(5);
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 1);
+        load_engine(&fleet, "engine-7");
+        fleet.take_traffic();
+        fleet.run(WINDOW);
+        let traffic = fleet.take_traffic();
+        let mut calls: Vec<_> =
+            traffic.iter().map(|it| it.calls as f64 / WINDOW.as_secs_f64()).collect();
+        calls.sort_by(f64::total_cmp);
+        let bytes = traffic.iter().map(|it| it.bytes as f64 / WINDOW.as_secs_f64());
+        let bytes = bytes.fold(0.0, f64::max);
+        let most = calls[daemons - 1];
+        eprintln!(
+            "{daemons}: median {} calls/s, most {most}; {bytes:.0} bytes/s",
+            calls[daemons / 2]
+        );
+        assert!(most <= MAX_CALLS_A_SECOND, "{daemons}: {most} calls");
+        assert!(daemons < 20 || calls[daemons / 2] <= MAX_SPOKE_CALLS_A_SECOND, "{daemons}");
+        assert!(bytes <= MAX_BYTES_A_SECOND, "{daemons}: {bytes} bytes");
+    }
+}
+
+#[test]
+fn confirmations_and_changes_reach_all_daemons_in_time() {
+    struct Case {
+        loss: f64,
+        seed: u64,
+    }
+    for daemons in SIZES {
+        for case in [Case { loss: 0.0, seed: 1 }, Case { loss: 0.025, seed: 2 }] {
+            let mut fleet = settled(daemons, case.seed);
+            fleet.loss = case.loss;
+            for _ in 0..30 {
+                fleet.run(Duration::from_millis(200));
+                let age = oldest(&fleet);
+                assert!(age <= MAX_CONFIRMATION_AGE, "{daemons}, loss {}: {age:?}", case.loss);
+            }
+            let version = fleet.write(Topic::Operator, "document");
+            let took = fleet.run_until(MAX_SPREAD, |it| have_document(it, version));
+            assert!(took.is_some(), "{daemons}, loss {}: document not everywhere", case.loss);
+        }
+    }
+}
+
+/// A spoke that changes its hub, or two hubs that both pass on the state of a third, must not make
+/// load appear twice.
+#[test]
+fn every_daemon_knows_the_load_of_the_fleet_exactly() {
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 3);
+        let sum = load_engine(&fleet, "engine-7");
+        fleet.run(Duration::from_secs(2));
+        for context in fleet.contexts() {
+            let known = calls_known(&context, "engine-7");
+            assert_eq!(known, sum, "{daemons}: {}", context.settings.daemon);
+        }
+    }
+}
+
+/// The VMs with much processor time are the hubs, and the watchers too. All of them die at once,
+/// together with other VMs.
+#[test]
+fn the_fleet_goes_on_when_its_hubs_die_and_come_back() {
+    for daemons in [86, 195, 350] {
+        let mut fleet = settled(daemons, 4);
+        let killed: Vec<_> = (0..daemons).filter(|it| it % 13 == 0 || it % 2 == 1).collect();
+        killed.iter().for_each(|it| fleet.kill(*it));
+        let took = fleet.run_until(MAX_CONFIRMATION_AGE, |it| {
+            it.contexts().iter().all(|it| age(it) < Duration::from_millis(1_000))
+        });
+        assert!(took.is_some(), "{daemons}: {:?} after all hubs died", oldest(&fleet));
+        let open = |context: &Context| member::addresses(context, None).len();
+        let alive = daemons - killed.len();
+        let listed = |it: &Fleet| it.contexts().iter().all(|it| open(it) <= alive);
+        assert!(
+            fleet.run_until(MAX_DEAD_LISTED, listed).is_some(),
+            "{daemons}: dead VMs are listed"
+        );
+        let version = fleet.write(Topic::Operator, "document");
+        let took = fleet.run_until(MAX_SPREAD, |it| have_document(it, version));
+        assert!(took.is_some(), "{daemons}: document not everywhere");
+        killed.iter().for_each(|it| fleet.start(*it));
+        let are_ready = |it: &Fleet| it.contexts().iter().all(|it| it.is_ready());
+        let took = fleet.run_until(Duration::from_secs(2), are_ready);
+        assert!(took.is_some(), "{daemons}: restarted daemons aren't ready");
+    }
+}
+
+/// Keys that were revoked meanwhile must not be accepted: a daemon that is cut off, and all of them
+/// while the store is dark, must see the age of their confirmation grow.
+#[test]
+fn nobody_takes_an_old_confirmation_for_a_new_one() {
+    const DARK: Duration = Duration::from_secs(6);
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 5);
+        fleet.store_answers = false;
+        fleet.run(DARK);
+        for context in fleet.contexts() {
+            let age = age(&context);
+            assert!(age >= DARK, "{daemons}, {}: {age:?}", context.settings.daemon);
+            assert!(!context.is_ready());
+        }
+        fleet.store_answers = true;
+        fleet.cut(daemons - 1, true);
+        fleet.run(Duration::from_secs(3));
+        assert!(oldest(&fleet) <= MAX_CONFIRMATION_AGE);
+        assert!(age(fleet.context(daemons - 1)) >= DARK, "{daemons}: it was cut off");
+        fleet.cut(daemons - 1, false);
+        let is_fresh = |it: &Fleet| age(it.context(daemons - 1)) <= MAX_CONFIRMATION_AGE;
+        assert!(fleet.run_until(Duration::from_secs(4), is_fresh).is_some(), "{daemons}");
+    }
+}
+
+#[test]
+fn a_dead_engine_is_known_to_all_daemons_within_a_second() {
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 6);
+        let finder = fleet.context(daemons / 2).clone();
+        let view = finder.view.load();
+        let engine = view.all().next().expect("an engine");
+        engine.health.mark_dead(false, finder.now());
+        let name = engine.name.clone();
+        let is_avoided = |context: &Context| {
+            let (view, now): (_, Time) = (context.view.load(), context.now());
+            view.all().any(|it| it.name == name && it.health.is_unavailable(now))
+        };
+        let took = fleet
+            .run_until(Duration::from_secs(1), |it| it.contexts().iter().all(|it| is_avoided(it)));
+        assert!(took.is_some(), "{daemons}: some daemon still uses it");
+    }
+}
