--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
+use metrics::{counter, gauge};
 use tarpc::{
     client, context as call,
     server::{BaseChannel, Channel},
@@ -108,6 +109,10 @@
         })
         .collect();
     let plan = topology::plan(context.settings.daemon.as_str(), &candidates);
+    gauge!("tealturn_exchange_daemons").set(plan.daemons as f64);
+    if let Some(age) = context.freshness.age(now) {
+        gauge!("tealturn_confirmation_age_seconds").set(age.as_secs_f64());
+    }
     let previous = context.plan.load();
     if (previous.is_hub, previous.is_watcher) != (plan.is_hub, plan.is_watcher) {
         let (hub, watcher, daemons) = (plan.is_hub, plan.is_watcher, plan.daemons);
@@ -283,6 +288,8 @@
         loop {
             let result = time::timeout(RESPONSE_TIMEOUT, self.exchange(&mut connection)).await;
             let is_reachable = result.is_ok_and(|it| it);
+            let outcome = if is_reachable { "answered" } else { "failed" };
+            counter!("tealturn_exchange_calls_total", "outcome" => outcome).increment(1);
             if !is_reachable {
                 connection = None;
                 self.context.peers.record_failure(&self.name, self.context.now());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use metrics::counter;
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -165,6 +166,8 @@
                 self.context.store.changes(self.topic, after, timeout).await
             }
         };
+        let outcome = if result.is_ok() { "answered" } else { "failed" };
+        counter!("tealturn_store_reads_total", "outcome" => outcome).increment(1);
         match result {
             Ok(page) => {
                 if std::mem::take(&mut self.failures) > 0 {
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -33,7 +33,7 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Daemon, Incarnation, Zone},
+        id::{Daemon, Incarnation, Model, Version, Zone},
     },
 };
 
@@ -112,11 +112,16 @@
     }
 }
 
-/// A document is a row of the operator whose version is that of the row; an upstream is an engine.
+/// A row `version-N` of the operator sets a target; any other is a document whose version is that of
+/// the row. An upstream is an engine.
 struct Schema;
 
 impl dialect::Schema for Schema {
     fn decode_operator_row(&self, row: &Row) -> Result<Directive, dialect::Error> {
+        if let Some(version) = row.key.strip_prefix("version-") {
+            let version = version.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
+            return Ok(Directive::Weights(Model::from(scene::MODEL), Version(version)));
+        }
         let parts = document::Parts {
             version: row.version,
             routes: Vec::new(),
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -4,10 +4,13 @@
 
 use tealturn::{
     gateway::{context::Context, member, store::Topic},
-    kernel::clock::Time,
+    kernel::{
+        clock::Time,
+        id::{Model, Version},
+    },
 };
 
-use crate::simulation::Fleet;
+use crate::{scene::MODEL, simulation::Fleet};
 
 const SIZES: [usize; 4] = [7, 86, 195, 350];
 
@@ -206,3 +209,37 @@
         assert!(took.is_some(), "{daemons}: some daemon still uses it");
     }
 }
+
+/// A daemon that counted from its own start would let calls begin on superseded weights for the
+/// whole grace period once more (docs/incidents/cascade-b38c.md).
+#[test]
+fn a_daemon_that_starts_knows_since_when_weights_are_superseded() {
+    const NAMED_BEFORE: Duration = Duration::from_secs(4);
+    let age = |context: &Context| {
+        let progress = context.progress.load();
+        let since = progress.superseded_since(&Model::from(MODEL), Version(1));
+        context.now().since(since.expect("a newer version is known"))
+    };
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 7);
+        fleet.write(Topic::Operator, "version-2");
+        fleet.run(NAMED_BEFORE);
+        let index = daemons / 2;
+        fleet.kill(index);
+        fleet.run(Duration::from_secs(1));
+        fleet.start(index);
+        fleet.run(Duration::from_secs(2));
+        let known = age(fleet.context(index));
+        assert!(known >= NAMED_BEFORE + Duration::from_secs(2), "{daemons}: {known:?}");
+        // Nobody is left who saw the version come: calls may begin on older weights for as long as
+        // the daemons are not held to the deadline.
+        (0..daemons).for_each(|it| fleet.kill(it));
+        (0..daemons).for_each(|it| fleet.start(it));
+        fleet.run(Duration::from_secs(2));
+        for context in fleet.contexts() {
+            let settings = &context.settings;
+            let least = settings.weights_deadline - settings.steady_after;
+            assert!(age(&context) >= least, "{daemons}: {:?}", age(&context));
+        }
+    }
+}
