Pass on the age of targets, let the lease go when its holder can't order, undo a probe rule

It travels as an age now (message::Age, never earlier than the truth); the test plays 1,000 ways there and back. - A holder of the lease that lost the store went on publishing loads that ended at once.

--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -6,7 +6,7 @@
     gateway::{
         context::Context,
         message::{
-            Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Targets, Update,
+            Age, Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Targets, Update,
             Usage,
         },
         peer::{Known, live_digest},
@@ -63,7 +63,7 @@
         live: (!is_known).then_some(live),
         heads: Topic::FOLLOWED.map(|topic| head(context, topic, &known)),
         rows: rows(context, &known),
-        targets: targets(context, &known),
+        targets: targets(context, now),
         rollouts_digest,
         rollouts,
         sightings: sightings(context, &known, now),
@@ -139,12 +139,12 @@
     missing
 }
 
-fn targets(context: &Context, known: &Known) -> Vec<Targets> {
+fn targets(context: &Context, now: Time) -> Vec<Targets> {
     let progress = context.progress.load();
     let mut targets = Vec::new();
     for (model, recent) in progress.recent_targets(REPORTED_TARGETS) {
         let recent = recent.iter().filter(|it| !it.is_assumed);
-        let versions = recent.map(|it| (it.version, Offset::new(it.since, known.heard_at)));
+        let versions = recent.map(|it| (it.version, Age::new(it.since, now)));
         targets.push(Targets { model: model.clone(), versions: versions.collect() });
     }
     targets
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -18,6 +18,7 @@
     let now = context.now();
     take_updates(context, message, now);
     context.peers.record(message, context.incarnation, now);
+    take_targets(context, message, now);
     for rollout in &message.rollouts {
         let (model, fence) = (&rollout.model, rollout.fence);
         if context.change_progress(|it| it.update_statuses(model, fence, &rollout.statuses)) {
@@ -29,7 +30,6 @@
         .then_some(message.echo)
         .filter(|it| *it <= now);
     if let Some(echo) = echo {
-        take_targets(context, message, echo);
         take_sightings(context, message, echo, now);
     }
     take_rows(context, message, echo);
@@ -58,10 +58,10 @@
     }
 }
 
-fn take_targets(context: &Context, message: &Message, echo: Time) {
+fn take_targets(context: &Context, message: &Message, now: Time) {
     for targets in &message.targets {
         for (version, since) in &targets.versions {
-            let since = since.resolve(echo);
+            let since = since.resolve(now);
             let target = Target { version: *version, since, is_assumed: false };
             context.change_progress(|it| it.set_target(&targets.model, target));
         }
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
-use crate::{http::client::Probe, kernel::clock::Time};
+use crate::kernel::clock::Time;
 
 /// Consecutive failures after which an upstream is ejected for a while.
 const EJECTION_FAILURES: u32 = 3;
@@ -39,9 +39,6 @@
 /// to packet loss.
 const FAILED_PROBES_UNTIL_DEAD: u32 = 2;
 
-/// Time after the end of a process within which its registration disappears from the store.
-const REGISTRATION_LIFETIME: Duration = Duration::from_millis(5_000);
-
 /// Time constant of the exponential decay of call outcomes: long enough for each of many daemons to
 /// observe a few calls, short enough for a recovered upstream to get calls again soon.
 const OUTCOME_DECAY_TIME: Duration = Duration::from_secs(5);
@@ -75,8 +72,6 @@
     /// it too. Above 0, the upstream is suspected to be dead.
     failed_probes: u32,
     dead: bool,
-    /// When its address last refused a connection, if it is dead because of that.
-    ended_at: Option<Time>,
     /// When this daemon last found it dead.
     died_at: Option<Time>,
     /// When any daemon last found it dead, and alive.
@@ -219,10 +214,10 @@
         }
     }
 
-    /// Marks the upstream as dead. It gets no calls until a connection succeeds. `is_refused` is
-    /// whether nothing listens at its address, so that its process has ended.
-    pub fn mark_dead(&self, is_refused: bool, now: Time) {
-        self.state().mark_dead(is_refused, now);
+    /// Marks the upstream as dead because it refuses connections: its process has ended. It gets no
+    /// calls until a connection succeeds.
+    pub fn mark_dead(&self, now: Time) {
+        self.state().mark_dead(now);
     }
 
     /// Records what other daemons found.
@@ -263,11 +258,6 @@
         if !inactive && !state.dead && state.failed_probes == 0 {
             return false;
         }
-        // Whatever accepts connections there soon is another process, with a registration of its
-        // own.
-        if state.ended_at.is_some_and(|it| now.since(it) < REGISTRATION_LIFETIME) {
-            return false;
-        }
         let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
         let interval = match state.dead && state.last_probe > Time::default() {
             true => PROBE_INTERVAL * daemons.div_ceil(DAEMONS_PER_PROBE),
@@ -282,14 +272,13 @@
 
     /// Records the result of a probe; returns whether the upstream changed from alive to dead or
     /// back.
-    pub fn record_probe(&self, result: Probe, now: Time) -> bool {
+    pub fn record_probe(&self, connected: bool, now: Time) -> bool {
         let mut state = self.state();
         let was_dead = state.dead;
-        if result == Probe::Open {
+        if connected {
             state.last_activity = now;
             state.failed_probes = 0;
             state.sighting.alive_at = Some(now);
-            state.ended_at = None;
             if state.dead {
                 state.dead = false;
                 state.cancel_on_death = CancellationToken::new();
@@ -297,7 +286,7 @@
         } else {
             state.failed_probes += 1;
             if state.failed_probes >= FAILED_PROBES_UNTIL_DEAD {
-                state.mark_dead(result == Probe::Refused, now);
+                state.mark_dead(now);
             } else {
                 // Makes the next probe due at once.
                 state.last_probe = Time::default();
@@ -331,9 +320,8 @@
         self.outcomes_at = now;
     }
 
-    fn mark_dead(&mut self, is_refused: bool, now: Time) {
+    fn mark_dead(&mut self, now: Time) {
         self.dead = true;
-        self.ended_at = is_refused.then_some(now);
         self.died_at = Some(now);
         self.sighting.dead_at = Some(now);
         // Calls that failed when the process ended say nothing about its successor, which may
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -7,7 +7,6 @@
 
 use crate::{
     gateway::{context::Context, place::Choice, roster::Endpoint},
-    http::client::Probe,
     kernel::id::Request,
     request::suspect::Fingerprint,
 };
@@ -70,11 +69,10 @@
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
         health.record_failure(now);
-        let probe = self.context.client.probe(record.address, CRASH_PROBE_TIMEOUT).await;
-        if probe == Probe::Open {
+        if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
             return;
         }
-        health.mark_dead(probe == Probe::Refused, now);
+        health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
         if !suspects.is_empty() {
             info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -5,6 +5,8 @@
 //! it had sent that one. The result is never later than the time that is meant, however long either
 //! message was on the way.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -81,6 +83,24 @@
     }
 }
 
+/// A time on its way to another daemon, as its age when the message was sent. Other than with
+/// [`Offset`], the result is never earlier than the time that is meant. Where daemons keep the
+/// earliest of several reports, one that is passed on again and again must not get earlier.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Age(u64);
+
+impl Age {
+    /// The age of `at` in a message sent at `now`.
+    pub fn new(at: Time, now: Time) -> Age {
+        Age(now.since(at).as_micros() as u64)
+    }
+
+    /// The time by the clock of a receiver that has received the message at `now`.
+    pub fn resolve(self, now: Time) -> Time {
+        now - Duration::from_micros(self.0)
+    }
+}
+
 /// How far the sender's copy of a topic reaches; see [`mirror`](crate::gateway::mirror).
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
@@ -107,7 +127,7 @@
     /// The model.
     pub model: Model,
     /// The latest versions, oldest first.
-    pub versions: Vec<(Version, Offset)>,
+    pub versions: Vec<(Version, Age)>,
 }
 
 /// Rollout progress of a model's engines, as reported by the holder of the lease on load orders.
--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -41,9 +41,6 @@
 /// Interval between scheduling rounds.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Polling interval for a lease that another daemon holds.
-const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Additional delay before the first lease check, per rank in the daemon's
 /// [`Plan`](crate::gateway::topology::Plan).
 const STAGGER_PER_DAEMON: Duration = Duration::from_millis(150);
@@ -51,8 +48,7 @@
 /// Longest such delay.
 const MAX_STAGGER: Duration = Duration::from_millis(5_000);
 
-/// Time since the last news of a rollout during which another daemon is assumed to hold the lease,
-/// so that it isn't read.
+/// Time since the last news of a rollout during which another daemon is assumed to hold the lease.
 const HOLDER_SILENCE: Duration = Duration::from_millis(700);
 
 /// Interval between checks for engines that lack their target weights.
@@ -75,6 +71,13 @@
     order_deadline: Arc<AtomicU64>,
 }
 
+impl Grant {
+    /// Whether orders may be sent.
+    fn may_order(&self, now: Time) -> bool {
+        now < Time(self.order_deadline.load(Ordering::Acquire))
+    }
+}
+
 /// Orders loads whenever engines lack their target weights, until `stop` is cancelled.
 pub async fn run(context: Arc<Context>, stop: CancellationToken) {
     let scheduler = Scheduler {
@@ -143,9 +146,15 @@
             }
             self.process_lease_writes();
             self.maintain_lease().await;
-            if self.held_lease.is_some() {
+            if let Some(lease) = &self.held_lease {
+                let may_order = lease.may_order(self.context.now());
                 interval = TICK_INTERVAL;
                 self.collect_finished();
+                // Loads would end at once, and their statuses would tell others that this daemon
+                // still orders.
+                if !may_order {
+                    continue;
+                }
                 // Recomputed, because loads that have just finished are no longer pending.
                 let pending_loads = self.pending_loads();
                 self.start_loads(pending_loads);
@@ -184,13 +193,16 @@
             let rank = u32::try_from(self.context.plan.load().rank).unwrap_or(u32::MAX);
             self.next_check = now + STAGGER_PER_DAEMON.saturating_mul(rank).min(MAX_STAGGER);
         }
-        if self.context.rollout_news.is_within(HOLDER_SILENCE, now) {
-            self.next_check = self.next_check.max(now + LEASE_POLL_INTERVAL);
+        let is_watcher = self.context.plan.load().is_watcher;
+        let is_held = self.context.rollout_news.is_within(HOLDER_SILENCE, now);
+        let interval = rollout::check_interval(is_watcher, is_held);
+        if is_held && !is_watcher {
+            self.next_check = self.next_check.max(now + interval);
         }
         if now < self.next_check {
             return;
         }
-        self.next_check = now + LEASE_POLL_INTERVAL;
+        self.next_check = now + interval;
         let row = match self.context.store.get(Topic::Leases, LEASE_KEY).await {
             Ok(row) => row,
             Err(failure) => return warn!(%failure, "failed to read the lease"),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,10 +22,7 @@
         hold::Reservation,
         place::{Choice, Source},
     },
-    http::{
-        client::{self, Answer},
-        server::Body,
-    },
+    http::{client::Answer, server::Body},
     kernel::id::Upstream,
     request::suspect::Fingerprint,
 };
@@ -53,12 +50,7 @@
     Answer(Box<Answer>),
     /// Nothing was sent, because no connection could be opened or the request target is not a valid
     /// URI.
-    Unreachable {
-        /// Why.
-        reason: String,
-        /// Whether nothing listens at the upstream's address.
-        is_refused: bool,
-    },
+    Unreachable(String),
     /// The upstream did not execute the call.
     NotExecuted(&'static str),
     /// The attempt failed, and the upstream may have executed the call.
@@ -137,7 +129,7 @@
             let health = &reservation.choice.endpoint.health;
             let outcome = match &result {
                 Outcome::Answer(..) => "answer",
-                Outcome::Unreachable { reason, .. } | Outcome::Lost(reason) => reason,
+                Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
                 Outcome::NotExecuted(reason) => reason,
                 Outcome::TimedOut => "timed out",
             };
@@ -162,8 +154,8 @@
                     }
                     return Ok((reservation, answer));
                 }
-                Outcome::Unreachable { is_refused, .. } => {
-                    health.mark_dead(is_refused, now);
+                Outcome::Unreachable(_) => {
+                    health.mark_dead(now);
                     self.connect_failures += 1;
                     self.rejections += 1;
                 }
@@ -242,10 +234,7 @@
         *request.method_mut() = call.method.clone();
         match call.target.parse() {
             Ok(uri) => *request.uri_mut() = uri,
-            Err(_) => {
-                let reason = "request target is not a valid URI".to_owned();
-                return Outcome::Unreachable { reason, is_refused: false };
-            }
+            Err(_) => return Outcome::Unreachable("request target is not a valid URI".to_owned()),
         }
         *request.headers_mut() = headers;
         let address = reservation.choice.endpoint.record.address;
@@ -271,10 +260,7 @@
         };
         match sent {
             Err(_) => Outcome::TimedOut,
-            Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable {
-                reason: source.to_string(),
-                is_refused: client::is_refused(&source),
-            },
+            Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable(source.to_string()),
             Ok(Err(error)) => Outcome::Lost(error.to_string()),
             Ok(Ok(answer)) => self.classify(reservation, answer),
         }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -15,6 +15,7 @@
         peer::Origin,
         place::{self, Query},
         relay::{RESPONSE_MARGIN, Relay},
+        topology::FULL_MESH_DAEMONS,
     },
     kernel::{clock::Time, id::Service},
     route::pool::name_hash,
@@ -131,11 +132,11 @@
         }
         // An attempt that failed to connect reached no upstream, so the next one is not a retry.
         let is_retry = self.sends > self.connect_failures;
-        let fleet = Fleet {
-            daemons: context.members.count(),
-            others: context.peers.usage(name_hash(service.as_str()), now),
-            random: rand::random(),
-        };
+        let daemons = context.members.count();
+        let others = context.peers.usage(name_hash(service.as_str()), now);
+        // In a small fleet an even share is large enough.
+        let others = others.filter(|_| daemons > FULL_MESH_DAEMONS);
+        let fleet = Fleet { daemons, others, random: rand::random() };
         if is_retry && !context.budget().try_retry(service, fleet, now) {
             info!(
                 attempt = call.head.attempt,
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -121,8 +121,8 @@
                 Outcome::Answer(answer) if answer.response.status().is_success() => {
                     return Some((reservation, answer));
                 }
-                sent @ (Outcome::Unreachable { .. } | Outcome::NotExecuted(_)) => {
-                    self.connect_failures += u32::from(matches!(sent, Outcome::Unreachable { .. }));
+                sent @ (Outcome::Unreachable(_) | Outcome::NotExecuted(_)) => {
+                    self.connect_failures += u32::from(matches!(sent, Outcome::Unreachable(_)));
                     self.rejections += 1;
                     self.excluded.push(reservation.choice.endpoint.name.clone());
                 }
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -185,6 +185,19 @@
     }
 }
 
+/// Interval between reads of a lease that another daemon holds.
+///
+/// `is_active` is whether another daemon reports progress of a rollout. Watchers go on reading then,
+/// because progress doesn't show that the holder still reaches the store, and the time until a
+/// takeover counts from the first read that finds the row unchanged.
+pub fn check_interval(is_watcher: bool, is_active: bool) -> Duration {
+    match (is_watcher, is_active) {
+        (_, false) => Duration::from_millis(500),
+        (true, true) => Duration::from_millis(1_000),
+        (false, true) => Duration::from_millis(2_000),
+    }
+}
+
 /// Number of engines that are meant to load at the same time; at least one.
 pub fn max_concurrent_loads(engines: usize, share: f64) -> usize {
     ((engines as f64 * share) as usize).max(1)
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -37,8 +37,8 @@
 }
 
 async fn probe(context: Arc<Context>, endpoint: Arc<Endpoint>) {
-    let result = context.client.probe(endpoint.record.address, CONNECT_TIMEOUT).await;
-    if endpoint.health.record_probe(result, context.now()) {
+    let connected = context.client.opens(endpoint.record.address, CONNECT_TIMEOUT).await;
+    if endpoint.health.record_probe(connected, context.now()) {
         let dead = endpoint.health.is_dead();
         info!(upstream = endpoint.name.as_str(), dead, "upstream liveness changed after a probe");
     }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,7 +6,6 @@
 //! been.
 
 use std::{
-    io,
     net::SocketAddr,
     sync::Mutex,
     time::{Duration, Instant},
@@ -213,13 +212,9 @@
         self.keep(answer.address, answer.connection, kept);
     }
 
-    /// Tries to open a connection to `address`. It is closed at once.
-    pub async fn probe(&self, address: SocketAddr, timeout: Duration) -> Probe {
-        match time::timeout(timeout, TcpStream::connect(address)).await {
-            Ok(Ok(_)) => Probe::Open,
-            Ok(Err(error)) if is_refused(&error) => Probe::Refused,
-            _ => Probe::Silent,
-        }
+    /// Whether a connection to `address` opens within `timeout`. It is closed at once.
+    pub async fn opens(&self, address: SocketAddr, timeout: Duration) -> bool {
+        matches!(time::timeout(timeout, TcpStream::connect(address)).await, Ok(Ok(_)))
     }
 
     /// Closes the idle connections to an address, for instance after one went silent.
@@ -289,22 +284,6 @@
         .map_err(|error| Error::Malformed { kind: "request", reason: error.to_string() })
 }
 
-/// The result of trying to open a connection.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Probe {
-    /// It opened.
-    Open,
-    /// Nothing listens at the address.
-    Refused,
-    /// It did not open in time, or failed otherwise.
-    Silent,
-}
-
-/// Whether a connection could not be opened because nothing listens at the address.
-pub fn is_refused(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::ConnectionRefused
-}
-
 async fn connect(address: SocketAddr) -> Result<Connection> {
     let refused = |source| Error::Connect { address, source };
     let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
--- a/tests/gateway/message.rs
+++ b/tests/gateway/message.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use tealturn::{gateway::message::Offset, kernel::clock::Time};
+use tealturn::{
+    gateway::message::{Age, Offset},
+    kernel::clock::Time,
+};
 
 /// A revoked key must not be accepted for longer because a confirmation was on the way for long, or
 /// because the clocks of two VMs differ.
@@ -33,3 +36,24 @@
         assert!(early <= Duration::from_millis(case.way_there), "{early:?} too early");
     }
 }
+
+/// Daemons keep the earliest time at which a target was learned of. If passing it on made it earlier,
+/// it would wander back as long as daemons exchange it, and weights would count as superseded for too
+/// long.
+#[test]
+fn a_time_of_which_the_earliest_counts_does_not_get_earlier_on_its_way() {
+    const WAY: Duration = Duration::from_millis(5);
+    let truth = Time::from_millis(10_000);
+    let (mut first, mut second) = (truth, Time::from_millis(60_000));
+    let mut now = Time::from_millis(11_000);
+    for _ in 0..1_000 {
+        let age = Age::new(first, now);
+        now = now + WAY;
+        second = second.min(age.resolve(now));
+        let age = Age::new(second, now);
+        now = now + WAY;
+        first = first.min(age.resolve(now));
+    }
+    assert!(first >= truth && second >= truth);
+    assert!(second.since(truth) <= WAY);
+}
