Leave superseded weights earlier where the queue is long

Calls go to superseded weights only as long as 1.5 s and twice the wait expected from the queue are left. The third and fourth case of the new test were sent before.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -205,7 +205,8 @@
         progress: &Progress,
         now: Time,
     ) -> Result<Choice, Error> {
-        let candidates = candidates(query, prompt, all, progress, now);
+        let rate = self.prefill_tokens_per_ms;
+        let candidates = candidates(query, prompt, all, progress, rate, now);
         let depth = |keys: &[u64], engine: &Endpoint| self.cached_depth(query, keys, engine);
         let holders = Holders::new(query, prompt, &candidates, depth);
         let shared_tokens = prefix_tokens(prompt, prompt.shared().len());
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -29,10 +29,15 @@
 /// it reads now when it loads the newer weights.
 const RECENTLY_SUPERSEDED_COST_MS: f64 = 10.0;
 
-/// The longest time that a request may wait at an overloaded engine before it starts. Superseded
-/// weights receive no calls from this long before the end of their grace period.
+/// The time that a request may wait at an engine before it starts, besides the wait that is expected
+/// from the queue there. Superseded weights receive no calls from that long before the end of their
+/// grace period.
 const MAX_START_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How much longer than expected from the queue a request may wait, as a factor. An engine gives
+/// part of its time to running requests, and other daemons' latest calls are not known yet.
+const QUEUE_UNCERTAINTY: f64 = 2.0;
+
 /// Number of engines up to which each call weighs all of them.
 ///
 /// In a larger pool many daemons would send their calls to the same engine: the one with the least
@@ -63,12 +68,13 @@
     pub(super) version_cost_ms: f64,
 }
 
-/// Returns the engines that may take a call.
+/// Returns the engines that may take a call. Each reads `prefill_tokens_per_ms` tokens.
 pub(super) fn candidates<'a>(
     query: &Query<'_>,
     prompt: &Prompt,
     all: &'a [Arc<Endpoint>],
     progress: &Progress,
+    prefill_tokens_per_ms: f64,
     now: Time,
 ) -> Vec<Candidate<'a>> {
     let prefix = prefix_hash(query, prompt);
@@ -82,7 +88,12 @@
             continue;
         };
         let age = progress.superseded_since(&prompt.model, version).map(|it| now.since(it));
-        if age.is_some_and(|it| it + MAX_START_DELAY >= query.old_version_grace) {
+        let may_be_late = |age: Duration| {
+            let delay = MAX_START_DELAY
+                + queue_wait(query, endpoint, prefill_tokens_per_ms).mul_f64(QUEUE_UNCERTAINTY);
+            age + delay >= query.old_version_grace
+        };
+        if age.is_some_and(may_be_late) {
             continue;
         }
         let version_cost_ms = match age {
@@ -134,6 +145,13 @@
     }
 }
 
+/// The time that an engine needs to read the prompts queued there.
+fn queue_wait(query: &Query<'_>, endpoint: &Endpoint, prefill_tokens_per_ms: f64) -> Duration {
+    let peers = query.peers.get(&endpoint.hash).map_or(0, |it| it.tokens);
+    let queued = peers + endpoint.health.pending_prompt_tokens();
+    Duration::from_secs_f64(queued as f64 / prefill_tokens_per_ms / 1_000.0)
+}
+
 /// The rendezvous rank of an engine for a prefix. The engine with the highest rank is its home.
 fn home_rank(prefix: u64, engine: &Endpoint) -> u64 {
     mix(prefix ^ engine.hash)
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -23,8 +23,11 @@
 const CAPACITY: u64 = 115_000;
 const RUNNING_LIMIT: u64 = CAPACITY / 2;
 
+/// Prompt tokens that an engine reads in a millisecond.
+const RATE: f64 = 45.0;
+
 fn placer() -> Placer {
-    Placer::new(45.0, Zone::from("a"))
+    Placer::new(RATE, Zone::from("a"))
 }
 
 fn query<'a>(prompt: &'a Prompt, peers: &'a Totals) -> Query<'a> {
@@ -175,6 +178,35 @@
     }
 }
 
+/// An engine with a long queue starts a call later. On a hunted day of Atlas Sceaux, grown, calls
+/// that were sent in time began on superseded weights after the grace period.
+#[test]
+fn superseded_weights_with_a_long_queue_receive_no_calls_earlier() {
+    struct Case {
+        since_ms: u64,
+        queued_ms: f64,
+        is_chosen: bool,
+    }
+    for case in [
+        Case { since_ms: 8_000, queued_ms: 0.0, is_chosen: true },
+        Case { since_ms: 7_000, queued_ms: 500.0, is_chosen: true },
+        Case { since_ms: 7_600, queued_ms: 500.0, is_chosen: false },
+        Case { since_ms: 6_000, queued_ms: 1_500.0, is_chosen: false },
+    ] {
+        let engines = engines(&[1, 1]);
+        let mut progress = Progress::default();
+        let since = START - Duration::from_millis(case.since_ms);
+        let target = Target { version: Version(2), since, is_assumed: false };
+        progress.set_target(&Model::from(MODEL), target);
+        let tokens = (case.queued_ms * RATE) as u64;
+        let load = |it: &Arc<Endpoint>| Load { engine: it.hash, tokens, ..Load::default() };
+        let peers = Totals::from_iter(engines.iter().map(|it| (it.hash, load(it))));
+        let prompt = prompt(7, 1);
+        let choice = placer().choose(&query(&prompt, &peers), &engines, &progress, START);
+        assert_eq!(choice.is_ok(), case.is_chosen, "{} ms, {}", case.since_ms, case.queued_ms);
+    }
+}
+
 #[test]
 fn loading_and_dead_engines_receive_no_calls() {
     let engines = engines(&[1; 2]);
