Log since when the weights of a selected upstream are superseded

Change: the line of a selected upstream has superseded_ms, that of a new target its age and whether it is assumed, also for targets that other daemons tell. No decision changes; the tests of the gateway pass.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
+use tracing::info;
 
 use crate::{
     fleet::board::Fact,
@@ -21,7 +22,7 @@
         mirror::Mirror,
         peer::{Origin, Peers},
         place::Placer,
-        rollout::Progress,
+        rollout::{Progress, Target},
         roster::{Roster, View},
         settings::Settings,
         store::Store,
@@ -30,7 +31,7 @@
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
-        id::{Incarnation, Request},
+        id::{Incarnation, Model, Request},
     },
     request::suspect::Table,
 };
@@ -158,6 +159,23 @@
         changed
     }
 
+    /// Records a target version of a model's weights. One that is new to this daemon is logged.
+    pub fn learn_target(&self, model: &Model, target: Target) {
+        let mut is_new = false;
+        self.change_progress(|progress| {
+            is_new = !progress.has_target(model, target.version);
+            progress.set_target(model, target)
+        });
+        if is_new {
+            let age_ms = self.now().since(target.since).as_millis() as u64;
+            let (version, assumed) = (target.version.0, target.is_assumed);
+            info!(
+                model = model.as_str(),
+                version, age_ms, assumed, "new target version of weights"
+            );
+        }
+    }
+
     /// Changes the roster and publishes the resulting view to calls.
     pub fn change_roster<T>(&self, change: impl FnOnce(&mut Roster) -> T) -> T {
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -63,7 +63,7 @@
         for (version, since) in &targets.versions {
             let since = since.resolve(now);
             let target = Target { version: *version, since, is_assumed: false };
-            context.change_progress(|it| it.set_target(&targets.model, target));
+            context.learn_target(&targets.model, target);
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -283,9 +283,7 @@
         true => Target { version, since: assumed.min(now), is_assumed: true },
         false => Target { version, since: now, is_assumed: false },
     };
-    if context.change_progress(|it| it.set_target(model, target)) {
-        info!(model = model.as_str(), version = version.0, "new target version of weights");
-    }
+    context.learn_target(model, target);
 }
 
 fn apply_upstream_rows(context: &Context, delta: &Delta, store_was_lost: bool) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -86,6 +86,8 @@
     pub endpoint: Arc<Endpoint>,
     /// The model version that it serves.
     pub version: Option<Version>,
+    /// When that version was superseded, if it was.
+    pub superseded_since: Option<Time>,
     /// The number of prompt tokens that it is expected to read.
     pub unread_tokens: u64,
     /// Where it can fetch the shared parts that it does not hold.
@@ -188,6 +190,7 @@
         Some(Choice {
             endpoint: chosen.clone(),
             version: None,
+            superseded_since: None,
             unread_tokens: 0,
             source: None,
             prefix_depth: (0, 0),
@@ -271,6 +274,7 @@
             let choice = Choice {
                 endpoint: endpoint.clone(),
                 version: Some(version),
+                superseded_since: candidate.superseded_since,
                 unread_tokens,
                 source,
                 prefix_depth: (depth, available_depth),
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -64,6 +64,8 @@
     pub(super) is_home: bool,
     /// Whether it is weighed unless none of the weighed ones has room.
     pub(super) is_weighed: bool,
+    /// When its weights were superseded, if they were.
+    pub(super) superseded_since: Option<Time>,
     /// The cost of serving superseded weights, in milliseconds.
     pub(super) version_cost_ms: f64,
 }
@@ -87,7 +89,8 @@
         let Some(version) = progress.version(endpoint, &prompt.model) else {
             continue;
         };
-        let age = progress.superseded_since(&prompt.model, version).map(|it| now.since(it));
+        let superseded_since = progress.superseded_since(&prompt.model, version);
+        let age = superseded_since.map(|it| now.since(it));
         let may_be_late = |age: Duration| {
             let delay = MAX_START_DELAY
                 + queue_wait(query, endpoint, prefill_tokens_per_ms).mul_f64(QUEUE_UNCERTAINTY);
@@ -111,6 +114,7 @@
             rank,
             is_home: false,
             is_weighed: true,
+            superseded_since,
             version_cost_ms,
         });
     }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -154,11 +154,13 @@
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
         // holds or can fetch, and `save` whether it should save parts to the KV store.
+        // `superseded_ms` is how long newer weights than the upstream's have been configured.
         info!(
             attempt = call.head.attempt,
             upstream = choice.endpoint.name.as_str(),
             reason = choice.reason,
             version = choice.version.map(|it| it.0),
+            superseded_ms = choice.superseded_since.map(|it| now.since(it).as_millis() as u64),
             source = choice.source.as_ref().map(|it| it.address().to_string()),
             held = choice.prefix_depth.0,
             found = choice.prefix_depth.1,
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -94,6 +94,12 @@
         true
     }
 
+    /// Whether a version is or was the target of a model, as far as is known.
+    pub fn has_target(&self, model: &Model, version: Version) -> bool {
+        let targets = self.targets.get(model);
+        targets.is_some_and(|it| it.iter().any(|it| it.version == version))
+    }
+
     /// The latest targets of each model that has one, oldest first.
     pub fn recent_targets(&self, count: usize) -> impl Iterator<Item = (&Model, &[Target])> {
         let recent = move |it: &Vec<Target>| it.len().saturating_sub(count);
