--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -52,6 +52,9 @@
 
 pub const ZONES: usize = 5;
 
+/// Key of the row that names the latest version of the weights, as the only one.
+const WEIGHTS_KEY: &str = "weights";
+
 /// The time of one VM: that of the simulation and an offset of its own.
 struct VmClock {
     now: Arc<AtomicU64>,
@@ -112,13 +115,18 @@
     }
 }
 
-/// A row `version-N` of the operator sets a target; any other is a document whose version is that of
-/// the row. An upstream is an engine.
+/// A row `version-N` of the operator sets a target, and the row [`WEIGHTS_KEY`] the one that its value
+/// names; any other is a document whose version is that of the row. An upstream is an engine.
 struct Schema;
 
 impl dialect::Schema for Schema {
     fn decode_operator_row(&self, row: &Row) -> Result<Directive, dialect::Error> {
-        if let Some(version) = row.key.strip_prefix("version-") {
+        let value = row.value.as_deref().unwrap_or_default();
+        let version = match row.key == WEIGHTS_KEY {
+            true => std::str::from_utf8(value).ok(),
+            false => row.key.strip_prefix("version-"),
+        };
+        if let Some(version) = version {
             let version = version.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
             return Ok(Directive::Weights(Model::from(scene::MODEL), Version(version)));
         }
@@ -230,6 +238,11 @@
         self.write_value(topic, key, Vec::new())
     }
 
+    /// Names weights in the row that held the version before.
+    pub fn name_weights(&mut self, version: u64) {
+        self.write_value(Topic::Operator, WEIGHTS_KEY, version.to_string().into_bytes());
+    }
+
     fn write_value(&mut self, topic: Topic, key: &str, value: Vec<u8>) -> u64 {
         self.version += 1;
         let rows = &mut self.rows[topic as usize];
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -243,3 +243,34 @@
         }
     }
 }
+
+/// Guards against calls that begin on weights which were superseded twice: the store names only the
+/// latest version, and a daemon that starts must not count from that one (incident inc1).
+#[test]
+fn weights_superseded_twice_are_left_in_time_although_all_daemons_have_started_since() {
+    const SINCE_FIRST: Duration = Duration::from_secs(4 + 6 + 2 + 2);
+    let age = |context: &Context| {
+        let progress = context.progress.load();
+        let since = progress.superseded_since(&Model::from(MODEL), Version(1));
+        context.now().since(since.expect("a newer version is known"))
+    };
+    for daemons in [7, 86] {
+        let mut fleet = settled(daemons, 7);
+        fleet.name_weights(2);
+        fleet.run(Duration::from_secs(4));
+        (0..daemons).for_each(|it| fleet.kill(it));
+        (0..daemons).for_each(|it| fleet.start(it));
+        fleet.run(Duration::from_secs(6));
+        fleet.name_weights(3);
+        fleet.run(Duration::from_secs(2));
+        fleet.kill(daemons / 2);
+        fleet.start(daemons / 2);
+        fleet.run(Duration::from_secs(2));
+        for context in fleet.contexts() {
+            let name = context.settings.daemon.as_str();
+            let deadline = context.settings.weights_deadline;
+            assert!(SINCE_FIRST > deadline);
+            assert!(age(&context) >= deadline, "{daemons}, {name}: {:?}", age(&context));
+        }
+    }
+}
