Tell other daemons also the assumed ages of target weights

Callers got answers on weights that had been superseded twice. A daemon that starts assumes since when its first target has been set, and takes times that others know in its place. Others passed on known times only: version 3's, but not the assumed one of version 2, of which the store keeps no trace. The starting daemon then took version 1 for superseded since version 3 was named and let calls begin there for the whole grace period once more: an incomplete history was taken for a whole one.

Change: targets are told with their assumed ages, marked as such. A known time still takes precedence for the same version; versions before keep the assumption that some daemon made in time.

--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -6,8 +6,8 @@
     gateway::{
         context::Context,
         message::{
-            Age, Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Targets, Update,
-            Usage,
+            Age, Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Target, Targets,
+            Update, Usage,
         },
         peer::{Known, live_digest},
         store::Topic,
@@ -143,8 +143,11 @@
     let progress = context.progress.load();
     let mut targets = Vec::new();
     for (model, recent) in progress.recent_targets(REPORTED_TARGETS) {
-        let recent = recent.iter().filter(|it| !it.is_assumed);
-        let versions = recent.map(|it| (it.version, Age::new(it.since, now)));
+        let versions = recent.iter().map(|it| Target {
+            version: it.version,
+            age: Age::new(it.since, now),
+            is_assumed: it.is_assumed,
+        });
         targets.push(Targets { model: model.clone(), versions: versions.collect() });
     }
     targets
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -60,9 +60,9 @@
 
 fn take_targets(context: &Context, message: &Message, now: Time) {
     for targets in &message.targets {
-        for (version, since) in &targets.versions {
-            let since = since.resolve(now);
-            let target = Target { version: *version, since, is_assumed: false };
+        for named in &targets.versions {
+            let (version, since) = (named.version, named.age.resolve(now));
+            let target = Target { version, since, is_assumed: named.is_assumed };
             context.learn_target(&targets.model, target);
         }
     }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -121,13 +121,24 @@
     pub rows: Vec<Row>,
 }
 
-/// Versions of a model's weights that the operator set, with the time at which that was learned.
+/// Versions of a model's weights that the operator set.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Targets {
     /// The model.
     pub model: Model,
     /// The latest versions, oldest first.
-    pub versions: Vec<(Version, Age)>,
+    pub versions: Vec<Target>,
+}
+
+/// A version of a model's weights that the operator set; see [`rollout::Target`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Target {
+    /// The version.
+    pub version: Version,
+    /// How long ago that was learned.
+    pub age: Age,
+    /// Whether the age is only assumed.
+    pub is_assumed: bool,
 }
 
 /// Rollout progress of a model's engines, as reported by the holder of the lease on load orders.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -22,7 +22,8 @@
     /// When the first daemon learned of the target, as far as this one knows.
     pub since: Time,
     /// Whether `since` is only an assumption: a daemon that has just started doesn't know when a
-    /// target was set. Not passed on to other daemons.
+    /// target was set. It gives way to a known time, but until then it also covers the versions
+    /// before, of which the store keeps no trace.
     pub is_assumed: bool,
 }
 
