Give up calls that an engine has not begun when its weights expire

Callers of pressed engines got answers on superseded weights: a call sent in time waited longer than expected, and nobody looked after it was sent. Predicting the wait at the time of sending can't hold a deadline; only an end can.

Change: while a call waits for the head of its answer, the daemon watches since when the weights that it expects are superseded, also if that happens after it was sent, and closes the connection half a second before the grace period ends. A call that may run again goes to another engine; any other is answered as one whose fate is unknown. A stream that has begun goes on.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -44,6 +44,14 @@
 /// upstream.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// How long before the end of the grace period of superseded weights a call that an engine has not
+/// begun is given up there. It covers the time in which this daemon learned of the newer weights and
+/// in which the engine notices.
+const START_MARGIN: Duration = Duration::from_millis(500);
+
+/// The interval between checks whether the weights that a call waits for have been superseded.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The outcome of an attempt.
 enum Outcome {
     /// The upstream sent the head of an answer.
@@ -57,6 +65,9 @@
     Lost(String),
     /// The attempt timed out, and the upstream may have executed the call.
     TimedOut,
+    /// The engine had not begun the call when the grace period of its weights ended. It may have
+    /// executed the call nevertheless.
+    Expired,
 }
 
 /// A call in progress.
@@ -132,6 +143,7 @@
                 Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
                 Outcome::NotExecuted(reason) => reason,
                 Outcome::TimedOut => "timed out",
+                Outcome::Expired => "not begun before the grace period of the weights ended",
             };
             if !matches!(result, Outcome::Answer(..)) {
                 info!(
@@ -171,6 +183,13 @@
                     }
                     self.executions += 1;
                 }
+                Outcome::Expired => {
+                    if !self.may_retry() {
+                        self.executions += 1;
+                        return Err(Refusal::TimedOut);
+                    }
+                    self.executions += 1;
+                }
                 Outcome::TimedOut => {
                     health.record_failure(now);
                     let expired = now + RESPONSE_MARGIN >= self.call.deadline;
@@ -257,6 +276,7 @@
             () = reservation.upstream_death.cancelled() => {
                 return Outcome::Lost("the upstream was found dead".to_owned());
             }
+            () = self.weights_expire(&reservation.choice) => return Outcome::Expired,
         };
         match sent {
             Err(_) => Outcome::TimedOut,
@@ -266,6 +286,25 @@
         }
     }
 
+    /// Waits until the call may no longer begin on the weights of the selected upstream. They may be
+    /// superseded while the call waits there.
+    async fn weights_expire(&self, choice: &Choice) {
+        let context = &self.context;
+        let (Some(prompt), Some(version)) = (&self.call.head.prompt, choice.version) else {
+            return std::future::pending().await;
+        };
+        let grace = context.settings.weights_deadline.saturating_sub(START_MARGIN);
+        loop {
+            let since = context.progress.load().superseded_since(&prompt.model, version);
+            let time_left = since.map(|it| (it + grace).since(context.now()));
+            if time_left.is_some_and(|it| it.is_zero()) {
+                return;
+            }
+            let pause = time_left.unwrap_or(START_CHECK_INTERVAL).min(START_CHECK_INTERVAL);
+            time::sleep(pause).await;
+        }
+    }
+
     /// Classifies an answer by its head.
     fn classify(&self, reservation: &Reservation, answer: Answer) -> Outcome {
         let (status, headers) = (answer.response.status(), answer.response.headers());
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -126,7 +126,9 @@
                     self.rejections += 1;
                     self.excluded.push(reservation.choice.endpoint.name.clone());
                 }
-                Outcome::Answer(..) | Outcome::Lost(_) | Outcome::TimedOut => return None,
+                Outcome::Answer(..) | Outcome::Lost(_) | Outcome::TimedOut | Outcome::Expired => {
+                    return None;
+                }
             }
         }
         None
