Send no calls to an upstream whose answer says that it leaves

Callers would see calls refused or cut off by upstreams that had said in earlier answers that they leave: only the registration counted, which may say ready for longer, and which a daemon without the store does not see. Change: `Evidence::leaving`, from a header of any answer; `gauge::Health` keeps it for the rest of the upstream's process, and placement passes the upstream over. Streams that run there go on.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -54,6 +54,8 @@
     pub misdirected: bool,
     /// Whether a successful response carries the upstream's signature.
     pub signed: bool,
+    /// Whether the upstream announces that it leaves.
+    pub leaving: bool,
 }
 
 /// A decoded row of the operator's topic.
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -65,6 +65,8 @@
 struct State {
     consecutive_failures: u32,
     ejected_until: Option<Time>,
+    /// Whether it announced that it leaves, which holds for the rest of its process.
+    leaving: bool,
     /// When it last sent something, or received a call while it had none in flight.
     last_activity: Time,
     last_probe: Time,
@@ -214,6 +216,16 @@
         }
     }
 
+    /// Records that the upstream announced that it leaves; returns whether that is new.
+    pub fn record_leaving(&self) -> bool {
+        !std::mem::replace(&mut self.state().leaving, true)
+    }
+
+    /// Whether the upstream announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.state().leaving
+    }
+
     /// Marks the upstream as dead because it refuses connections: its process has ended. It gets no
     /// calls until a connection succeeds.
     pub fn mark_dead(&self, now: Time) {
@@ -300,11 +312,12 @@
         self.state().dead
     }
 
-    /// Whether the upstream gets no calls at present: it is dead, suspected or ejected.
+    /// Whether the upstream gets no calls at present: it is dead, suspected or ejected, or it
+    /// announced that it leaves.
     pub fn is_unavailable(&self, now: Time) -> bool {
         let state = self.state();
         let suspected = state.dead || state.failed_probes > 0;
-        suspected || state.ejected_until.is_some_and(|it| now < it)
+        suspected || state.leaving || state.ejected_until.is_some_and(|it| now < it)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -125,8 +125,8 @@
 pub enum Error {
     /// No upstream of the service is registered.
     None,
-    /// No upstream is eligible: each one is dead, suspected or ejected, failed an earlier attempt
-    /// of this call, is loading weights, or serves unknown or too old ones.
+    /// No upstream is eligible: each one is dead, suspected, ejected or leaving, failed an
+    /// earlier attempt of this call, is loading weights, or serves unknown or too old ones.
     Closed,
     /// All engines that could take the call have reached the memory limit for running calls.
     Full,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
         entry::end_to_end,
         hold::Reservation,
         place::{Choice, Source},
+        roster::Endpoint,
     },
     http::{client::Answer, server::Body},
     kernel::id::Upstream,
@@ -270,11 +271,15 @@
     fn classify(&self, reservation: &Reservation, answer: Answer) -> Outcome {
         let (status, headers) = (answer.response.status(), answer.response.headers());
         let head = self.context.dialect.parse_response(&self.call, status, headers);
-        let health = &reservation.choice.endpoint.health;
+        let Endpoint { name, health, .. } = &*reservation.choice.endpoint;
+        let now = self.context.now();
+        if head.leaving && health.record_leaving() {
+            info!(upstream = name.as_str(), "upstream announced that it leaves");
+        }
         if !head.matches_request {
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
-        health.record_activity(self.context.now());
+        health.record_activity(now);
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -166,3 +166,16 @@
     health.record_sighting(dead_at(later + INACTIVITY_TIMEOUT), later + INACTIVITY_TIMEOUT);
     assert!(health.is_unavailable(later + INACTIVITY_TIMEOUT));
 }
+
+/// An upstream that said that it leaves got calls again after a call that succeeded there.
+#[test]
+fn an_upstream_that_announced_that_it_leaves_stays_unavailable() {
+    let health = Health::default();
+    assert!(!health.is_leaving());
+    assert!(health.record_leaving() && !health.record_leaving(), "it is new once");
+    health.record_activity(START);
+    health.record_success(START);
+    health.record_probe(true, START);
+    health.record_sighting(Sighting { dead_at: None, alive_at: Some(START) }, START);
+    assert!(health.is_leaving() && health.is_unavailable(START + Duration::from_secs(3_600)));
+}
