Order no weights on an engine whose reports say that it leaves

Engines that leave say so in answers to control calls too. They were ordered to load weights that they would not serve. Change: `Engines::report` and `order` return `dialect::Answer`, which tells whether the engine leaves whatever the status. A load ends there, and `Progress::pending` leaves the engine out.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -147,13 +147,28 @@
     Refused(u16),
 }
 
+/// An engine's answer to a control call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer<T> {
+    /// Whether the engine announces that it leaves.
+    pub leaving: bool,
+    /// What it answered; `None` if there is no valid response, or nothing was sent.
+    pub content: Option<T>,
+}
+
+impl<T> Default for Answer<T> {
+    fn default() -> Answer<T> {
+        Answer { leaving: false, content: None }
+    }
+}
+
 /// Client of the engines' control API.
 #[async_trait]
 pub trait Engines: Send + Sync {
-    /// Requests an engine's state; `None` if there is no valid response.
-    async fn report(&self, engine: &Endpoint) -> Option<Report>;
+    /// Requests an engine's state.
+    async fn report(&self, engine: &Endpoint) -> Answer<Report>;
 
-    /// Sends an order unless `until` has passed by the time of sending. `None` if it was not sent,
-    /// or if there is no response; in the latter case, the engine may still execute it later.
-    async fn order(&self, engine: &Endpoint, order: &Order, until: Time) -> Option<Reply>;
+    /// Sends an order unless `until` has passed by the time of sending. If there is no response,
+    /// the engine may still execute it later.
+    async fn order(&self, engine: &Endpoint, order: &Order, until: Time) -> Answer<Reply>;
 }
--- a/src/gateway/operate/load.rs
+++ b/src/gateway/operate/load.rs
@@ -66,7 +66,11 @@
         let mut ordered_at: Option<Time> = None;
         loop {
             let report = self.context.engines.report(&self.engine).await;
-            let Some(report) = report else {
+            self.note_leaving(report.leaving);
+            if self.engine.health.is_leaving() {
+                return false;
+            }
+            let Some(report) = report.content else {
                 // After an order, the engine may be loading although its report is missing.
                 if ordered_at.is_none() {
                     return false;
@@ -95,7 +99,9 @@
                     expected_orders: report.accepted_orders,
                 };
                 ordered_at = Some(now);
-                let accepted = self.context.engines.order(&self.engine, &order, deadline).await;
+                let answer = self.context.engines.order(&self.engine, &order, deadline).await;
+                self.note_leaving(answer.leaving);
+                let accepted = answer.content;
                 let name = self.engine.name.as_str();
                 info!(
                     engine = name,
@@ -110,4 +116,11 @@
             time::sleep(REPORT_INTERVAL).await;
         }
     }
+
+    fn note_leaving(&self, leaving: bool) {
+        if leaving && self.engine.health.record_leaving() {
+            let upstream = self.engine.name.as_str();
+            info!(upstream, "upstream announced that it leaves");
+        }
+    }
 }
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -167,7 +167,7 @@
         statuses.iter().find(is_match)
     }
 
-    /// Returns the engines that lack a model's target weights. Those with the oldest weights come
+    /// Returns the engines that stay and lack a model's target weights. Those with the oldest weights come
     /// first, so that no engine is starved when new versions arrive in quick succession.
     pub fn pending(&self, view: &View, model: &Model) -> Vec<Arc<Endpoint>> {
         let Some(target) = self.target(model) else {
@@ -175,6 +175,9 @@
         };
         let mut pending = Vec::new();
         for endpoint in view.all() {
+            if endpoint.health.is_leaving() {
+                continue;
+            }
             let version = self.version(endpoint, model);
             if version.is_some_and(|it| it < target.version) {
                 pending.push((version, endpoint.clone()));
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -153,7 +153,16 @@
     /// As [`Client::send`]; [`Error::Status`] for any other status.
     pub async fn fetch(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Bytes> {
         let answer = self.send(address, request).await?;
-        let status = answer.response.status();
+        self.finish_success(answer).await
+    }
+
+    /// Reads the rest of an answer, which must have a status of 2xx.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::finish`]; [`Error::Status`] for any other status.
+    pub async fn finish_success(&self, answer: Answer) -> Result<Bytes> {
+        let (status, address) = (answer.response.status(), answer.address);
         let body = self.finish(answer).await?;
         if status.is_success() {
             return Ok(body);
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -42,6 +42,23 @@
     assert_eq!(order, ["engine-1", "engine-3", "engine-2", "engine-0"]);
 }
 
+/// An engine that said that it leaves was ordered to load weights that it would not serve.
+#[test]
+fn an_engine_that_leaves_loads_no_weights() {
+    let model = Model::from(MODEL);
+    let mut roster = Roster::default();
+    for number in 0..3 {
+        roster.insert(&name(number), record(number, 1));
+    }
+    let mut progress = Progress::default();
+    progress.set_target(&model, known(2, START));
+    let view = roster.view();
+    let pending = progress.pending(&view, &model);
+    pending[1].health.record_leaving();
+    let names: Vec<_> = progress.pending(&view, &model).iter().map(|it| it.name.clone()).collect();
+    assert_eq!(names, [pending[0].name.clone(), pending[2].name.clone()]);
+}
+
 #[test]
 fn the_time_for_old_weights_counts_from_the_first_newer_version() {
     let model = Model::from(MODEL);
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -20,7 +20,7 @@
         budget,
         call::{Call, Dispatch, Head},
         context::{Context, Setup},
-        dialect::{self, Directive, Evidence, Order, Refusal, Reply, Report},
+        dialect::{self, Answer, Directive, Evidence, Order, Refusal, Reply, Report},
         document::{self, Document, Limits},
         exchange,
         follow::{self, MEMBER_PREFIX},
@@ -104,10 +104,10 @@
 
 #[async_trait]
 impl dialect::Engines for Unused {
-    async fn report(&self, _: &Endpoint) -> Option<Report> {
+    async fn report(&self, _: &Endpoint) -> Answer<Report> {
         unreachable!()
     }
-    async fn order(&self, _: &Endpoint, _: &Order, _: Time) -> Option<Reply> {
+    async fn order(&self, _: &Endpoint, _: &Order, _: Time) -> Answer<Reply> {
         unreachable!()
     }
 }
