Send no calls to an upstream during a pause that it asks for

An upstream that turned a call away with a longer `Retry-After` got calls again after 250 ms, or at once if another call succeeded there. `Time` saturates where a very long duration wrapped around.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -56,6 +56,8 @@
     pub signed: bool,
     /// Whether the upstream announces that it leaves.
     pub leaving: bool,
+    /// How long the upstream, which turned the call away, asks for no calls.
+    pub pause: Option<Duration>,
 }
 
 /// A decoded row of the operator's topic.
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -67,6 +67,8 @@
     ejected_until: Option<Time>,
     /// Whether it announced that it leaves, which holds for the rest of its process.
     leaving: bool,
+    /// End of the pauses that it asked for. Unlike an ejection, only time ends them.
+    paused_until: Option<Time>,
     /// When it last sent something, or received a call while it had none in flight.
     last_activity: Time,
     last_probe: Time,
@@ -226,6 +228,20 @@
         self.state().leaving
     }
 
+    /// Records that the upstream asked for no calls for `duration`; returns whether a pause starts.
+    /// A later end that it asked for before stays in force.
+    pub fn record_pause(&self, duration: Duration, now: Time) -> bool {
+        let mut state = self.state();
+        let was_paused = state.paused_until.is_some_and(|it| now < it);
+        state.paused_until = state.paused_until.max(Some(now + duration));
+        !was_paused && !duration.is_zero()
+    }
+
+    /// When the pause ends that the upstream asked for, if it is paused.
+    pub fn paused_until(&self, now: Time) -> Option<Time> {
+        self.state().paused_until.filter(|it| now < *it)
+    }
+
     /// Marks the upstream as dead because it refuses connections: its process has ended. It gets no
     /// calls until a connection succeeds.
     pub fn mark_dead(&self, now: Time) {
@@ -313,11 +329,12 @@
     }
 
     /// Whether the upstream gets no calls at present: it is dead, suspected or ejected, or it
-    /// announced that it leaves.
+    /// announced that it leaves or asked for a pause.
     pub fn is_unavailable(&self, now: Time) -> bool {
         let state = self.state();
         let suspected = state.dead || state.failed_probes > 0;
-        suspected || state.leaving || state.ejected_until.is_some_and(|it| now < it)
+        let until = state.ejected_until.max(state.paused_until);
+        suspected || state.leaving || until.is_some_and(|it| now < it)
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -125,7 +125,7 @@
 pub enum Error {
     /// No upstream of the service is registered.
     None,
-    /// No upstream is eligible: each one is dead, suspected, ejected or leaving, failed an
+    /// No upstream is eligible: each one is dead, suspected, ejected, paused or leaving, failed an
     /// earlier attempt of this call, is loading weights, or serves unknown or too old ones.
     Closed,
     /// All engines that could take the call have reached the memory limit for running calls.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -276,6 +276,10 @@
         if head.leaving && health.record_leaving() {
             info!(upstream = name.as_str(), "upstream announced that it leaves");
         }
+        if let Some(pause) = head.pause.filter(|it| health.record_pause(*it, now)) {
+            let pause_ms = pause.as_millis() as u64;
+            info!(upstream = name.as_str(), pause_ms, "upstream asked for a pause");
+        }
         if !head.matches_request {
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
--- a/src/kernel/clock.rs
+++ b/src/kernel/clock.rs
@@ -37,7 +37,7 @@
     type Output = Time;
 
     fn add(self, rhs: Duration) -> Time {
-        Time(self.0.saturating_add(rhs.as_micros() as u64))
+        Time(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
--- a/tests/gateway/gauge.rs
+++ b/tests/gateway/gauge.rs
@@ -179,3 +179,49 @@
     health.record_sighting(Sighting { dead_at: None, alive_at: Some(START) }, START);
     assert!(health.is_leaving() && health.is_unavailable(START + Duration::from_secs(3_600)));
 }
+
+/// A pause shorter than asked for, such as after a call in flight succeeded.
+#[test]
+fn nothing_but_time_ends_a_pause() {
+    struct Case {
+        what: &'static str,
+        event: fn(&Health),
+    }
+    const PAUSE: Duration = Duration::from_secs(3);
+    const LATER: Time = Time::from_millis(10_500);
+    for case in [
+        Case { what: "success", event: |it| it.record_success(LATER) },
+        Case { what: "activity", event: |it| it.record_activity(LATER) },
+        Case { what: "probe", event: |it| assert!(!it.record_probe(true, LATER)) },
+        Case { what: "rejection", event: |it| it.eject_for(Duration::from_millis(250), LATER) },
+        Case {
+            what: "shorter pause",
+            event: |it| assert!(!it.record_pause(Duration::from_secs(1), LATER), "goes on"),
+        },
+        Case { what: "no pause", event: |it| assert!(!it.record_pause(Duration::ZERO, LATER)) },
+    ] {
+        let (health, what) = (Health::default(), case.what);
+        assert!(health.record_pause(PAUSE, START));
+        (case.event)(&health);
+        let end = START + PAUSE;
+        let shortly_before = end - Duration::from_micros(1);
+        assert!(health.is_unavailable(shortly_before), "{what}");
+        assert_eq!(health.paused_until(shortly_before), Some(end), "{what}");
+        assert!(!health.is_unavailable(end) && health.paused_until(end).is_none(), "{what}");
+        assert!(health.record_pause(PAUSE, end), "{what}: a new pause starts");
+    }
+}
+
+/// The end of a very long pause wrapped around to an early time.
+#[test]
+fn a_longer_pause_extends_one_in_force() {
+    let health = Health::default();
+    assert!(health.record_pause(Duration::from_secs(1), START));
+    assert!(!health.record_pause(Duration::from_secs(2), START));
+    assert!(health.is_unavailable(START + Duration::from_millis(1_999)));
+    for longest in [Duration::from_secs(u64::MAX / 1_000_000 + 1), Duration::MAX] {
+        let health = Health::default();
+        assert!(health.record_pause(longest, START));
+        assert!(health.is_unavailable(START + Duration::from_secs(1_000_000)), "{longest:?}");
+    }
+}
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -319,3 +319,22 @@
     let query = Query { prompt: None, ..query(&prompt, &peers) };
     assert!(placer().choose(&query, &pages, &Progress::default(), START).is_ok());
 }
+
+#[test]
+fn a_paused_or_leaving_engine_is_not_chosen_even_if_it_holds_the_prefix() {
+    let engines = engines(&[1; 3]);
+    let peers = Totals::default();
+    let mut placer = placer();
+    let prompt = prompt(7, 1);
+    let query = query(&prompt, &peers);
+    let held = send(&mut placer, &query, &engines).endpoint;
+    held.health.record_pause(Duration::from_secs(1), START);
+    let other = send(&mut placer, &query, &engines).endpoint;
+    assert_ne!(other.name, held.name);
+    other.health.record_leaving();
+    let last = send(&mut placer, &query, &engines).endpoint;
+    assert!(last.name != held.name && last.name != other.name);
+    last.health.record_leaving();
+    let choice = placer.choose(&query, &engines, &Progress::default(), START);
+    assert_eq!(choice.map(|_| ()), Err(place::Error::Closed));
+}
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -55,8 +55,9 @@
     let view = roster.view();
     let pending = progress.pending(&view, &model);
     pending[1].health.record_leaving();
+    pending[2].health.record_pause(Duration::from_secs(9), START);
     let names: Vec<_> = progress.pending(&view, &model).iter().map(|it| it.name.clone()).collect();
-    assert_eq!(names, [pending[0].name.clone(), pending[2].name.clone()]);
+    assert_eq!(names, [pending[0].name.clone(), pending[2].name.clone()], "a pause is no reason");
 }
 
 #[test]
