Tell callers when the first pause ends if all upstreams are paused

Callers were told to come back after 250 ms, to be refused again until a pause of seconds was over. Change: if every upstream of the route's services that stays is paused, the refusal names the rest of the first pause plus up to 250 ms, so that callers don't return at the same time. The call is refused at once. With an upstream that is unavailable for another reason the delay stays 250 ms.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -372,6 +372,22 @@
     prompt.shared().iter().fold(query.cache_owner, |sum, it| mix(sum ^ it.hash))
 }
 
+/// When the first of these upstreams ends its pause, if each one that stays is paused.
+pub fn pause_end<'a>(
+    endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>,
+    now: Time,
+) -> Option<Time> {
+    let mut first: Option<Time> = None;
+    for endpoint in endpoints {
+        if endpoint.health.is_leaving() {
+            continue;
+        }
+        let end = endpoint.health.paused_until(now)?;
+        first = Some(first.map_or(end, |it| it.min(end)));
+    }
+    first
+}
+
 /// The number of tokens in the first `depth` shared parts.
 fn prefix_tokens(prompt: &Prompt, depth: usize) -> u64 {
     prompt.shared()[..depth].iter().map(|it| it.tokens).sum()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,7 @@
         document::KvStore,
         entry::end_to_end,
         hold::Reservation,
-        place::{Choice, Source},
+        place::{self, Choice, Source},
         roster::Endpoint,
     },
     http::{client::Answer, server::Body},
@@ -116,11 +116,25 @@
     /// budget of its service is used up.
     fn no_upstream(&self) -> Refusal {
         match self.executions {
-            0 => Refusal::NotRun(RETRY_AFTER),
+            0 => Refusal::NotRun(self.retry_after()),
             _ => Refusal::Lost,
         }
     }
 
+    /// The retry delay for the caller. It is longer if all upstreams of the route asked for a
+    /// pause, and then randomized so that callers do not retry at the same time.
+    fn retry_after(&self) -> Duration {
+        let now = self.context.now();
+        let view = self.context.view.load();
+        // The caller's next attempt may go to another service of the route.
+        let services = self.call.route.backends.iter().filter(|(_, weight)| *weight > 0);
+        let endpoints = services.flat_map(|(service, _)| view.service(service));
+        match place::pause_end(endpoints, now) {
+            Some(end) => end.since(now) + RETRY_AFTER.mul_f64(rand::random()),
+            None => RETRY_AFTER,
+        }
+    }
+
     /// Sends the call to upstreams until one of them answers.
     async fn obtain_answer(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
         loop {
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -320,6 +320,35 @@
     assert!(placer().choose(&query, &pages, &Progress::default(), START).is_ok());
 }
 
+/// Callers were told to come back long before an upstream takes calls again, or long after.
+#[test]
+fn the_end_of_the_first_pause_is_known_if_all_that_stay_are_paused() {
+    struct Case {
+        what: &'static str,
+        pauses_s: &'static [u64],
+        leaving: usize,
+        end_s: Option<u64>,
+    }
+    for case in [
+        Case { what: "none registered", pauses_s: &[], leaving: 0, end_s: None },
+        Case { what: "one not paused", pauses_s: &[0, 3], leaving: 0, end_s: None },
+        Case { what: "all paused", pauses_s: &[4, 2, 3], leaving: 0, end_s: Some(2) },
+        Case { what: "one leaves", pauses_s: &[0, 4, 2], leaving: 1, end_s: Some(2) },
+        Case { what: "all leave", pauses_s: &[4, 4], leaving: 2, end_s: None },
+    ] {
+        let engines = engines(&vec![1; case.pauses_s.len()]);
+        for (engine, pause) in engines.iter().zip(case.pauses_s) {
+            engine.health.record_pause(Duration::from_secs(*pause), START);
+        }
+        for engine in &engines[..case.leaving] {
+            engine.health.record_leaving();
+        }
+        let end = place::pause_end(&engines, START);
+        let expected = case.end_s.map(|it| START + Duration::from_secs(it));
+        assert_eq!(end, expected, "{}", case.what);
+    }
+}
+
 #[test]
 fn a_paused_or_leaving_engine_is_not_chosen_even_if_it_holds_the_prefix() {
     let engines = engines(&[1; 3]);
