Remember an upstream that leaves or is paused while its entry is gone

An entry that lapsed and returned made a new upstream of the same process: it got calls although it had announced that it leaves, or before its pause was over. Change: the roster keeps the health of such upstreams for 10 minutes after it removed their entries. Evidence: without it the new test fails: "soon: engine-0, left: false, right: true".

--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -20,6 +20,10 @@
 /// takes about two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long an upstream that leaves or is paused is remembered after its entry was removed. It may
+/// register again, for instance if it reached the store too late to keep its entry.
+pub const REMOVED_MEMORY: Duration = Duration::from_secs(600);
+
 /// Registration written by an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -90,6 +94,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: Map<Upstream, Entry>,
+    /// Removed upstreams that leave or are paused, and when their entries were removed.
+    removed: Map<Upstream, (Arc<Endpoint>, Time)>,
     /// When the store last became available again.
     store_recovered_at: Option<Time>,
     is_store_unavailable: bool,
@@ -110,10 +116,10 @@
 
     /// Adds or replaces the entry of an upstream. Its health is kept if the process is the same.
     pub fn insert(&mut self, name: &Upstream, record: Record) {
-        let previous = self.entries.get(name);
-        let same_process =
-            previous.filter(|it| it.endpoint.record.incarnation == record.incarnation);
-        let health = same_process.map_or_else(Arc::default, |it| it.endpoint.health.clone());
+        let removed = self.removed.remove(name).map(|(it, _)| it);
+        let previous = self.entries.get(name).map(|it| it.endpoint.clone()).or(removed);
+        let same_process = previous.filter(|it| it.record.incarnation == record.incarnation);
+        let health = same_process.map_or_else(Arc::default, |it| it.health.clone());
         let hash = name_hash(name.as_str());
         let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, health });
         self.entries.insert(name.clone(), Entry { endpoint, missing: false });
@@ -138,7 +144,13 @@
         if self.is_store_unavailable || kept_until.is_some_and(|it| now < it) {
             return kept_until.filter(|_| self.entries.values().any(|it| it.missing));
         }
-        self.entries.retain(|_, it| !it.missing);
+        self.removed.retain(|_, (_, since)| now.since(*since) < REMOVED_MEMORY);
+        for (name, entry) in self.entries.extract_if(|_, it| it.missing) {
+            let health = &entry.endpoint.health;
+            if health.is_leaving() || health.paused_until(now).is_some() {
+                self.removed.insert(name, (entry.endpoint, now));
+            }
+        }
         None
     }
 
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -1,5 +1,7 @@
+use std::time::Duration;
+
 use tealturn::{
-    gateway::roster::{REREGISTRATION_GRACE, Record, Roster},
+    gateway::roster::{REMOVED_MEMORY, REREGISTRATION_GRACE, Record, Roster},
     kernel::{clock::Time, id::Incarnation},
 };
 
@@ -64,3 +66,47 @@
     let restarted = roster.view().all().next().expect("an engine").health.is_dead();
     assert!(!restarted);
 }
+
+/// An upstream whose entry lapsed for a moment got calls again although it had announced that it
+/// leaves, or asked for a pause that was not over.
+#[test]
+fn a_returning_entry_of_the_same_process_keeps_what_the_upstream_asked_for() {
+    let second = Duration::from_secs(1);
+    struct Case {
+        what: &'static str,
+        incarnation: u64,
+        absent: Duration,
+        is_kept: bool,
+    }
+    for case in [
+        Case { what: "soon", incarnation: 1, absent: second, is_kept: true },
+        Case { what: "another process", incarnation: 2, absent: second, is_kept: false },
+        Case { what: "much later", incarnation: 1, absent: REMOVED_MEMORY, is_kept: false },
+    ] {
+        let mut roster = Roster::default();
+        roster.insert(&name(0), record(0, 1));
+        roster.insert(&name(1), record(1, 1));
+        let view = roster.view();
+        for endpoint in view.all() {
+            let is_new = match endpoint.name == name(0) {
+                true => endpoint.health.record_leaving(),
+                false => endpoint.health.record_pause(REMOVED_MEMORY * 2, START),
+            };
+            assert!(is_new);
+        }
+        roster.remove(&name(0));
+        roster.remove(&name(1));
+        roster.expire(START);
+        assert!(names(&roster).is_empty());
+        let now = START + case.absent;
+        roster.expire(now);
+        for number in 0..2 {
+            let incarnation = Incarnation(case.incarnation);
+            roster.insert(&name(number), Record { incarnation, ..record(number, 1) });
+        }
+        for endpoint in roster.view().all() {
+            let is_kept = endpoint.health.is_unavailable(now);
+            assert_eq!(is_kept, case.is_kept, "{}: {}", case.what, endpoint.name);
+        }
+    }
+}
