--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -127,8 +127,8 @@
 pub enum Error {
     /// No upstream of the service is registered.
     None,
-    /// No upstream is eligible: each one is dead, suspected or ejected, failed an earlier attempt
-    /// of this call, is loading weights, or serves unknown or too old ones.
+    /// No upstream is eligible: each one is dead, suspected, ejected, paused or leaving, failed an
+    /// earlier attempt of this call, is loading weights, or serves unknown or too old ones.
     Closed,
     /// All engines that could take the call have reached the memory limit for running calls.
     Full,
@@ -376,6 +376,22 @@
     prompt.shared().iter().fold(query.cache_owner, |sum, it| mix(sum ^ it.hash))
 }
 
+/// When the first of these upstreams ends its pause, if each one that stays is paused.
+pub fn pause_end<'a>(
+    endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>,
+    now: Time,
+) -> Option<Time> {
+    let mut first: Option<Time> = None;
+    for endpoint in endpoints {
+        if endpoint.health.is_leaving() {
+            continue;
+        }
+        let end = endpoint.health.paused_until(now)?;
+        first = Some(first.map_or(end, |it| it.min(end)));
+    }
+    first
+}
+
 /// The number of tokens in the first `depth` shared parts.
 fn prefix_tokens(prompt: &Prompt, depth: usize) -> u64 {
     prompt.shared()[..depth].iter().map(|it| it.tokens).sum()
