--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -64,6 +64,8 @@
     pub prompt: Option<Prompt>,
     /// The identifier of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<String>,
+    /// The attempt that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// A validated call.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -64,6 +64,8 @@
     context: Arc<Context>,
     call: Call,
     fingerprint: Fingerprint,
+    /// The event after which the next upstream continues the stream.
+    last_event: Option<String>,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
@@ -81,6 +83,7 @@
     let mut active = Relay {
         context,
         fingerprint: call.fingerprint(),
+        last_event: call.head.last_event.clone(),
         call,
         excluded: Vec::new(),
         executions: 0,
@@ -198,12 +201,7 @@
         self.context.document.load().as_ref().and_then(|it| it.kv_store())
     }
 
-    fn dispatch(
-        &self,
-        choice: &Choice,
-        time_left: Duration,
-        last_event: Option<String>,
-    ) -> Dispatch {
+    fn dispatch(&self, choice: &Choice, time_left: Duration) -> Dispatch {
         Dispatch {
             upstream: choice.endpoint.name.clone(),
             incarnation: choice.endpoint.record.incarnation,
@@ -212,22 +210,14 @@
             cache_salt: choice.version.and_then(|it| self.call.cache_salt(it)),
             fetch_from: choice.source.as_ref().map(Source::address),
             save_to: self.kv_store().filter(|_| choice.save_to_store).map(|it| it.address),
-            last_event: last_event.or_else(|| self.call.head.last_event.clone()),
+            last_event: self.last_event.clone(),
         }
     }
 
     async fn send(&self, reservation: &Reservation) -> Outcome {
-        self.send_after_event(reservation, None).await
-    }
-
-    async fn send_after_event(
-        &self,
-        reservation: &Reservation,
-        last_event: Option<String>,
-    ) -> Outcome {
         let (context, call) = (&self.context, &self.call);
         let time_left = call.deadline.since(context.now()).saturating_sub(RESPONSE_MARGIN);
-        let dispatch = self.dispatch(&reservation.choice, time_left, last_event);
+        let dispatch = self.dispatch(&reservation.choice, time_left);
         let mut headers = call.headers.clone();
         context.dialect.write_request_headers(call, &dispatch, &mut headers);
         let mut request = hyper::Request::new(Full::new(call.body.clone()));
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -115,9 +115,10 @@
     /// Resumes the stream after event `last` at another upstream. Tries a further one only after an
     /// attempt that did not execute the call.
     async fn resume(&mut self, last: Option<String>) -> Option<(Reservation, Box<Answer>)> {
+        self.last_event = last;
         while self.rejections < MAX_REJECTIONS {
             let reservation = self.acquire().await.ok()?;
-            match self.send_after_event(&reservation, last.clone()).await {
+            match self.send(&reservation).await {
                 Outcome::Answer(answer) if answer.response.status().is_success() => {
                     return Some((reservation, answer));
                 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -11,7 +11,7 @@
     gateway::gauge::Health,
     kernel::{
         clock::Time,
-        id::{Incarnation, Model, Service, Upstream, Version, Zone},
+        id::{Build, Incarnation, Model, Service, Upstream, Version, Zone},
     },
     route::pool::name_hash,
 };
@@ -29,6 +29,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Zone,
+    /// The version of its software.
+    pub build: Build,
     /// Maximum number of concurrent calls.
     pub slots: u32,
     /// Whether it is draining and gets no new calls.
--- a/src/kernel/id.rs
+++ b/src/kernel/id.rs
@@ -64,6 +64,11 @@
     /// attention KV caches.
     Upstream
 }
+string_id! {
+    /// The version of an upstream's software, as it registers it. The weights that it serves have
+    /// a [`Version`] of their own.
+    Build
+}
 string_id! {
     /// The name of a template in the catalog: what its instances serve to their workspaces.
     Template
--- a/tests/gateway/scene.rs
+++ b/tests/gateway/scene.rs
@@ -7,7 +7,7 @@
         call::{Part, Prompt},
         roster::{Endpoint, Record, Roster},
     },
-    kernel::id::{Incarnation, Model, Service, Upstream, Version, Zone},
+    kernel::id::{Build, Incarnation, Model, Service, Upstream, Version, Zone},
 };
 
 pub const MODEL: &str = "wiki";
@@ -18,6 +18,7 @@
         service: Service::from("engines"),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         zone: Zone::from("a"),
+        build: Build::from("v1"),
         slots: 64,
         draining: false,
         incarnation: Incarnation(1),
