Continue a stream only at the build that began it

Cause: nothing recorded which build had begun a stream, and placement didn't ask. Change: `gateway::origin` keeps which build began each resumable stream. Continuations by the daemon and by callers are placed on upstreams of that build only. While a service has had more than one build lately, daemons tell each other the origins of their streams, and those that start are told all of them. If the origin isn't known, the only recent build of the service continues the stream, provided that this daemon is in touch; else the call waits 100 ms for news and is refused, as it is when no upstream of the build takes calls: 503, not run, with one log line and `tealturn_resumptions_refused_total`. A continuation waits for an upstream up to the latency objective from when the stream broke off, also while those with the build are unavailable for a moment: few may have it. A resumption goes to the service of a split route that began the stream. Bytes to callers and upstreams are unchanged. An upstream that restarted before its new registration is known runs nothing, since the request names the process that it is for.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,8 +5,8 @@
 //! The platform is the environment of the daemons and upstreams; the `tealturn-platform` crate
 //! connects the gateway to it. The platform calls a workspace a tenant.
 //!
-//! [`document`], [`roster`], [`place`], [`budget`], [`freshness`] and [`rollout`] make decisions
-//! and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
+//! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`freshness`] and [`rollout`] make
+//! decisions and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
 
@@ -27,6 +27,7 @@
 pub mod message;
 pub mod mirror;
 pub mod operate;
+pub mod origin;
 pub mod peer;
 pub mod place;
 pub mod relay;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -6,12 +6,13 @@
 use hyper::{HeaderMap, Method};
 
 use crate::{
-    gateway::document::{Route, Tenant},
+    gateway::document::{Kind, Route, Tenant},
     kernel::{
         clock::Time,
-        id::{Incarnation, Model, Upstream, Version, Workspace},
+        id::{Incarnation, Model, Service, Upstream, Version, Workspace},
     },
     request::suspect::Fingerprint,
+    route::pool::name_hash,
 };
 
 /// A part of a prompt. Parts with equal text have equal hashes.
@@ -98,6 +99,27 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether the answer is a stream that another upstream may continue.
+    pub fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream { resumable: true }
+    }
+
+    /// Whether the caller resumes a stream.
+    pub fn is_resumption(&self) -> bool {
+        self.is_resumable() && self.head.last_event.is_some()
+    }
+
+    /// The attempt that brought the first event of the stream: this one, unless it resumes another.
+    pub fn stream_attempt(&self) -> &str {
+        let resumed = self.head.resumes.as_ref().filter(|_| self.is_resumption());
+        resumed.unwrap_or(&self.head.attempt)
+    }
+
+    /// The service that answers all attempts of the call, and the call whose stream it resumes.
+    pub fn service(&self) -> &Service {
+        self.route.service(name_hash(self.stream_attempt()))
+    }
+
     /// Identifies the request if it crashes upstreams. The same request from any caller of the
     /// workspace has the same fingerprint.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -19,6 +19,7 @@
         member::Members,
         message::{News, Update},
         mirror::Mirror,
+        origin,
         peer::{Origin, Peers},
         place::Placer,
         rollout::Progress,
@@ -30,9 +31,10 @@
     http::client::Client,
     kernel::{
         clock::{Clock, Time},
-        id::{Incarnation, Request},
+        id::{Incarnation, Request, Service},
     },
     request::suspect::Table,
+    route::pool::name_hash,
 };
 
 /// Platform-specific components from which a gateway is built.
@@ -98,6 +100,7 @@
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
     suspects: Mutex<Table>,
+    origins: Mutex<origin::Table>,
     attempt_counter: AtomicU64,
 }
 
@@ -130,6 +133,7 @@
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
             suspects: Mutex::default(),
+            origins: Mutex::default(),
             attempt_counter: AtomicU64::new(0),
             settings: setup.settings,
         }
@@ -199,6 +203,25 @@
         self.urgent.notify_one();
     }
 
+    /// Which builds began the recent streams.
+    pub fn origins(&self) -> MutexGuard<'_, origin::Table> {
+        self.origins.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Tells the other daemons which builds began this daemon's streams of a service, if they need
+    /// to know and weren't told.
+    pub fn publish_origins(&self, service: &Service) {
+        let (view, hash) = (self.view.load(), name_hash(service.as_str()));
+        let entries = self.origins().take_unshared(hash, view.builds(service), self.now());
+        if entries.is_empty() {
+            return;
+        }
+        let mut updates = self.peers.updates();
+        for entry in entries {
+            updates.push(Origin::Own, Update { hops: 0, news: News::Began(entry) });
+        }
+    }
+
     /// An identifier for one attempt of a call, unique within this daemon process.
     pub fn next_attempt_id(&self) -> Request {
         Request(u128::from(self.attempt_counter.fetch_add(1, Ordering::Relaxed)))
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// The updates that the peer lacks. One that has none yet gets all suspects. Before its first
-/// message nothing is sent: it may never answer.
+/// The updates that the peer lacks. One that has none yet gets all suspects and the origins of
+/// streams. Before its first message nothing is sent: it may never answer.
 fn updates(context: &Context, name: &str, to_link: Link, known: &Known) -> (u64, Vec<Update>) {
     if *known == Known::default() {
         return (0, Vec::new());
@@ -81,6 +81,8 @@
     if after == 0 {
         let facts = context.suspects().facts();
         updates.extend(facts.into_iter().map(|it| Update { hops: 0, news: News::Suspect(it) }));
+        let origins = context.origins().shared();
+        updates.extend(origins.into_iter().map(|it| Update { hops: 0, news: News::Began(it) }));
     }
     (last, updates)
 }
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -52,6 +52,11 @@
                     continue;
                 }
             }
+            News::Began(entry) => {
+                if !context.origins().learn(entry, now) {
+                    continue;
+                }
+            }
         }
         let update = Update { hops: update.hops + 1, news: update.news.clone() };
         context.peers.updates().push(origin, update);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -26,6 +26,7 @@
         clock::Time,
         id::{Model, Upstream, Version},
     },
+    route::pool::name_hash,
 };
 
 /// Initial delay after a failed call; doubles with each further failure.
@@ -297,6 +298,10 @@
         }
         for row in &delta.rows {
             let name = Upstream::from(&*row.key);
+            if let Some(previous) = roster.record(&name) {
+                let service = name_hash(previous.service.as_str());
+                context.origins().record_build(service, &previous.build, now);
+            }
             if row.removed {
                 info!(upstream = row.key, "upstream's registration was removed");
                 roster.remove(&name);
@@ -318,6 +323,9 @@
         }
         roster.expire(now);
     });
+    for service in context.view.load().services() {
+        context.publish_origins(service);
+    }
 }
 
 /// How long to wait for more changes before the next poll in a fleet of `daemons` daemons.
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     fleet::board::Fact,
-    gateway::{cache, gauge::Outcomes, rollout, store::Row},
+    gateway::{cache, gauge::Outcomes, origin, rollout, store::Row},
     kernel::{
         clock::Time,
         id::{Incarnation, Model, Version},
@@ -161,6 +161,8 @@
     Cached(cache::Entry),
     /// A request suspected of crashing upstreams, or cleared of that.
     Suspect(Fact),
+    /// The build that began a stream.
+    Began(origin::Entry),
 }
 
 /// News and how many daemons have passed it on. It is dropped after [`MAX_HOPS`], because daemons
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -26,7 +26,7 @@
     },
     kernel::{
         clock::Time,
-        id::{Incarnation, Upstream, Version, Zone},
+        id::{Build, Incarnation, Upstream, Version, Zone},
     },
     route::pool::{mix, name_hash},
 };
@@ -65,6 +65,9 @@
     pub cache_owner: u64,
     /// Upstreams where an attempt of this call failed.
     pub excluded: &'a [Upstream],
+    /// The build that began the stream which the upstream continues; `None` if any may take the
+    /// call.
+    pub build: Option<&'a Build>,
     /// How long a call may start on superseded weights after newer ones were announced.
     pub old_version_grace: Duration,
     /// The limit on the memory that running calls use in each engine of the service, in tokens.
@@ -126,7 +129,8 @@
     /// No upstream of the service is registered.
     None,
     /// No upstream is eligible: each one is dead, suspected or ejected, failed an earlier attempt
-    /// of this call, is loading weights, or serves unknown or too old ones.
+    /// of this call, has another build than the stream that it would continue, is loading weights,
+    /// or serves unknown or too old ones.
     Closed,
     /// All engines that could take the call have reached the memory limit for running calls.
     Full,
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -166,5 +166,6 @@
 }
 
 pub(super) fn is_eligible(endpoint: &Endpoint, query: &Query<'_>, now: Time) -> bool {
-    !endpoint.health.is_unavailable(now) && !query.excluded.contains(&endpoint.name)
+    let may_continue = query.build.is_none_or(|it| *it == endpoint.record.build);
+    may_continue && !endpoint.health.is_unavailable(now) && !query.excluded.contains(&endpoint.name)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod pump;
+mod resumption;
 
 use std::{sync::Arc, time::Duration};
 
@@ -23,7 +24,10 @@
         place::{Choice, Source},
     },
     http::{client::Answer, server::Body},
-    kernel::id::Upstream,
+    kernel::{
+        clock::Time,
+        id::{Build, Upstream},
+    },
     request::suspect::Fingerprint,
 };
 
@@ -66,6 +70,10 @@
     fingerprint: Fingerprint,
     /// The event after which the next upstream continues the stream.
     last_event: Option<String>,
+    /// The build that began the stream, which alone may continue it.
+    origin: Option<Build>,
+    /// When it began to wait for an upstream: when it was received, or when its stream broke off.
+    waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
@@ -84,14 +92,20 @@
         context,
         fingerprint: call.fingerprint(),
         last_event: call.head.last_event.clone(),
+        waiting_since: call.received,
         call,
+        origin: None,
         excluded: Vec::new(),
         executions: 0,
         rejections: 0,
         sends: 0,
         connect_failures: 0,
     };
-    match active.obtain_answer().await {
+    let answered = match active.find_origin().await {
+        Ok(()) => active.obtain_answer().await,
+        Err(refusal) => Err(refusal),
+    };
+    match answered {
         Ok((reservation, answer)) => active.deliver(reservation, answer).await,
         Err(refusal) => active.refuse(refusal),
     }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -1,6 +1,6 @@
 //! Waits until an upstream has capacity for a call, and reserves it.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use tokio::time;
 use tracing::info;
@@ -15,6 +15,7 @@
         peer::Origin,
         place::{self, Query},
         relay::{RESPONSE_MARGIN, Relay},
+        roster::Endpoint,
         topology::FULL_MESH_DAEMONS,
     },
     kernel::{clock::Time, id::Service},
@@ -60,15 +61,27 @@
     /// passed, because calls that can still meet theirs would overtake it repeatedly.
     pub(super) fn may_wait(&self) -> bool {
         let now = self.context.now();
-        now.since(self.call.received) < self.call.route.latency_objective
+        now.since(self.waiting_since) < self.call.route.latency_objective
     }
 
     /// Whether the call can still meet its latency objective.
     pub(super) fn can_meet_objective(&self, now: Time) -> bool {
-        now.since(self.call.received) + FIRST_EVENT_LATENCY < self.call.route.latency_objective
+        now.since(self.waiting_since) + FIRST_EVENT_LATENCY < self.call.route.latency_objective
     }
 
-    /// Reserves an upstream for the call. Returns `None` if all engines are full.
+    /// Whether an upstream that is closed now may take the call soon. Other calls find another one,
+    /// but few upstreams may have the build that began a stream.
+    fn may_reopen(&self, upstreams: &[Arc<Endpoint>]) -> bool {
+        let Some(build) = &self.origin else {
+            return false;
+        };
+        let may_continue =
+            |it: &Endpoint| it.record.build == *build && !self.excluded.contains(&it.name);
+        upstreams.iter().any(|it| may_continue(it))
+    }
+
+    /// Reserves an upstream for the call. Returns `None` if all engines are full, or those that
+    /// could continue its stream are unavailable.
     pub(super) fn try_acquire(&mut self) -> Result<Option<Reservation>, Refusal> {
         let (context, call) = (&self.context, &self.call);
         let now = context.now();
@@ -93,13 +106,13 @@
                 _ => Refusal::Lost,
             });
         }
-        // The hash is the same for all attempts of the call, so they go to the same service.
-        let service = call.route.service(name_hash(&call.head.attempt));
+        let service = call.service();
         let progress = context.progress.load();
         let query = Query {
             prompt: call.head.prompt.as_ref(),
             cache_owner: self.cache_owner(),
             excluded: &self.excluded,
+            build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
             running_limit_tokens: self.running_limit_tokens(service, now),
             kv_store: self.kv_store(),
@@ -116,6 +129,7 @@
         let choice = match choice {
             Ok(choice) => choice,
             Err(place::Error::Full) => return Ok(None),
+            Err(place::Error::Closed) if self.may_reopen(view.service(service)) => return Ok(None),
             Err(reason) => {
                 let service = service.as_str();
                 info!(
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -11,7 +11,6 @@
 
 use crate::{
     gateway::{
-        document,
         entry::end_to_end,
         hold::Reservation,
         relay::{MAX_REJECTIONS, Outcome, Relay},
@@ -26,14 +25,18 @@
 impl Relay {
     /// Returns a response whose body forwards events as they arrive.
     pub(super) fn deliver_stream(
-        self,
+        mut self,
         reservation: Reservation,
         answer: Box<Answer>,
     ) -> Response<Body> {
         let status = answer.response.status();
         let headers = stream_headers(answer.response.headers());
+        self.begin_stream(&reservation.choice.endpoint.record.build);
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
-        tokio::spawn(self.forward(reservation, answer, sender));
+        tokio::spawn(async move {
+            self.forward(reservation, answer, sender).await;
+            self.end_stream();
+        });
         let body = StreamBody::new(receiver_stream(receiver)).boxed();
         let mut response = Response::new(body);
         *response.status_mut() = status;
@@ -42,7 +45,7 @@
     }
 
     async fn forward(
-        mut self,
+        &mut self,
         mut reservation: Reservation,
         mut answer: Box<Answer>,
         sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
@@ -91,8 +94,7 @@
                 reason,
                 "stream from the upstream ended prematurely"
             );
-            let resumable = self.call.route.kind == document::Kind::Stream { resumable: true };
-            let may_resume = resumable && self.may_retry();
+            let may_resume = self.call.is_resumable() && self.may_retry();
             self.executions += 1;
             self.excluded.push(upstream);
             drop(reservation);
@@ -116,6 +118,7 @@
     /// attempt that did not execute the call.
     async fn resume(&mut self, last: Option<String>) -> Option<(Reservation, Box<Answer>)> {
         self.last_event = last;
+        self.waiting_since = self.context.now();
         while self.rejections < MAX_REJECTIONS {
             let reservation = self.acquire().await.ok()?;
             match self.send(&reservation).await {
--- /dev/null
+++ b/src/gateway/relay/resumption.rs
@@ -0,0 +1,99 @@
+//! Finds the build that must continue a stream.
+
+use std::time::Duration;
+
+use metrics::counter;
+use tokio::time;
+use tracing::info;
+
+use crate::{
+    gateway::{
+        dialect::Refusal,
+        origin::Entry,
+        relay::{RETRY_AFTER, Relay},
+    },
+    kernel::id::{Build, Service},
+    route::pool::name_hash,
+};
+
+/// How long to wait for another daemon's news of which build began a stream.
+const ORIGIN_WAIT: Duration = Duration::from_millis(100);
+
+/// Interval between checks for such news.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Age of the last confirmation above which this daemon may have missed a new build. In a fleet
+/// that is in touch, no confirmation gets older.
+const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(3_000);
+
+impl Relay {
+    /// Finds the build that must continue the stream, if the call resumes one.
+    pub(super) async fn find_origin(&mut self) -> Result<(), Refusal> {
+        if !self.call.is_resumption() {
+            return Ok(());
+        }
+        let give_up_at = self.context.now() + ORIGIN_WAIT;
+        let build = loop {
+            if let Some(build) = self.look_up_origin() {
+                break build;
+            }
+            if self.context.now() >= give_up_at {
+                return Err(self.refuse_resumption("unknown_build"));
+            }
+            time::sleep(POLL_INTERVAL).await;
+        };
+        let view = self.context.view.load();
+        let mut upstreams = view.service(self.call.service()).iter();
+        if !upstreams.any(|it| it.record.build == build) {
+            return Err(self.refuse_resumption("absent_build"));
+        }
+        self.origin = Some(build);
+        Ok(())
+    }
+
+    fn look_up_origin(&self) -> Option<Build> {
+        let (context, now) = (&self.context, self.context.now());
+        let service = self.call.service();
+        let attempt = name_hash(self.call.stream_attempt());
+        let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now);
+        let view = context.view.load();
+        let registered = view.builds(service);
+        let hash = name_hash(service.as_str());
+        context.origins().find(attempt, hash, registered, is_current, now)
+    }
+
+    fn refuse_resumption(&self, reason: &'static str) -> Refusal {
+        let head = &self.call.head;
+        info!(
+            attempt = head.attempt,
+            resumes = head.resumes,
+            service = self.call.service().as_str(),
+            reason,
+            "resumption refused: no upstream is known to have the build that began the stream"
+        );
+        counter!("tealturn_resumptions_refused_total", "reason" => reason).increment(1);
+        Refusal::NotRun(RETRY_AFTER)
+    }
+
+    /// Records that an upstream of this build has begun to answer with a stream.
+    pub(super) fn begin_stream(&mut self, build: &Build) {
+        if !self.call.is_resumable() {
+            return;
+        }
+        let service: &Service = self.call.service();
+        let entry = Entry {
+            attempt: name_hash(self.call.stream_attempt()),
+            service: name_hash(service.as_str()),
+            build: build.clone(),
+        };
+        self.context.origins().begin(&entry, self.context.now());
+        self.context.publish_origins(service);
+        self.origin = Some(entry.build);
+    }
+
+    /// Records that the stream to the caller has ended.
+    pub(super) fn end_stream(&self) {
+        let attempt = name_hash(self.call.stream_attempt());
+        self.context.origins().end(attempt, self.context.now());
+    }
+}
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -67,6 +67,7 @@
 #[derive(Debug, Default)]
 pub struct View {
     services: Map<Service, Vec<Arc<Endpoint>>>,
+    builds: Map<Service, Vec<Build>>,
 }
 
 impl View {
@@ -75,6 +76,16 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Builds of the upstreams of a service, the draining ones included.
+    pub fn builds(&self, service: &Service) -> &[Build] {
+        self.builds.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// The services that have upstreams, the draining ones included.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.builds.keys()
+    }
+
     /// All upstreams that aren't draining.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Endpoint>> {
         self.services.values().flatten()
@@ -121,6 +132,11 @@
         self.entries.insert(name.clone(), Entry { endpoint, missing: false });
     }
 
+    /// The registration of an upstream.
+    pub fn record(&self, name: &Upstream) -> Option<&Record> {
+        self.entries.get(name).map(|it| &it.endpoint.record)
+    }
+
     /// Marks the entry as missing from the store; [`Self::expire`] removes it.
     pub fn remove(&mut self, name: &Upstream) {
         if let Some(entry) = self.entries.get_mut(name) {
@@ -147,16 +163,22 @@
     /// Snapshot of the registered upstreams that aren't draining.
     pub fn view(&self) -> View {
         let mut services: Map<Service, Vec<Arc<Endpoint>>> = Map::default();
+        let mut builds: Map<Service, Vec<Build>> = Map::default();
         for entry in self.entries.values() {
-            if entry.endpoint.record.draining {
+            let Record { service, build, draining, .. } = &entry.endpoint.record;
+            let known = builds.entry(service.clone()).or_default();
+            if !known.contains(build) {
+                known.push(build.clone());
+            }
+            if *draining {
                 continue;
             }
-            let service = entry.endpoint.record.service.clone();
+            let service = service.clone();
             services.entry(service).or_default().push(entry.endpoint.clone());
         }
         for endpoints in services.values_mut() {
             endpoints.sort_by(|left, right| left.name.cmp(&right.name));
         }
-        View { services }
+        View { services, builds }
     }
 }
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -35,6 +35,7 @@
         prompt: Some(prompt),
         cache_owner: 0,
         excluded: &[],
+        build: None,
         old_version_grace: Duration::from_secs(10),
         running_limit_tokens: RUNNING_LIMIT,
         kv_store: None,
--- a/tests/gateway/stale.rs
+++ b/tests/gateway/stale.rs
@@ -75,6 +75,7 @@
                 prompt: Some(&prompt),
                 cache_owner: 0,
                 excluded: &[],
+                build: None,
                 old_version_grace: Duration::from_secs(12),
                 running_limit_tokens: 57_000,
                 kv_store: None,
