--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod pump;
+mod resumption;
 
 use std::{sync::Arc, time::Duration};
 
@@ -24,7 +25,10 @@
         roster::Endpoint,
     },
     http::{client::Answer, server::Body},
-    kernel::id::Upstream,
+    kernel::{
+        clock::Time,
+        id::{Build, Upstream},
+    },
     request::suspect::Fingerprint,
 };
 
@@ -76,6 +80,12 @@
     context: Arc<Context>,
     call: Call,
     fingerprint: Fingerprint,
+    /// The event after which the next upstream continues the stream.
+    last_event: Option<String>,
+    /// The build that began the stream, which alone may continue it.
+    origin: Option<Build>,
+    /// When it began to wait for an upstream: when it was received, or when its stream broke off.
+    waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
@@ -93,14 +103,21 @@
     let mut active = Relay {
         context,
         fingerprint: call.fingerprint(),
+        last_event: call.head.last_event.clone(),
+        waiting_since: call.received,
         call,
+        origin: None,
         excluded: Vec::new(),
         executions: 0,
         rejections: 0,
         sends: 0,
         connect_failures: 0,
     };
-    match active.obtain_answer().await {
+    let answered = match active.find_origin().await {
+        Ok(()) => active.obtain_answer().await,
+        Err(refusal) => Err(refusal),
+    };
+    match answered {
         Ok((reservation, answer)) => active.deliver(reservation, answer).await,
         Err(refusal) => active.refuse(refusal),
     }
@@ -232,12 +249,7 @@
         self.context.document.load().as_ref().and_then(|it| it.kv_store())
     }
 
-    fn dispatch(
-        &self,
-        choice: &Choice,
-        time_left: Duration,
-        last_event: Option<String>,
-    ) -> Dispatch {
+    fn dispatch(&self, choice: &Choice, time_left: Duration) -> Dispatch {
         Dispatch {
             upstream: choice.endpoint.name.clone(),
             incarnation: choice.endpoint.record.incarnation,
@@ -246,22 +258,14 @@
             cache_salt: choice.version.and_then(|it| self.call.cache_salt(it)),
             fetch_from: choice.source.as_ref().map(Source::address),
             save_to: self.kv_store().filter(|_| choice.save_to_store).map(|it| it.address),
-            last_event: last_event.or_else(|| self.call.head.last_event.clone()),
+            last_event: self.last_event.clone(),
         }
     }
 
     async fn send(&self, reservation: &Reservation) -> Outcome {
-        self.send_after_event(reservation, None).await
-    }
-
-    async fn send_after_event(
-        &self,
-        reservation: &Reservation,
-        last_event: Option<String>,
-    ) -> Outcome {
         let (context, call) = (&self.context, &self.call);
         let time_left = call.deadline.since(context.now()).saturating_sub(RESPONSE_MARGIN);
-        let dispatch = self.dispatch(&reservation.choice, time_left, last_event);
+        let dispatch = self.dispatch(&reservation.choice, time_left);
         let mut headers = call.headers.clone();
         context.dialect.write_request_headers(call, &dispatch, &mut headers);
         let mut request = hyper::Request::new(Full::new(call.body.clone()));
