Bound the origins of streams to 65,536

Cause: a full table of 131,072 origins would take 19 MB (computed from the sizes of its entries), more than a gateway daemon's memory at its peak (docs/CAPACITY.md). Change: half as many, 9.6 MB (computed). The oldest are dropped as before.

--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -22,7 +22,7 @@
 const RETURN_PERIOD: Duration = Duration::from_secs(10);
 
 /// Number of origins that are kept; the oldest are dropped.
-pub const MAX_ORIGINS: usize = 131_072;
+pub const MAX_ORIGINS: usize = 65_536;
 
 /// Number of origins that a daemon which starts is sent, the newest ones.
 const MAX_REPORTED: usize = 16_384;
