--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod message;
 #[path = "gateway/mirror.rs"]
 mod mirror;
+#[path = "gateway/origin.rs"]
+mod origin;
 #[path = "gateway/peer.rs"]
 mod peer;
 #[path = "gateway/place.rs"]
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -9,15 +9,15 @@
         peer::Totals,
         place::{self, Choice, Placer, Query, Source},
         rollout::{self, Progress, Target},
-        roster::Endpoint,
+        roster::{Endpoint, Record, Roster},
     },
     kernel::{
         clock::Time,
-        id::{Model, Version, Zone},
+        id::{Build, Model, Service, Version, Zone},
     },
 };
 
-use crate::scene::{MODEL, engines, prompt};
+use crate::scene::{MODEL, SERVICE, engines, name, prompt, record};
 
 const START: Time = Time::from_millis(100_000);
 const CAPACITY: u64 = 115_000;
@@ -320,3 +320,32 @@
     let query = Query { prompt: None, ..query(&prompt, &peers) };
     assert!(placer().choose(&query, &pages, &Progress::default(), START).is_ok());
 }
+
+/// An upstream of another build would write events that don't fit those which the caller has
+/// (docs/incidents/cascade-14ac.md).
+#[test]
+fn a_stream_is_continued_only_by_upstreams_of_the_build_that_began_it() {
+    let mut roster = Roster::default();
+    for number in 0..30 {
+        let build = Build::from(if number % 10 == 7 { "v1" } else { "v2" });
+        roster.insert(&name(number), Record { build, ..record(number, 1) });
+    }
+    let engines = roster.view().service(&Service::from(SERVICE)).to_vec();
+    let peers = Totals::default();
+    let any = prompt(7, 1);
+    let (first, absent) = (Build::from("v1"), Build::from("v3"));
+    for subject in 0..100 {
+        let prompt = prompt(subject, 1);
+        for prompt in [Some(&prompt), None] {
+            let query = Query { prompt, random: subject, ..query(&any, &peers) };
+            let choose = |build| {
+                let query = Query { build, ..query };
+                placer().choose(&query, &engines, &Progress::default(), START)
+            };
+            let choice = choose(Some(&first)).expect("a choice");
+            assert_eq!(choice.endpoint.record.build, first);
+            assert_eq!(choose(Some(&absent)).map(|_| ()), Err(place::Error::Closed));
+            assert!(choose(None).is_ok());
+        }
+    }
+}
--- a/tests/gateway/scene.rs
+++ b/tests/gateway/scene.rs
@@ -11,14 +11,18 @@
 };
 
 pub const MODEL: &str = "wiki";
+pub const SERVICE: &str = "engines";
+
+/// The build of an engine, unless its name or a test gives another.
+pub const BUILD: &str = "v1";
 
 /// The roster record of an engine that serves `version`.
 pub fn record(number: u16, version: u64) -> Record {
     Record {
-        service: Service::from("engines"),
+        service: Service::from(SERVICE),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         zone: Zone::from("a"),
-        build: Build::from("v1"),
+        build: Build::from(BUILD),
         slots: 64,
         draining: false,
         incarnation: Incarnation(1),
@@ -36,7 +40,7 @@
     for (number, version) in versions.iter().enumerate() {
         roster.insert(&name(number as u16), record(number as u16, *version));
     }
-    roster.view().service(&Service::from("engines")).to_vec()
+    roster.view().service(&Service::from(SERVICE)).to_vec()
 }
 
 /// A long prompt whose second part is `subject` and whose last, unshared part is `own`.
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -33,7 +33,7 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Daemon, Incarnation, Model, Version, Zone},
+        id::{Build, Daemon, Incarnation, Model, Version, Zone},
     },
 };
 
@@ -113,7 +113,7 @@
 }
 
 /// A row `version-N` of the operator sets a target; any other is a document whose version is that of
-/// the row. An upstream is an engine.
+/// the row. An upstream is an engine, and `engine-7.v2` has the build `v2`.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -134,9 +134,10 @@
     }
 
     fn decode_upstream(&self, row: &Row) -> Result<Record, dialect::Error> {
-        let number = row.key.trim_start_matches("engine-").parse();
-        let number = number.map_err(|_| dialect::Error("no number".to_owned()))?;
-        Ok(scene::record(number, 1))
+        let name = row.key.trim_start_matches("engine-");
+        let (number, build) = name.split_once('.').unwrap_or((name, scene::BUILD));
+        let number = number.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
+        Ok(Record { build: Build::from(build), ..scene::record(number, 1) })
     }
 }
 
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -3,14 +3,26 @@
 use std::time::Duration;
 
 use tealturn::{
-    gateway::{context::Context, member, store::Topic},
+    gateway::{
+        cache,
+        context::Context,
+        member,
+        message::{MAX_HOPS, News, Update},
+        origin::Entry,
+        peer::Origin,
+        store::Topic,
+    },
     kernel::{
         clock::Time,
-        id::{Model, Version},
+        id::{Build, Incarnation, Model, Service, Version},
     },
+    route::pool::name_hash,
 };
 
-use crate::{scene::MODEL, simulation::Fleet};
+use crate::{
+    scene::{BUILD, MODEL, SERVICE},
+    simulation::Fleet,
+};
 
 const SIZES: [usize; 4] = [7, 86, 195, 350];
 
@@ -243,3 +255,64 @@
         }
     }
 }
+
+fn begin_stream(context: &Context, attempt: u64, build: &str) {
+    let service = Service::from(SERVICE);
+    let entry = Entry { attempt, service: name_hash(SERVICE), build: Build::from(build) };
+    context.origins().begin(&entry, context.now());
+    context.publish_origins(&service);
+}
+
+/// Fills the log of updates with ones that the receivers don't pass on.
+fn fill_log(context: &Context) {
+    const UPDATES: u64 = 5_000;
+    let mut updates = context.peers.updates();
+    for part in 0..UPDATES {
+        let incarnation = Incarnation(1);
+        let entry = cache::Entry { cache: 1, incarnation, part, tokens: 1, shared: true };
+        let update = Update { hops: MAX_HOPS - 1, news: News::Cached(entry) };
+        updates.push(Origin::Own, update);
+    }
+}
+
+fn origin(context: &Context, attempt: u64) -> Option<Build> {
+    let (view, service) = (context.view.load(), Service::from(SERVICE));
+    let registered = view.builds(&service);
+    context.origins().find(attempt, name_hash(SERVICE), registered, true, context.now())
+}
+
+/// A caller may resume a stream at any daemon, also after the one that began it was killed: at one
+/// that doesn't know its origin it would be lost, or go on at another build.
+#[test]
+fn all_daemons_know_which_build_began_a_stream_also_those_that_start_later() {
+    /// Streams that begin before and after the second build appears.
+    const STREAMS: [(u64, &str); 2] = [(1, BUILD), (2, "v2")];
+    let know = |fleet: &Fleet| {
+        let contexts = fleet.contexts();
+        let knows = |it: &Context| {
+            STREAMS.iter().all(|(attempt, build)| origin(it, *attempt) == Some(Build::from(*build)))
+        };
+        contexts.iter().all(|it| knows(it))
+    };
+    for daemons in [7, 86, 195] {
+        let mut fleet = settled(daemons, 8);
+        let (beginners, late) = ([daemons / 2, daemons / 2 - 1], daemons - 1);
+        fleet.kill(late);
+        begin_stream(fleet.context(beginners[0]), STREAMS[0].0, STREAMS[0].1);
+        fleet.run(Duration::from_secs(1));
+        fleet.write(Topic::Upstreams, "engine-78.v2");
+        fleet.run(MAX_SPREAD);
+        begin_stream(fleet.context(beginners[1]), STREAMS[1].0, STREAMS[1].1);
+        assert!(fleet.run_until(MAX_SPREAD, know).is_some(), "{daemons}: not known everywhere");
+        // The log of updates no longer holds them.
+        fleet.contexts().iter().for_each(|it| fill_log(it));
+        fleet.run(Duration::from_secs(1));
+        beginners.iter().for_each(|it| fleet.kill(*it));
+        fleet.start(late);
+        assert!(
+            fleet.run_until(Duration::from_secs(2), know).is_some(),
+            "{daemons}: not known to a daemon that started later"
+        );
+        assert_eq!(origin(fleet.context(0), 3), None, "{daemons}: unknown streams aren't guessed");
+    }
+}
