--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -33,7 +33,7 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Daemon, Incarnation, Model, Version, Zone},
+        id::{Build, Daemon, Incarnation, Model, Version, Zone},
     },
 };
 
@@ -116,7 +116,8 @@
 }
 
 /// A row `version-N` of the operator sets a target, and the row [`WEIGHTS_KEY`] the one that its value
-/// names; any other is a document whose version is that of the row. An upstream is an engine.
+/// names; any other is a document whose version is that of the row. An upstream is an engine, and
+/// `engine-7.v2` has the build `v2`.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -142,9 +143,10 @@
     }
 
     fn decode_upstream(&self, row: &Row) -> Result<Record, dialect::Error> {
-        let number = row.key.trim_start_matches("engine-").parse();
-        let number = number.map_err(|_| dialect::Error("no number".to_owned()))?;
-        Ok(scene::record(number, 1))
+        let name = row.key.trim_start_matches("engine-");
+        let (number, build) = name.split_once('.').unwrap_or((name, scene::BUILD));
+        let number = number.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
+        Ok(Record { build: Build::from(build), ..scene::record(number, 1) })
     }
 }
 
