Read the era of the store's answers

The store may come back from an older copy of itself and give versions out again; the header `Store-Era` of its answers counts that. The interface to the store hands the era on with pages, rows and the results of writes. Nothing acts on it yet.

--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -204,7 +204,7 @@
         }
         self.next_check = now + interval;
         let row = match self.context.store.get(Topic::Leases, LEASE_KEY).await {
-            Ok(row) => row,
+            Ok(answer) => answer.value,
             Err(failure) => return warn!(%failure, "failed to read the lease"),
         };
         self.evaluate_lease(row).await;
@@ -243,7 +243,7 @@
         let sent_at = context.now();
         self.last_write = sent_at;
         self.writes.spawn(async move {
-            let result = context.store.write(&write).await;
+            let result = context.store.write(&write).await.map(|it| it.value);
             Response { sent_at, fence, result }
         });
     }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -1,6 +1,6 @@
 //! Interface to the external store, whose data outlives the VMs of all daemons.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
@@ -37,9 +37,45 @@
     pub removed: bool,
 }
 
+/// Counts how often the store has come back from an older copy of itself. What was written after
+/// that copy is gone, and versions are given out again: they can be compared within one era only.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A transaction of the store in an era. Later ones compare greater.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Position {
+    /// The era.
+    pub era: Era,
+    /// Number of the transaction in that era.
+    pub version: u64,
+}
+
+/// What the store answered, and the era in which it did.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer<T> {
+    /// The era.
+    pub era: Era,
+    /// The answer.
+    pub value: T,
+}
+
 /// A page of rows from one topic.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Page {
+    /// The era in which the store answered.
+    pub era: Era,
     /// The rows of this page.
     pub rows: Vec<Row>,
     /// The latest transaction that the page reflects.
@@ -98,8 +134,8 @@
     async fn changes(&self, topic: Topic, after: u64, wait: Duration) -> Result<Page, Error>;
 
     /// Reads one row; `None` if it doesn't exist.
-    async fn get(&self, topic: Topic, key: &str) -> Result<Option<Row>, Error>;
+    async fn get(&self, topic: Topic, key: &str) -> Result<Answer<Option<Row>>, Error>;
 
     /// Applies a conditional write.
-    async fn write(&self, write: &Write) -> Result<Outcome, Error>;
+    async fn write(&self, write: &Write) -> Result<Answer<Outcome>, Error>;
 }
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -28,7 +28,7 @@
         message::{Link, Message},
         roster::{Endpoint, Record},
         settings::Settings,
-        store::{self, Page, Row, Store, Topic, Write},
+        store::{self, Answer, Page, Row, Store, Topic, Write},
     },
     http::{client::Client, server::Body},
     kernel::{
@@ -79,10 +79,10 @@
     async fn changes(&self, _: Topic, _: u64, _: Duration) -> Result<Page, store::Error> {
         unreachable!()
     }
-    async fn get(&self, _: Topic, _: &str) -> Result<Option<Row>, store::Error> {
+    async fn get(&self, _: Topic, _: &str) -> Result<Answer<Option<Row>>, store::Error> {
         unreachable!()
     }
-    async fn write(&self, _: &Write) -> Result<store::Outcome, store::Error> {
+    async fn write(&self, _: &Write) -> Result<Answer<store::Outcome>, store::Error> {
         unreachable!()
     }
 }
