Replace copies by rows of a later era of the store

A daemon whose store came back from an older copy refused its listings, because their versions were lower than those that it had, and later missed rows that were written under versions which it had seen. Copies, the heads and rows that daemons exchange, and what is known of a peer's copies are now ordered by era and version. Rows of a later era replace all others, rows of an earlier one neither change nor confirm anything. A daemon that sees a later era in any answer of the store or message lists its topics anew, also from a waiting read. A listing of several pages is of one era.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod dialect;
 pub mod document;
 pub mod entry;
+pub mod era;
 pub mod exchange;
 pub mod follow;
 pub mod freshness;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,6 +15,7 @@
         budget::Budget,
         dialect::{Dialect, Engines, Schema},
         document::Document,
+        era::Eras,
         freshness::Freshness,
         member::Members,
         message::{News, Update},
@@ -74,6 +75,8 @@
     /// The active document, which is the operator's configuration; replaced only by a higher
     /// version.
     pub document: ArcSwapOption<Document>,
+    /// The latest era of the store.
+    pub eras: Eras,
     /// The rows of the store's topics, passed on to other daemons.
     pub mirror: Mirror,
     /// When the document was last confirmed to be the latest.
@@ -116,6 +119,7 @@
             store: setup.store,
             engines: setup.engines,
             document: ArcSwapOption::empty(),
+            eras: Eras::default(),
             mirror: Mirror::default(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -115,7 +115,7 @@
 fn head(context: &Context, topic: Topic, known: &Known) -> Option<Head> {
     let head = context.mirror.head(topic)?;
     let confirmed_at = Offset::new(head.confirmed_at, known.heard_at);
-    Some(Head { version: head.version, confirmed_at })
+    Some(Head { position: head.position, confirmed_at })
 }
 
 /// The rows that the peer lacks. Before its first message it is not known which.
@@ -125,15 +125,15 @@
         return missing;
     }
     for (index, topic) in Topic::FOLLOWED.into_iter().enumerate() {
-        let version = known.versions[index];
-        let head = context.mirror.head(topic).map(|it| it.version);
-        if head <= version {
+        let position = known.positions[index];
+        let head = context.mirror.head(topic).map(|it| it.position);
+        if head <= position {
             continue;
         }
-        let Some(delta) = context.mirror.after(topic, version) else {
+        let Some(delta) = context.mirror.after(topic, position) else {
             continue;
         };
-        let after = version.filter(|_| !delta.full);
+        let after = position.map(|it| it.version).filter(|_| !delta.full);
         missing.push(Rows { topic: index, after, rows: delta.rows });
     }
     missing
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -90,15 +90,16 @@
         let Some(head) = message.heads[index] else {
             continue;
         };
+        context.eras.observe(head.position.era, context.now());
         let confirmed_at = echo.map_or(Time::default(), |it| head.confirmed_at.resolve(it));
         if let Some(rows) = message.rows.iter().find(|it| it.topic == index) {
-            follow::apply(context, topic, &rows.rows, rows.after, head.version, confirmed_at);
+            follow::apply(context, topic, &rows.rows, rows.after, head.position, confirmed_at);
             continue;
         }
-        let own_version = context.mirror.head(topic).map(|it| it.version);
-        if own_version.is_some_and(|it| it >= head.version) {
-            let after = Some(head.version);
-            follow::apply(context, topic, &[], after, head.version, confirmed_at);
+        let own = context.mirror.head(topic).map(|it| it.position);
+        if own.is_some_and(|it| it.era == head.position.era && it >= head.position) {
+            let after = Some(head.position.version);
+            follow::apply(context, topic, &[], after, head.position, confirmed_at);
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,7 +20,7 @@
         exchange,
         mirror::Delta,
         rollout::Target,
-        store::{self, Page, Row, Topic},
+        store::{self, Page, Position, Row, Topic},
     },
     kernel::{
         clock::Time,
@@ -96,7 +96,7 @@
 struct Follower {
     context: Arc<Context>,
     topic: Topic,
-    /// Whether changes were compacted, so that all rows must be listed.
+    /// Whether changes are missing, so that all rows must be listed.
     must_list: bool,
     failures: u32,
 }
@@ -152,18 +152,24 @@
 
     async fn poll(&mut self) {
         let requested_at = self.context.now();
-        let head = self.context.mirror.head(self.topic).filter(|_| !self.must_list);
+        let latest_era = self.context.eras.latest();
+        let head = self.context.mirror.head(self.topic).map(|it| it.position);
+        let head = head.filter(|it| !self.must_list && Some(it.era) >= latest_era);
         let after = head.map(|it| it.version);
         let is_watcher = self.context.plan.load().is_watcher;
-        let result = match after {
+        let result = match head {
             None => self.list_all().await,
-            Some(after) => {
+            Some(head) => {
                 let timeout = match self.topic {
                     _ if !is_watcher => Duration::ZERO,
                     Topic::Operator => OPERATOR_POLL_TIMEOUT,
                     _ => POLL_TIMEOUT,
                 };
-                self.context.store.changes(self.topic, after, timeout).await
+                // Others may learn of a later era while this call waits.
+                tokio::select! {
+                    result = self.context.store.changes(self.topic, head.version, timeout) => result,
+                    () = self.context.eras.wait_after(head.era) => return,
+                }
             }
         };
         let outcome = if result.is_ok() { "answered" } else { "failed" };
@@ -173,18 +179,29 @@
                 if std::mem::take(&mut self.failures) > 0 {
                     info!(topic = ?self.topic, "the store responds again");
                 }
-                self.must_list = false;
+                // Rows that the head continues in another era tell nothing about the missing ones.
+                self.must_list = head.is_some_and(|it| it.era != page.era);
+                self.context.eras.observe(page.era, self.context.now());
+                if self.must_list {
+                    return;
+                }
+                let latest_era = self.context.eras.latest();
+                if latest_era > Some(page.era) {
+                    let failure = format!("the answer is of era {}, not {latest_era:?}", page.era);
+                    return self.back_off(&store::Error::Malformed(failure), is_watcher).await;
+                }
                 let changed = !page.rows.is_empty();
                 if self.topic == Topic::Upstreams {
                     self.context.change_roster(|it| it.store_answered(self.context.now()));
                 }
-                apply(&self.context, self.topic, &page.rows, after, page.version, requested_at);
+                let position = Position { era: page.era, version: page.version };
+                apply(&self.context, self.topic, &page.rows, after, position, requested_at);
                 if changed && self.topic != Topic::Operator {
                     time::sleep(batch_delay(self.context.members.count())).await;
                 }
             }
             Err(store::Error::Compacted) => {
-                info!(topic = ?self.topic, "changes were compacted; listing the topic again");
+                info!(topic = ?self.topic, "changes are no longer available; listing the topic again");
                 self.must_list = true;
             }
             Err(failure) => self.back_off(&failure, is_watcher).await,
@@ -199,6 +216,10 @@
                 break;
             };
             let next = self.context.store.list(self.topic, Some(&last)).await?;
+            if next.era != page.era {
+                page = self.context.store.list(self.topic, None).await?;
+                continue;
+            }
             page.rows.extend(next.rows);
             page.has_more = next.has_more;
         }
@@ -222,26 +243,31 @@
     }
 }
 
-/// Applies rows that reflect the store up to transaction `version`, and were current at
-/// `confirmed_at`. `after` is the transaction that they continue; `None` if they are all rows.
-/// Rows older than those that this daemon has are ignored.
+/// Applies rows that reflect the store up to `position`, and were current at `confirmed_at`. `after`
+/// is the transaction of the same era that they continue; `None` if they are all rows. Rows older
+/// than those that this daemon has, or of an era that has ended, are ignored.
 pub fn apply(
     context: &Context,
     topic: Topic,
     rows: &[Row],
     after: Option<u64>,
-    version: u64,
+    position: Position,
     confirmed_at: Time,
 ) {
+    context.eras.observe(position.era, context.now());
+    if context.eras.latest() > Some(position.era) {
+        return;
+    }
     let previous = context.mirror.head(topic);
-    let Some(delta) = context.mirror.merge(topic, rows, after, version, confirmed_at) else {
+    let Some(delta) = context.mirror.merge(topic, rows, after, position, confirmed_at) else {
         return;
     };
     match topic {
         Topic::Operator => apply_operator_rows(context, &delta, confirmed_at),
         Topic::Upstreams => {
             let gap = previous.map(|it| confirmed_at.since(it.confirmed_at));
-            apply_upstream_rows(context, &delta, gap.is_some_and(|it| it >= OUTAGE_GAP));
+            let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
+            apply_upstream_rows(context, &delta, was_lost);
         }
         Topic::Fleet => context.members.apply_rows(&delta),
         Topic::Leases => {}
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -11,7 +11,12 @@
 
 use crate::{
     fleet::board::Fact,
-    gateway::{cache, gauge::Outcomes, rollout, store::Row},
+    gateway::{
+        cache,
+        gauge::Outcomes,
+        rollout,
+        store::{Position, Row},
+    },
     kernel::{
         clock::Time,
         id::{Incarnation, Model, Version},
@@ -105,7 +110,7 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Head {
     /// The latest transaction that it includes.
-    pub version: u64,
+    pub position: Position,
     /// When it was confirmed to be the latest.
     pub confirmed_at: Offset,
 }
@@ -115,7 +120,8 @@
 pub struct Rows {
     /// Index in [`Topic::FOLLOWED`](crate::gateway::store::Topic::FOLLOWED).
     pub topic: usize,
-    /// The transaction that the rows continue; `None` if they are all rows.
+    /// The transaction that the rows continue, of the same era as the sender's head; `None` if they
+    /// are all rows.
     pub after: Option<u64>,
     /// The rows.
     pub rows: Vec<Row>,
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,13 +1,14 @@
 //! Copies of the store's topics, which daemons pass on to each other.
 //!
 //! Versions are transaction numbers of the whole store, so the copies of two daemons can be
-//! compared whoever read them. A copy never goes back.
+//! compared whoever read them. A copy never goes back, unless the store itself did: then all rows
+//! of the later era replace those of the earlier one, whatever their versions.
 
 use std::sync::{Mutex, MutexGuard};
 
 use crate::{
     collections::Map,
-    gateway::store::{Row, Topic},
+    gateway::store::{Position, Row, Topic},
     kernel::clock::Time,
 };
 
@@ -19,7 +20,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Head {
     /// The latest transaction that the copy includes.
-    pub version: u64,
+    pub position: Position,
     /// The time at which no later transaction of the topic had been committed: when the store was
     /// asked, by whichever daemon.
     pub confirmed_at: Time,
@@ -30,6 +31,9 @@
 pub struct Delta {
     /// Whether these are all rows of the topic; others are gone.
     pub full: bool,
+    /// Whether the copy was of an earlier era. Then these are all rows, whether they changed or not,
+    /// and the removal of those that the store no longer has.
+    pub restored: bool,
     /// The rows, including removed ones unless these are all.
     pub rows: Vec<Row>,
 }
@@ -52,35 +56,42 @@
         self.copy(topic, |it| it.head)
     }
 
-    /// Merges rows that reflect the store up to transaction `version` and were current at
-    /// `confirmed_at`. Returns the changes, or `None` if the rows can't be used: they are older than
-    /// the copy or don't continue it. `after` is the transaction that the rows continue; `None` if
-    /// they are all rows.
+    /// Merges rows that reflect the store up to `position` and were current at `confirmed_at`.
+    /// Returns the changes, or `None` if the rows can't be used: they are older than the copy or
+    /// don't continue it. `after` is the transaction of the same era that the rows continue; `None`
+    /// if they are all rows.
     pub fn merge(
         &self,
         topic: Topic,
         rows: &[Row],
         after: Option<u64>,
-        version: u64,
+        position: Position,
         confirmed_at: Time,
     ) -> Option<Delta> {
-        self.copy(topic, |copy| copy.merge(rows, after, version, confirmed_at))
+        self.copy(topic, |copy| copy.merge(rows, after, position, confirmed_at))
     }
 
-    /// Rows that a copy up to transaction `version` lacks; all if it is `None`. Returns `None` if
-    /// the topic was never read here.
-    pub fn after(&self, topic: Topic, version: Option<u64>) -> Option<Delta> {
+    /// Rows that a copy up to `position` lacks; all if it is `None` or of another era. Returns
+    /// `None` if the topic was never read here.
+    pub fn after(&self, topic: Topic, position: Option<Position>) -> Option<Delta> {
         self.copy(topic, |copy| {
-            copy.head?;
+            let era = copy.head?.position.era;
+            let version = position.filter(|it| it.era == era).map(|it| it.version);
             let full = version.is_none_or(|it| it < copy.complete_after);
             let is_missing = |row: &&Row| match full {
                 true => !row.removed,
                 false => version.is_some_and(|it| row.version > it),
             };
-            Some(Delta { full, rows: copy.rows.values().filter(is_missing).cloned().collect() })
+            let rows = copy.rows.values().filter(is_missing).cloned().collect();
+            Some(Delta { full, restored: false, rows })
         })
     }
 
+    /// One row of a topic, if the copy has it.
+    pub fn row(&self, topic: Topic, key: &str) -> Option<Row> {
+        self.copy(topic, |copy| copy.rows.get(key).filter(|it| !it.removed).cloned())
+    }
+
     fn copy<T>(&self, topic: Topic, read: impl FnOnce(&mut Copy) -> T) -> T {
         let mut copies: MutexGuard<'_, _> = self.0.lock().unwrap_or_else(|it| it.into_inner());
         read(&mut copies[topic as usize])
@@ -92,20 +103,24 @@
         &mut self,
         rows: &[Row],
         after: Option<u64>,
-        version: u64,
+        position: Position,
         confirmed_at: Time,
     ) -> Option<Delta> {
-        let known = self.head.map(|it| it.version);
+        let known = self.head.map(|it| it.position);
         let is_usable = match after {
-            Some(after) => known.is_some_and(|it| it >= after),
-            None => known.is_none_or(|it| it <= version),
+            Some(after) => known.is_some_and(|it| it.era == position.era && it.version >= after),
+            None => known.is_none_or(|it| it <= position),
         };
         if !is_usable {
             return None;
         }
-        let mut delta = Delta { full: after.is_none() && known.is_none(), rows: Vec::new() };
+        if known.is_some_and(|it| it.era < position.era) {
+            return Some(self.restore(rows, Head { position, confirmed_at }));
+        }
+        let full = after.is_none() && known.is_none();
+        let mut delta = Delta { full, restored: false, rows: Vec::new() };
         if after.is_none() {
-            self.remove_others(rows, version, &mut delta);
+            self.remove_others(rows, position.version, &mut delta);
         }
         for row in rows {
             if self.rows.get(&row.key).is_some_and(|it| it.version >= row.version) {
@@ -115,12 +130,26 @@
             delta.rows.push(row.clone());
         }
         self.prune();
-        let head = self.head.get_or_insert(Head { version, confirmed_at });
-        head.version = head.version.max(version);
+        let head = self.head.get_or_insert(Head { position, confirmed_at });
+        head.position = head.position.max(position);
         head.confirmed_at = head.confirmed_at.max(confirmed_at);
         Some(delta)
     }
 
+    /// Replaces all rows by those of a later era.
+    fn restore(&mut self, listed: &[Row], head: Head) -> Delta {
+        let rows = listed.iter().map(|it| (it.key.clone(), it.clone())).collect();
+        let before = std::mem::replace(&mut self.rows, rows);
+        self.complete_after = head.position.version;
+        self.head = Some(head);
+        let gone = before.into_values().filter(|it| !it.removed);
+        let gone = gone.filter(|it| !self.rows.contains_key(&it.key));
+        let version = head.position.version;
+        let removals = gone.map(|it| Row { value: None, version, removed: true, ..it });
+        let rows = listed.iter().cloned().chain(removals).collect();
+        Delta { full: false, restored: true, rows }
+    }
+
     /// Marks the rows that a full listing up to `version` no longer has.
     fn remove_others(&mut self, listed: &[Row], version: u64, delta: &mut Delta) {
         if self.head.is_none() {
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -13,7 +13,10 @@
 
 use crate::{
     collections::{Map, Set},
-    gateway::message::{Link, Load, MAX_HOPS, Message, Update, Usage},
+    gateway::{
+        message::{Link, Load, MAX_HOPS, Message, Update, Usage},
+        store::Position,
+    },
     kernel::{clock::Time, id::Incarnation},
     route::pool::{mix, name_hash},
 };
@@ -89,7 +92,7 @@
     /// The last update received from the peer, and the last of this daemon that it has.
     received_update: u64,
     acknowledged_update: u64,
-    versions: [Option<u64>; 3],
+    positions: [Option<Position>; 3],
     rollouts: u64,
     loads: Vec<Load>,
     usages: Vec<Usage>,
@@ -111,8 +114,8 @@
     pub received_update: u64,
     /// The last update of this daemon that it has.
     pub acknowledged_update: u64,
-    /// The versions of its copies of the followed topics.
-    pub versions: [Option<u64>; 3],
+    /// How far its copies of the followed topics reach.
+    pub positions: [Option<Position>; 3],
     /// Digest of the rollout reports that it has.
     pub rollouts: u64,
     /// Digest of the list of live daemons received from it.
@@ -153,7 +156,7 @@
             stamp: it.stamp,
             received_update: it.received_update,
             acknowledged_update: it.acknowledged_update,
-            versions: it.versions,
+            positions: it.positions,
             rollouts: it.rollouts,
             received_live: live_digest(&it.live),
             sent_live: it.live_digest,
@@ -177,7 +180,7 @@
                 .max(same_process.map_or(0, |it| it.received_update)),
             acknowledged_update: acknowledged
                 .max(same_process.map_or(0, |it| it.acknowledged_update)),
-            versions: message.heads.map(|it| it.map(|head| head.version)),
+            positions: message.heads.map(|it| it.map(|head| head.position)),
             rollouts: message.rollouts_digest,
             loads: message.loads.clone(),
             usages: message.usages.clone(),
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -28,7 +28,7 @@
         message::{Link, Message},
         roster::{Endpoint, Record},
         settings::Settings,
-        store::{self, Answer, Page, Row, Store, Topic, Write},
+        store::{self, Answer, Era, Page, Position, Row, Store, Topic, Write},
     },
     http::{client::Client, server::Body},
     kernel::{
@@ -112,8 +112,8 @@
     }
 }
 
-/// A row `version-N` of the operator sets a target; any other is a document whose version is that of
-/// the row. An upstream is an engine.
+/// A row `version-N` of the operator sets a target; any other is a document whose version is its
+/// value, or that of the row if it has none. An upstream is an engine.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -122,8 +122,9 @@
             let version = version.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
             return Ok(Directive::Weights(Model::from(scene::MODEL), Version(version)));
         }
+        let named = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
         let parts = document::Parts {
-            version: row.version,
+            version: named.and_then(|it| it.parse().ok()).unwrap_or(row.version),
             routes: Vec::new(),
             services: Vec::new(),
             limits: Limits { body_bytes: 1, header_bytes: 1, idle: Duration::from_secs(1) },
@@ -165,6 +166,12 @@
     is_cut: bool,
 }
 
+/// What the store held at a moment.
+pub struct Snapshot {
+    rows: [Vec<Row>; 3],
+    version: u64,
+}
+
 /// A fleet of daemons, and a store that only watchers ask.
 pub struct Fleet {
     vms: Vec<Vm>,
@@ -176,7 +183,7 @@
     /// Whether the store answers.
     pub store_answers: bool,
     rows: [Vec<Row>; 3],
-    version: u64,
+    position: Position,
     started: u64,
 }
 
@@ -208,7 +215,7 @@
             loss: 0.0,
             store_answers: true,
             rows: Default::default(),
-            version: 0,
+            position: Position::default(),
             started: 0,
             vms,
         };
@@ -231,14 +238,32 @@
     }
 
     fn write_value(&mut self, topic: Topic, key: &str, value: Vec<u8>) -> u64 {
-        self.version += 1;
+        self.position.version += 1;
         let rows = &mut self.rows[topic as usize];
         rows.retain(|it| it.key != key);
-        let (key, version) = (key.to_owned(), self.version);
+        let (key, version) = (key.to_owned(), self.position.version);
         rows.push(Row { key, value: Some(value), version, removed: false });
         version
     }
 
+    /// Writes a document of this version.
+    pub fn write_document(&mut self, version: u64) {
+        self.write_value(Topic::Operator, "document", version.to_string().into_bytes());
+    }
+
+    /// What the store holds, to be restored later.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { rows: self.rows.clone(), version: self.position.version }
+    }
+
+    /// The store comes back from a snapshot: what was written since is gone, and its versions are
+    /// given out again.
+    pub fn restore(&mut self, snapshot: Snapshot) {
+        self.rows = snapshot.rows;
+        let era = Era(self.position.era.0 + 1);
+        self.position = Position { era, version: snapshot.version };
+    }
+
     fn register(&mut self, index: usize) {
         let vm = &self.vms[index];
         let member = Member {
@@ -268,11 +293,16 @@
             engines: Arc::new(Unused),
         };
         let context = Arc::new(Context::new(setup));
-        vm.context = Some(context.clone());
+        vm.context = Some(context);
         vm.calls.clear();
         vm.planned_at = Time::default();
-        let rows = &self.rows[Topic::Fleet as usize];
-        follow::apply(&context, Topic::Fleet, rows, None, self.version, context.now());
+        self.read(index, Topic::Fleet);
+    }
+
+    /// A daemon lists a topic.
+    pub fn read(&self, index: usize, topic: Topic) {
+        let (context, rows) = (self.context(index), &self.rows[topic as usize]);
+        follow::apply(context, topic, rows, None, self.position, context.now());
     }
 
     /// Ends a daemon's process.
@@ -345,14 +375,16 @@
         }
         let is_due = self.now.since(vm.asked_at) >= STORE_INTERVAL;
         for topic in Topic::FOLLOWED {
-            let known = context.mirror.head(topic).map(|it| it.version);
+            let known = context.mirror.head(topic).map(|it| it.position);
+            // A copy of an earlier era is read anew.
+            let known = known.filter(|it| it.era == self.position.era).map(|it| it.version);
             let rows = self.rows[topic as usize].iter();
             let rows: Vec<_> = rows.filter(|it| known.is_none_or(|v| it.version > v)).collect();
             if rows.is_empty() && !is_due {
                 continue;
             }
             let rows: Vec<_> = rows.into_iter().cloned().collect();
-            follow::apply(&context, topic, &rows, known, self.version, context.now());
+            follow::apply(&context, topic, &rows, known, self.position, context.now());
         }
         if is_due {
             self.vms[index].asked_at = self.now;
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -243,3 +243,29 @@
         }
     }
 }
+
+/// A daemon that still is in the earlier era must not undo what others know, nor be believed.
+#[test]
+fn a_daemon_that_was_cut_off_while_the_store_was_restored_catches_up() {
+    const LOST: u64 = 1_000;
+    const LATER: u64 = 2_000;
+    for daemons in [7, 86] {
+        let mut fleet = settled(daemons, 9);
+        let snapshot = fleet.snapshot();
+        fleet.write_document(LOST);
+        fleet.run(Duration::from_secs(2));
+        fleet.cut(daemons - 1, true);
+        fleet.run(Duration::from_secs(1));
+        fleet.restore(snapshot);
+        fleet.write_document(LATER);
+        fleet.run(Duration::from_secs(3));
+        assert!(have_document(&fleet, LATER));
+        let before = age(fleet.context(daemons - 1));
+        assert!(before >= Duration::from_secs(4), "{daemons}: it was cut off: {before:?}");
+        fleet.cut(daemons - 1, false);
+        let took = fleet.run_until(Duration::from_secs(4), |it| have_document(it, LATER));
+        assert!(took.is_some(), "{daemons}: it keeps the earlier copy");
+        fleet.run(Duration::from_secs(1));
+        assert!(have_document(&fleet, LATER) && oldest(&fleet) <= MAX_CONFIRMATION_AGE);
+    }
+}
