Confirm no document older than one that any daemon knows

After the store came back from an older copy, its document may be older than the active one, with keys that were taken away since, or be missing. A listing with such a document must not confirm the active one. A confirmation now counts only if the store has had, in this era, a document as new as any that is known. Messages name the latest one, so that a daemon which starts meanwhile drops the confirmation of an older document.

With versions compared without the era, `tree` fails with "rows that are written again aren't everywhere".

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -16,7 +16,7 @@
         dialect::{Dialect, Engines, Schema},
         document::Document,
         era::Eras,
-        freshness::Freshness,
+        freshness::{Documents, Freshness},
         member::Members,
         message::{News, Update},
         mirror::Mirror,
@@ -79,6 +79,8 @@
     pub eras: Eras,
     /// The rows of the store's topics, passed on to other daemons.
     pub mirror: Mirror,
+    /// Versions of documents, which tell whether the store has the latest one.
+    pub documents: Documents,
     /// When the document was last confirmed to be the latest.
     pub freshness: Freshness,
     /// Registered upstreams that aren't draining, whatever their health.
@@ -121,6 +123,7 @@
             document: ArcSwapOption::empty(),
             eras: Eras::default(),
             mirror: Mirror::default(),
+            documents: Documents::default(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -63,6 +63,7 @@
         live: (!is_known).then_some(live),
         heads: Topic::FOLLOWED.map(|topic| head(context, topic, &known)),
         rows: rows(context, &known),
+        document: context.documents.known(),
         targets: targets(context, now),
         rollouts_digest,
         rollouts,
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -7,7 +7,7 @@
         message::{Message, News, Update},
         peer::Origin,
         rollout::Target,
-        store::Topic,
+        store::{Era, Topic},
     },
     kernel::clock::Time,
     route::pool::name_hash,
@@ -17,6 +17,7 @@
 pub fn take(context: &Context, message: &Message) {
     let now = context.now();
     take_updates(context, message, now);
+    take_document(context, message);
     context.peers.record(message, context.incarnation, now);
     take_targets(context, message, now);
     for rollout in &message.rollouts {
@@ -58,6 +59,17 @@
     }
 }
 
+/// Notes the latest document that the sender knows of. A daemon that started after the store came
+/// back from an older copy may have confirmed an older one.
+fn take_document(context: &Context, message: &Message) {
+    context.documents.learn(message.document);
+    let active = context.document.load().as_ref().map(|it| it.version);
+    let was_restored = context.eras.latest() > Some(Era::default());
+    if was_restored && message.document > active {
+        context.freshness.reset();
+    }
+}
+
 fn take_targets(context: &Context, message: &Message, now: Time) {
     for targets in &message.targets {
         for (version, since) in &targets.versions {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -20,7 +20,7 @@
         exchange,
         mirror::Delta,
         rollout::Target,
-        store::{self, Page, Position, Row, Topic},
+        store::{self, Era, Page, Position, Row, Topic},
     },
     kernel::{
         clock::Time,
@@ -263,7 +263,7 @@
         return;
     };
     match topic {
-        Topic::Operator => apply_operator_rows(context, &delta, confirmed_at),
+        Topic::Operator => apply_operator_rows(context, &delta, position.era, confirmed_at),
         Topic::Upstreams => {
             let gap = previous.map(|it| confirmed_at.since(it.confirmed_at));
             let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
@@ -277,12 +277,18 @@
     }
 }
 
-fn apply_operator_rows(context: &Context, delta: &Delta, confirmed_at: Time) {
+/// The document and the targets stay active when their rows are removed, or when the store lost
+/// them. A document that the store lost is confirmed again once the operator has written it again,
+/// or a later one.
+fn apply_operator_rows(context: &Context, delta: &Delta, era: Era, confirmed_at: Time) {
     let mut all_decoded = true;
-    // The document and the targets stay active when their rows are removed.
+    context.documents.enter(era);
     for row in delta.rows.iter().filter(|it| !it.removed) {
         match context.schema.decode_operator_row(row) {
-            Ok(dialect::Directive::Document(document)) => apply_document(context, document),
+            Ok(dialect::Directive::Document(document)) => {
+                context.documents.stored(era, document.version);
+                apply_document(context, document);
+            }
             Ok(dialect::Directive::Weights(model, version)) => {
                 set_target(context, &model, version, delta.full);
             }
@@ -294,7 +300,7 @@
             }
         }
     }
-    if all_decoded && context.document.load().is_some() {
+    if all_decoded && context.documents.is_latest_stored() {
         context.freshness.confirm(confirmed_at);
     }
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -238,6 +238,9 @@
     pub heads: [Option<Head>; 3],
     /// Rows that the receiver lacks.
     pub rows: Vec<Rows>,
+    /// The latest version of the document that the sender knows of, whether or not the store has
+    /// it. Until a receiver has it, nothing confirms its own.
+    pub document: Option<u64>,
     /// The operator's target versions.
     pub targets: Vec<Targets>,
     /// Digest of the sender's rollout reports.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod cache;
 #[path = "gateway/document.rs"]
 mod document;
+#[path = "gateway/freshness.rs"]
+mod freshness;
 #[path = "gateway/gauge.rs"]
 mod gauge;
 #[path = "gateway/message.rs"]
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -30,6 +30,7 @@
         live: Some(vec![(name_hash(from), ready)]),
         heads: [None; 3],
         rows: Vec::new(),
+        document: None,
         targets: Vec::new(),
         rollouts_digest: 0,
         rollouts: Vec::new(),
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -244,6 +244,77 @@
     }
 }
 
+/// Daemons that compared versions only would keep rows that the store has lost, and miss those that
+/// are written under the same versions (docs/FLEET.md).
+#[test]
+fn a_fleet_follows_a_store_that_comes_back_from_an_older_copy() {
+    const LOST: u64 = 1_000;
+    const LATER: u64 = 2_000;
+    const GRACE: Duration = Duration::from_millis(2_500);
+    let has_engine = |context: &Context, name: &str| {
+        let view = context.view.load();
+        view.all().any(|it| it.name.as_str() == name)
+    };
+    let everyone = |fleet: &Fleet, holds: &dyn Fn(&Context) -> bool| {
+        fleet.contexts().iter().all(|it| holds(it))
+    };
+    for daemons in [7, 86] {
+        for loss in [0.0, 0.025] {
+            let mut fleet = settled(daemons, 8);
+            fleet.loss = loss;
+            let snapshot = fleet.snapshot();
+            fleet.write_document(LOST);
+            // More transactions than are written again.
+            for _ in 0..8 {
+                fleet.write(Topic::Upstreams, "engine-500");
+            }
+            let took = fleet.run_until(MAX_SPREAD, |it| have_document(it, LOST));
+            assert!(took.is_some(), "{daemons}: document not everywhere");
+            fleet.run(Duration::from_millis(500));
+            fleet.restore(snapshot);
+            let restored_at = fleet.now;
+            fleet.run(Duration::from_millis(100));
+            // The operator hasn't written anything yet, and two daemons start meanwhile.
+            for index in [0, daemons / 2] {
+                fleet.kill(index);
+                fleet.start(index);
+                fleet.read(index, Topic::Operator);
+                assert!(fleet.context(index).is_ready(), "{daemons}: it has heard of no later one");
+            }
+            fleet.run(Duration::from_millis(1_400));
+            for (index, context) in fleet.contexts().iter().enumerate() {
+                let daemon = &context.settings.daemon;
+                let is_new = [0, daemons / 2].contains(&index);
+                let version = context.document.load().as_ref().map(|it| it.version);
+                assert!(is_new || version == Some(LOST), "{daemons}, {daemon}: {version:?}");
+                let age = age(context);
+                let since = fleet.now.since(restored_at);
+                assert!(age >= since, "{daemons}, {daemon}: an older document is confirmed");
+            }
+            // Versions that are given out again.
+            fleet.write(Topic::Upstreams, "engine-501");
+            fleet.write_document(LOST);
+            let is_done = |context: &Context| {
+                has_engine(context, "engine-501") && age(context) < Duration::from_millis(1_000)
+            };
+            let took = fleet.run_until(MAX_CONFIRMATION_AGE, |it| {
+                have_document(it, LOST) && everyone(it, &is_done)
+            });
+            assert!(took.is_some(), "{daemons}: rows that are written again aren't everywhere");
+            fleet.run(GRACE);
+            for context in fleet.contexts() {
+                context.expire_upstreams();
+                let daemon = &context.settings.daemon;
+                assert!(!has_engine(&context, "engine-500"), "{daemons}, {daemon}: it is gone");
+                assert!(has_engine(&context, "engine-7"), "{daemons}, {daemon}: it stays");
+            }
+            fleet.write_document(LATER);
+            let took = fleet.run_until(MAX_SPREAD, |it| have_document(it, LATER));
+            assert!(took.is_some(), "{daemons}: later document not everywhere");
+        }
+    }
+}
+
 /// A daemon that still is in the earlier era must not undo what others know, nor be believed.
 #[test]
 fn a_daemon_that_was_cut_off_while_the_store_was_restored_catches_up() {
