Keep leaving upstreams out when the store forgets that they left

An older copy of the store may show an upstream as ready that drains or has gone since, and lack upstreams that registered since. What was seen of a leaving now holds for the same process until it writes its entry again, or, if it had gone without draining, for the time in which live upstreams do so. Missing ones are kept for that time too, as after an outage.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -177,7 +177,7 @@
     pub fn expire_upstreams(&self) {
         let now = self.now();
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
-        if roster.has_missing() {
+        if roster.has_unsettled() {
             roster.expire(now);
             self.view.store(Arc::new(roster.view()));
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -335,6 +335,7 @@
                 continue;
             }
             match context.schema.decode_upstream(row) {
+                Ok(record) if delta.restored => roster.restore(&name, record),
                 Ok(record) => {
                     if record.draining {
                         info!(upstream = row.key, "upstream is draining");
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -3,6 +3,9 @@
 //! An entry that disappears from the store while it is available is removed at once. Entries also
 //! lapse in the store while it is unavailable; the roster keeps those until
 //! [`REREGISTRATION_GRACE`] after the store's recovery, because live upstreams write them again.
+//!
+//! A store that came back from an older copy may show upstreams as ready that have left since. What
+//! was seen of a leaving holds until the upstream writes its entry again.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -20,6 +23,10 @@
 /// takes about two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
+/// How long an upstream that has left is remembered: longer than copies from which the store comes
+/// back are old, with its outage.
+const DEPARTURE_LIFETIME: Duration = Duration::from_secs(120);
+
 /// Registration written by an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -84,12 +91,23 @@
     endpoint: Arc<Endpoint>,
     /// Whether the entry is gone from the store.
     missing: bool,
+    /// Whether the upstream had left, and is in the store again only because that lost the change.
+    departed: bool,
+}
+
+/// An upstream that has left.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    incarnation: Incarnation,
+    was_draining: bool,
+    at: Time,
 }
 
 /// Tracks registered upstreams and retains them while the store is unavailable.
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: Map<Upstream, Entry>,
+    departures: Map<Upstream, Departure>,
     /// When the store last became available again.
     store_recovered_at: Option<Time>,
     is_store_unavailable: bool,
@@ -110,13 +128,39 @@
 
     /// Adds or replaces the entry of an upstream. Its health is kept if the process is the same.
     pub fn insert(&mut self, name: &Upstream, record: Record) {
+        self.departures.remove(name);
+        self.put(name, record, false);
+    }
+
+    /// Adds or replaces the entry of an upstream from an older copy of the store, if nothing later
+    /// is known of it.
+    pub fn restore(&mut self, name: &Upstream, mut record: Record) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            let known = &entry.endpoint.record;
+            if known.incarnation > record.incarnation {
+                entry.missing = true;
+                return;
+            }
+            let same_process = known.incarnation == record.incarnation;
+            record.draining |= same_process && known.draining;
+            let departed = same_process && entry.departed;
+            self.put(name, record, departed);
+            return;
+        }
+        let departure = self.departures.get(name).copied();
+        let departure = departure.filter(|it| it.incarnation >= record.incarnation);
+        record.draining |= departure.is_some_and(|it| it.was_draining);
+        self.put(name, record, departure.is_some());
+    }
+
+    fn put(&mut self, name: &Upstream, record: Record, departed: bool) {
         let previous = self.entries.get(name);
         let same_process =
             previous.filter(|it| it.endpoint.record.incarnation == record.incarnation);
         let health = same_process.map_or_else(Arc::default, |it| it.endpoint.health.clone());
         let hash = name_hash(name.as_str());
         let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, health });
-        self.entries.insert(name.clone(), Entry { endpoint, missing: false });
+        self.entries.insert(name.clone(), Entry { endpoint, missing: false, departed });
     }
 
     /// Marks the entry as missing from the store; [`Self::expire`] removes it.
@@ -126,19 +170,29 @@
         }
     }
 
-    /// Whether any entry is missing from the store.
-    pub fn has_missing(&self) -> bool {
-        self.entries.values().any(|it| it.missing)
+    /// Whether any entry is missing from the store, or in it only because that lost its removal.
+    pub fn has_unsettled(&self) -> bool {
+        self.entries.values().any(|it| it.missing || it.departed)
     }
 
-    /// Removes missing entries, unless the store is unavailable or recovered too recently. If any
-    /// are kept, returns when the grace period after the last recovery ends, if there was one.
+    /// Removes missing entries and takes those that are in the store again for good, unless the
+    /// store is unavailable or recovered too recently. If any are left, returns when the grace
+    /// period after the last recovery ends, if there was one.
     pub fn expire(&mut self, now: Time) -> Option<Time> {
         let kept_until = self.store_recovered_at.map(|it| it + REREGISTRATION_GRACE);
         if self.is_store_unavailable || kept_until.is_some_and(|it| now < it) {
-            return kept_until.filter(|_| self.entries.values().any(|it| it.missing));
+            return kept_until.filter(|_| self.has_unsettled());
+        }
+        self.departures.retain(|_, it| now.since(it.at) < DEPARTURE_LIFETIME);
+        for (name, entry) in self.entries.iter().filter(|(_, it)| it.missing) {
+            let record = &entry.endpoint.record;
+            let (incarnation, was_draining) = (record.incarnation, record.draining);
+            self.departures.insert(name.clone(), Departure { incarnation, was_draining, at: now });
         }
         self.entries.retain(|_, it| !it.missing);
+        for entry in self.entries.values_mut() {
+            entry.departed = false;
+        }
         None
     }
 
@@ -146,7 +200,7 @@
     pub fn view(&self) -> View {
         let mut services: Map<Service, Vec<Arc<Endpoint>>> = Map::default();
         for entry in self.entries.values() {
-            if entry.endpoint.record.draining {
+            if entry.endpoint.record.draining || entry.departed {
                 continue;
             }
             let service = entry.endpoint.record.service.clone();
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -64,3 +64,88 @@
     let restarted = roster.view().all().next().expect("an engine").health.is_dead();
     assert!(!restarted);
 }
+
+/// An older copy of the store must not bring calls back to an upstream that has left.
+#[test]
+fn an_older_copy_of_the_store_does_not_undo_a_leaving() {
+    struct Case {
+        what: &'static str,
+        /// The last entry before; `None` if it was removed, after this one.
+        last: Record,
+        is_removed: bool,
+        restored: Record,
+        /// Whether it gets calls at once, and after the grace period.
+        used: (bool, bool),
+    }
+    let ready = record(0, 1);
+    let draining = Record { draining: true, ..record(0, 1) };
+    let later = Record { incarnation: Incarnation(2), ..record(0, 1) };
+    for case in [
+        Case {
+            what: "a ready one",
+            last: ready.clone(),
+            is_removed: false,
+            restored: ready.clone(),
+            used: (true, true),
+        },
+        Case {
+            what: "a draining one",
+            last: draining.clone(),
+            is_removed: false,
+            restored: ready.clone(),
+            used: (false, false),
+        },
+        Case {
+            what: "one that has drained and gone",
+            last: draining.clone(),
+            is_removed: true,
+            restored: ready.clone(),
+            used: (false, false),
+        },
+        Case {
+            what: "one that was gone",
+            last: ready.clone(),
+            is_removed: true,
+            restored: ready.clone(),
+            used: (false, true),
+        },
+        Case {
+            what: "another process after a draining one",
+            last: draining.clone(),
+            is_removed: false,
+            restored: later.clone(),
+            used: (true, true),
+        },
+        Case {
+            what: "the process before the known one, which doesn't register again",
+            last: later,
+            is_removed: false,
+            restored: ready.clone(),
+            used: (true, false),
+        },
+        Case {
+            what: "one that the copy shows draining",
+            last: ready.clone(),
+            is_removed: false,
+            restored: draining,
+            used: (false, false),
+        },
+    ] {
+        let mut roster = Roster::default();
+        roster.insert(&name(0), case.last);
+        if case.is_removed {
+            roster.remove(&name(0));
+            roster.expire(START);
+        }
+        roster.store_lost();
+        roster.store_answered(START);
+        roster.restore(&name(0), case.restored);
+        roster.expire(START);
+        let at_once = !names(&roster).is_empty();
+        roster.expire(START + REREGISTRATION_GRACE);
+        let later = !names(&roster).is_empty();
+        assert_eq!((at_once, later), case.used, "{}", case.what);
+        roster.insert(&name(0), ready.clone());
+        assert_eq!(names(&roster), ["engine-0"], "{}: it registered again", case.what);
+    }
+}
