Write a daemon's registration again if the store lost it

A daemon registered at its start and stop only. After the store came back from a copy without the registration, others no longer knew the daemon, nor did it know its own part in the exchange. It now checks the rows of a later era.

The test failed before: "not registered again in time".

--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -14,7 +14,7 @@
         context::Context,
         follow::MEMBER_PREFIX,
         mirror::Delta,
-        store::{Topic, Write},
+        store::{Era, Topic, Write},
     },
     kernel::id::{Incarnation, Zone},
     route::pool::name_hash,
@@ -23,6 +23,9 @@
 /// Delay before a failed write of the registration is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Interval at which a daemon checks that the store has its registration.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of addresses that a caller is given at least, if there are as many, so that it can do
 /// without those that fail.
 const MIN_ZONE_ADDRESSES: usize = 6;
@@ -140,12 +143,20 @@
     }
 }
 
-/// Registers this daemon at startup and updates the registration when it begins to shut down.
+/// Registers this daemon at startup, updates the registration when it begins to shut down, and
+/// writes it again if the store lost it.
 pub async fn announce(context: Arc<Context>, stop: CancellationToken) {
     let write = async {
-        write_registration(&context, false).await;
-        context.leaving.cancelled().await;
-        write_registration(&context, true).await;
+        loop {
+            let leaving = context.leaving.is_cancelled();
+            let Some(written) = write_registration(&context, leaving).await else {
+                return;
+            };
+            tokio::select! {
+                () = context.leaving.cancelled(), if !leaving => {}
+                () = wait_until_lost(&context, written) => {}
+            }
+        }
     };
     tokio::select! {
         () = stop.cancelled() => {}
@@ -153,7 +164,35 @@
     }
 }
 
-async fn write_registration(context: &Context, leaving: bool) {
+/// A registration as it was written.
+struct Written {
+    era: Era,
+    value: Vec<u8>,
+}
+
+/// Waits until the rows of a later era lack the registration.
+async fn wait_until_lost(context: &Context, mut written: Written) {
+    let key = registration_key(context);
+    loop {
+        time::sleep(CHECK_INTERVAL).await;
+        let head = context.mirror.head(Topic::Fleet);
+        let Some(era) = head.map(|it| it.position.era).filter(|it| *it > written.era) else {
+            continue;
+        };
+        let value = context.mirror.row(Topic::Fleet, &key).and_then(|it| it.value);
+        if value.as_ref() != Some(&written.value) {
+            return info!(era = era.0, "the store lost the daemon registration; writing it again");
+        }
+        written.era = era;
+    }
+}
+
+fn registration_key(context: &Context) -> String {
+    format!("{MEMBER_PREFIX}{}", context.settings.daemon)
+}
+
+/// Writes the registration; returns `None` if it can't be encoded.
+async fn write_registration(context: &Context, leaving: bool) -> Option<Written> {
     let settings = &context.settings;
     let member = Member {
         incarnation: context.incarnation,
@@ -165,15 +204,22 @@
     };
     let value = match serde_json::to_vec(&member) {
         Ok(value) => value,
-        Err(error) => return warn!(%error, "failed to encode daemon registration"),
+        Err(error) => {
+            warn!(%error, "failed to encode daemon registration");
+            return None;
+        }
     };
-    let key = format!("{MEMBER_PREFIX}{}", settings.daemon);
+    let key = registration_key(context);
     context.members.insert(settings.daemon.as_str(), member);
     context.urgent.notify_one();
-    let write = Write { topic: Topic::Fleet, key, expected: None, value: Some(value) };
+    let write = Write { topic: Topic::Fleet, key, expected: None, value: Some(value.clone()) };
     loop {
         match context.store.write(&write).await {
-            Ok(_) => return info!(leaving, "daemon registration written"),
+            Ok(answer) => {
+                info!(leaving, "daemon registration written");
+                context.eras.observe(answer.era, context.now());
+                return Some(Written { era: answer.era, value });
+            }
             Err(failure) => warn!(%failure, "failed to write daemon registration; retrying"),
         }
         time::sleep(RETRY_DELAY).await;
