Give up the lease on load orders when the store goes back

The older copy may lack the lease or name an earlier holder, who renewed it at once, while the last one could still order. The lease and the writes that build on it now belong to an era. A daemon that sees a later one gives up the lease, drops the results of writes from before, and waits the whole delay of a takeover before it takes or resumes it. The era is in the upper bits of fencing tokens, and a token is above all that holders have reported, so that none is used twice.

--- a/src/gateway/operate.rs
+++ b/src/gateway/operate.rs
@@ -21,7 +21,7 @@
         operate::load::Load,
         rollout::{self, Lease, max_concurrent_loads},
         roster::Endpoint,
-        store::{self, Row, Topic, Write},
+        store::{self, Answer, Era, Row, Topic, Write},
     },
     kernel::{
         clock::Time,
@@ -82,6 +82,7 @@
 pub async fn run(context: Arc<Context>, stop: CancellationToken) {
     let scheduler = Scheduler {
         context,
+        era: Era::default(),
         held_lease: None,
         watch: rollout::Watch::default(),
         next_check: Time::default(),
@@ -101,6 +102,8 @@
 
 struct Scheduler {
     context: Arc<Context>,
+    /// The latest era of the store; the lease is held and watched within it.
+    era: Era,
     held_lease: Option<Grant>,
     watch: rollout::Watch,
     /// When to read the lease next; zero if no read is scheduled.
@@ -123,8 +126,10 @@
 /// A completed lease write.
 struct Response {
     sent_at: Time,
+    /// The era of the row that the write builds on.
+    era: Era,
     fence: u64,
-    result: Result<store::Outcome, store::Error>,
+    result: Result<Answer<store::Outcome>, store::Error>,
 }
 
 impl Scheduler {
@@ -133,6 +138,7 @@
         loop {
             time::sleep(interval).await;
             interval = IDLE_INTERVAL;
+            self.enter_latest_era();
             // Without loads, a held lease is not renewed. The next renewal continues it, or fails
             // if another daemon has taken it over.
             if self.pending_loads().is_empty() && self.loading.is_empty() {
@@ -162,6 +168,17 @@
         }
     }
 
+    /// Gives up the lease if the store came back from an older copy: others may have it, under a
+    /// version that was given out again.
+    fn enter_latest_era(&mut self) {
+        let Some((era, since)) = self.context.eras.observed().filter(|it| it.0 > self.era) else {
+            return;
+        };
+        self.era = era;
+        self.drop_lease("the store came back from an older copy");
+        self.watch.restored(since);
+    }
+
     /// Returns the engines of each model that lack its target weights.
     fn pending_loads(&self) -> Vec<(Model, Version, Vec<Arc<Endpoint>>)> {
         let progress = self.context.progress.load();
@@ -203,11 +220,19 @@
             return;
         }
         self.next_check = now + interval;
-        let row = match self.context.store.get(Topic::Leases, LEASE_KEY).await {
-            Ok(answer) => answer.value,
+        let answer = match self.context.store.get(Topic::Leases, LEASE_KEY).await {
+            Ok(answer) => answer,
             Err(failure) => return warn!(%failure, "failed to read the lease"),
         };
-        self.evaluate_lease(row).await;
+        self.observe(answer.era);
+        if answer.era == self.era {
+            self.evaluate_lease(answer.value).await;
+        }
+    }
+
+    fn observe(&mut self, era: Era) {
+        self.context.eras.observe(era, self.context.now());
+        self.enter_latest_era();
     }
 
     async fn evaluate_lease(&mut self, row: Option<Row>) {
@@ -221,7 +246,12 @@
         let fence = lease.map_or(0, |it| it.fence);
         match self.watch.decide(version, is_own, takeover_delay, now) {
             rollout::Action::Renew => self.write_lease(version.unwrap_or(0), fence),
-            rollout::Action::TakeOver => self.write_lease(version.unwrap_or(0), fence + 1),
+            rollout::Action::TakeOver => {
+                // The row may be older than the last holder's, if a late write replaced it.
+                let fence = fence.max(self.context.progress.load().latest_fence());
+                let fence = rollout::next_fence(fence, self.era);
+                self.write_lease(version.unwrap_or(0), fence);
+            }
             rollout::Action::Wait => {}
         }
     }
@@ -240,25 +270,31 @@
         };
         let (topic, key) = (Topic::Leases, LEASE_KEY.to_owned());
         let write = Write { topic, key, expected: Some(expected), value: Some(value) };
-        let sent_at = context.now();
+        let (sent_at, era) = (context.now(), self.era);
         self.last_write = sent_at;
         self.writes.spawn(async move {
-            let result = context.store.write(&write).await.map(|it| it.value);
-            Response { sent_at, fence, result }
+            let result = context.store.write(&write).await;
+            Response { sent_at, era, fence, result }
         });
     }
 
     /// Processes the results of completed lease writes.
     fn process_lease_writes(&mut self) {
         while let Some(write) = self.writes.try_join_next() {
-            let Ok(Response { sent_at, fence, result }) = write else {
+            let Ok(Response { sent_at, era, fence, result }) = write else {
                 continue;
             };
+            let result = result.map(|answer| {
+                self.observe(answer.era);
+                (era == self.era).then_some(answer.value)
+            });
             match result {
-                Ok(store::Outcome::Committed(version)) => {
+                // The row that the write builds on is gone, and another may have its version.
+                Ok(None) => {}
+                Ok(Some(store::Outcome::Committed(version))) => {
                     self.lease_written(sent_at, fence, version)
                 }
-                Ok(store::Outcome::Conflict(row)) => self.lease_conflict(row),
+                Ok(Some(store::Outcome::Conflict(row))) => self.lease_conflict(row),
                 // Orders stop when the last successful renewal runs out. The response to the next
                 // write shows whether this one took effect.
                 Err(failure) => warn!(%failure, "failed to write the lease"),
@@ -297,12 +333,13 @@
         }
     }
 
-    /// Whether a lease's row names this daemon and its current incarnation.
+    /// Whether a lease's row names this daemon and its current incarnation, in the current era.
     fn is_own(&self, value: &[u8]) -> bool {
         let lease: Option<Lease> = serde_json::from_slice(value).ok();
         lease.is_some_and(|it| {
             let is_same_daemon = it.holder == self.context.settings.daemon.as_str();
-            is_same_daemon && it.incarnation == self.context.incarnation
+            let is_same_process = is_same_daemon && it.incarnation == self.context.incarnation;
+            is_same_process && rollout::is_fence_of(it.fence, self.era)
         })
     }
 
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     collections::Map,
-    gateway::roster::{Endpoint, View},
+    gateway::{
+        roster::{Endpoint, View},
+        store::Era,
+    },
     kernel::{
         clock::Time,
         id::{Incarnation, Model, Upstream, Version},
@@ -113,6 +116,11 @@
         digests.fold(0, |sum, it| sum ^ it)
     }
 
+    /// The highest fencing token of any lease holder that reported statuses; 0 if there was none.
+    pub fn latest_fence(&self) -> u64 {
+        self.statuses().map(|(_, fence, _)| fence).max().unwrap_or_default()
+    }
+
     /// Records statuses from a lease holder; those with an older fencing token or revision are
     /// ignored. Returns whether anything changed.
     pub fn update_statuses(&mut self, model: &Model, fence: u64, statuses: &Statuses) -> bool {
@@ -203,6 +211,22 @@
     ((engines as f64 * share) as usize).max(1)
 }
 
+/// Bits of a fencing token that count the holders within an era of the store; the era lies above
+/// them. Readers of JSON keep integers of 53 bits exactly.
+const FENCE_COUNTER_BITS: u32 = 32;
+
+/// The fencing token of a holder that takes over in `era` from the holder with the token `previous`,
+/// 0 if there was none. A store that lost tokens with its last transactions has come to a later era,
+/// whose tokens are higher than all before.
+pub fn next_fence(previous: u64, era: Era) -> u64 {
+    (previous + 1).max((era.0 << FENCE_COUNTER_BITS) + 1)
+}
+
+/// Whether a fencing token was given in `era`.
+pub fn is_fence_of(fence: u64, era: Era) -> bool {
+    fence >> FENCE_COUNTER_BITS == era.0
+}
+
 /// Contents of a lease's row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Lease {
@@ -235,6 +259,8 @@
 pub struct Watch {
     /// The last version seen, and when it was first seen.
     last_seen: Option<(u64, Time)>,
+    /// When the store came back from an older copy, which may lack the lease.
+    restored_at: Option<Time>,
 }
 
 impl Watch {
@@ -252,7 +278,11 @@
             return Action::Renew;
         }
         let Some(version) = row_version else {
-            return Action::TakeOver;
+            let is_settled = |it: Time| now.since(it) >= takeover_delay;
+            return match self.restored_at.is_none_or(is_settled) {
+                true => Action::TakeOver,
+                false => Action::Wait,
+            };
         };
         match self.last_seen {
             Some((seen, since)) if seen == version => match now.since(since) >= takeover_delay {
@@ -266,6 +296,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy, as this daemon learned at `at`. The
+    /// earlier holder may order until its last renewal runs out, whatever the row says.
+    pub fn restored(&mut self, at: Time) {
+        self.last_seen = None;
+        self.restored_at = Some(at);
+    }
+
     /// Discards the observed version, which is stale once the lease has not been needed for a
     /// while.
     pub fn reset(&mut self) {
--- a/tests/gateway/rollout.rs
+++ b/tests/gateway/rollout.rs
@@ -4,6 +4,7 @@
     gateway::{
         rollout::{self, Progress, Target, max_concurrent_loads},
         roster::Roster,
+        store::Era,
     },
     kernel::{
         clock::Time,
@@ -109,6 +110,7 @@
     assert!(progress.update_statuses(&model, 5, &loading));
     assert!(progress.is_loading(engine, &model));
     assert!(!progress.update_statuses(&model, 4, &loaded), "older fencing token");
+    assert_eq!(progress.latest_fence(), 5);
     assert!(progress.is_loading(engine, &model));
     assert!(progress.update_statuses(&model, 5, &loaded));
     assert!(!progress.is_loading(engine, &model));
@@ -175,6 +177,39 @@
     );
 }
 
+/// The store may have lost the lease's row, or the last tokens, while the earlier holder still orders.
+#[test]
+fn after_a_restore_a_lease_is_taken_late_and_with_a_higher_token() {
+    const TAKEOVER_DELAY: Duration = Duration::from_millis(4_500);
+    let mut watch = rollout::Watch::default();
+    assert_eq!(watch.decide(Some(7), false, TAKEOVER_DELAY, START), rollout::Action::Wait);
+    let restored_at = START + TAKEOVER_DELAY / 2;
+    watch.restored(restored_at);
+    let end = START + TAKEOVER_DELAY;
+    assert_eq!(watch.decide(Some(7), false, TAKEOVER_DELAY, end), rollout::Action::Wait);
+    watch.reset();
+    assert_eq!(watch.decide(None, false, TAKEOVER_DELAY, end), rollout::Action::Wait);
+    let end = restored_at + TAKEOVER_DELAY;
+    assert_eq!(watch.decide(None, false, TAKEOVER_DELAY, end), rollout::Action::TakeOver);
+    struct Case {
+        previous: u64,
+        era: u64,
+        fence: u64,
+    }
+    for case in [
+        Case { previous: 0, era: 0, fence: 1 },
+        Case { previous: 1, era: 0, fence: 2 },
+        Case { previous: 0, era: 1, fence: (1 << 32) + 1 },
+        Case { previous: 2, era: 1, fence: (1 << 32) + 1 },
+        Case { previous: (1 << 32) + 1, era: 1, fence: (1 << 32) + 2 },
+        Case { previous: (1 << 32) + 2, era: 9, fence: (9 << 32) + 1 },
+    ] {
+        let fence = rollout::next_fence(case.previous, Era(case.era));
+        assert_eq!(fence, case.fence, "{} in era {}", case.previous, case.era);
+        assert!(rollout::is_fence_of(fence, Era(case.era)));
+    }
+}
+
 #[test]
 fn a_share_of_the_engines_loads_at_once() {
     for (engines, loads) in [(1, 1), (5, 1), (12, 2), (18, 3), (90, 15)] {
