--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -16,7 +16,8 @@
         budget::Budget,
         dialect::{Dialect, Engines, Schema},
         document::Document,
-        freshness::Freshness,
+        era::Eras,
+        freshness::{Documents, Freshness},
         member::Members,
         message::{News, Update},
         mirror::Mirror,
@@ -77,8 +78,12 @@
     /// The active document, which is the operator's configuration; replaced only by a higher
     /// version.
     pub document: ArcSwapOption<Document>,
+    /// The latest era of the store.
+    pub eras: Eras,
     /// The rows of the store's topics, passed on to other daemons.
     pub mirror: Mirror,
+    /// Versions of documents, which tell whether the store has the latest one.
+    pub documents: Documents,
     /// When the document was last confirmed to be the latest.
     pub freshness: Freshness,
     /// Registered upstreams that aren't draining, whatever their health.
@@ -120,7 +125,9 @@
             store: setup.store,
             engines: setup.engines,
             document: ArcSwapOption::empty(),
+            eras: Eras::default(),
             mirror: Mirror::default(),
+            documents: Documents::default(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
@@ -192,7 +199,7 @@
     pub fn expire_upstreams(&self) {
         let now = self.now();
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
-        if roster.has_missing() {
+        if roster.has_unsettled() {
             roster.expire(now);
             self.view.store(Arc::new(roster.view()));
         }
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -7,7 +7,7 @@
         message::{Message, News, Update},
         peer::Origin,
         rollout::Target,
-        store::Topic,
+        store::{Era, Topic},
     },
     kernel::clock::Time,
     route::pool::name_hash,
@@ -17,6 +17,7 @@
 pub fn take(context: &Context, message: &Message) {
     let now = context.now();
     take_updates(context, message, now);
+    take_document(context, message);
     context.peers.record(message, context.incarnation, now);
     take_targets(context, message, now);
     for rollout in &message.rollouts {
@@ -63,6 +64,17 @@
     }
 }
 
+/// Notes the latest document that the sender knows of. A daemon that started after the store came
+/// back from an older copy may have confirmed an older one.
+fn take_document(context: &Context, message: &Message) {
+    context.documents.learn(message.document);
+    let active = context.document.load().as_ref().map(|it| it.version);
+    let was_restored = context.eras.latest() > Some(Era::default());
+    if was_restored && message.document > active {
+        context.freshness.reset();
+    }
+}
+
 fn take_targets(context: &Context, message: &Message, now: Time) {
     for targets in &message.targets {
         for named in &targets.versions {
@@ -95,15 +107,16 @@
         let Some(head) = message.heads[index] else {
             continue;
         };
+        context.eras.observe(head.position.era, context.now());
         let confirmed_at = echo.map_or(Time::default(), |it| head.confirmed_at.resolve(it));
         if let Some(rows) = message.rows.iter().find(|it| it.topic == index) {
-            follow::apply(context, topic, &rows.rows, rows.after, head.version, confirmed_at);
+            follow::apply(context, topic, &rows.rows, rows.after, head.position, confirmed_at);
             continue;
         }
-        let own_version = context.mirror.head(topic).map(|it| it.version);
-        if own_version.is_some_and(|it| it >= head.version) {
-            let after = Some(head.version);
-            follow::apply(context, topic, &[], after, head.version, confirmed_at);
+        let own = context.mirror.head(topic).map(|it| it.position);
+        if own.is_some_and(|it| it.era == head.position.era && it >= head.position) {
+            let after = Some(head.position.version);
+            follow::apply(context, topic, &[], after, head.position, confirmed_at);
         }
     }
 }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -3,6 +3,9 @@
 //! An entry that disappears from the store while it is available is removed at once. Entries also
 //! lapse in the store while it is unavailable; the roster keeps those until
 //! [`REREGISTRATION_GRACE`] after the store's recovery, because live upstreams write them again.
+//!
+//! A store that came back from an older copy may show upstreams as ready that have left since. What
+//! was seen of a leaving holds until the upstream writes its entry again.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -20,8 +23,8 @@
 /// takes about two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
-/// How long an upstream that leaves or is paused is remembered after its entry was removed. It may
-/// register again, for instance if it reached the store too late to keep its entry.
+/// How long an upstream is remembered after its entry was removed. It may register again, for instance
+/// if it reached the store too late to keep its entry, or come back with an older copy of the store.
 pub const REMOVED_MEMORY: Duration = Duration::from_secs(600);
 
 /// Registration written by an upstream.
@@ -101,14 +104,23 @@
     endpoint: Arc<Endpoint>,
     /// Whether the entry is gone from the store.
     missing: bool,
+    /// Whether the upstream had left, and is in the store again only because that lost the change.
+    departed: bool,
+}
+
+/// An upstream whose entry was removed.
+#[derive(Clone, Debug)]
+struct Departure {
+    endpoint: Arc<Endpoint>,
+    /// When its entry was removed.
+    at: Time,
 }
 
 /// Tracks registered upstreams and retains them while the store is unavailable.
 #[derive(Debug, Default)]
 pub struct Roster {
     entries: Map<Upstream, Entry>,
-    /// Removed upstreams that leave or are paused, and when their entries were removed.
-    removed: Map<Upstream, (Arc<Endpoint>, Time)>,
+    departures: Map<Upstream, Departure>,
     /// When the store last became available again.
     store_recovered_at: Option<Time>,
     is_store_unavailable: bool,
@@ -129,13 +141,46 @@
 
     /// Adds or replaces the entry of an upstream. Its health is kept if the process is the same.
     pub fn insert(&mut self, name: &Upstream, record: Record) {
-        let removed = self.removed.remove(name).map(|(it, _)| it);
-        let previous = self.entries.get(name).map(|it| it.endpoint.clone()).or(removed);
+        let previous = self.departures.remove(name).map(|it| it.endpoint);
+        self.put(name, record, previous, false);
+    }
+
+    /// Adds or replaces the entry of an upstream from an older copy of the store, if nothing later
+    /// is known of it.
+    pub fn restore(&mut self, name: &Upstream, mut record: Record) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            let known = &entry.endpoint.record;
+            if known.incarnation > record.incarnation {
+                entry.missing = true;
+                return;
+            }
+            let same_process = known.incarnation == record.incarnation;
+            record.draining |= same_process && known.draining;
+            let departed = same_process && entry.departed;
+            self.put(name, record, None, departed);
+            return;
+        }
+        let departure = self.departures.get(name).map(|it| it.endpoint.clone());
+        let departure = departure.filter(|it| it.record.incarnation >= record.incarnation);
+        record.draining |= departure.as_ref().is_some_and(|it| it.record.draining);
+        let is_departed = departure.is_some();
+        self.put(name, record, departure, is_departed);
+    }
+
+    /// `previous` is the upstream before its entry was removed.
+    fn put(
+        &mut self,
+        name: &Upstream,
+        record: Record,
+        previous: Option<Arc<Endpoint>>,
+        departed: bool,
+    ) {
+        let previous = self.entries.get(name).map(|it| it.endpoint.clone()).or(previous);
         let same_process = previous.filter(|it| it.record.incarnation == record.incarnation);
         let health = same_process.map_or_else(Arc::default, |it| it.health.clone());
         let hash = name_hash(name.as_str());
         let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, health });
-        self.entries.insert(name.clone(), Entry { endpoint, missing: false });
+        self.entries.insert(name.clone(), Entry { endpoint, missing: false, departed });
     }
 
     /// The registration of an upstream.
@@ -150,24 +195,25 @@
         }
     }
 
-    /// Whether any entry is missing from the store.
-    pub fn has_missing(&self) -> bool {
-        self.entries.values().any(|it| it.missing)
+    /// Whether any entry is missing from the store, or in it only because that lost its removal.
+    pub fn has_unsettled(&self) -> bool {
+        self.entries.values().any(|it| it.missing || it.departed)
     }
 
-    /// Removes missing entries, unless the store is unavailable or recovered too recently. If any
-    /// are kept, returns when the grace period after the last recovery ends, if there was one.
+    /// Removes missing entries and takes those that are in the store again for good, unless the
+    /// store is unavailable or recovered too recently. If any are left, returns when the grace
+    /// period after the last recovery ends, if there was one.
     pub fn expire(&mut self, now: Time) -> Option<Time> {
         let kept_until = self.store_recovered_at.map(|it| it + REREGISTRATION_GRACE);
         if self.is_store_unavailable || kept_until.is_some_and(|it| now < it) {
-            return kept_until.filter(|_| self.entries.values().any(|it| it.missing));
+            return kept_until.filter(|_| self.has_unsettled());
         }
-        self.removed.retain(|_, (_, since)| now.since(*since) < REMOVED_MEMORY);
+        self.departures.retain(|_, it| now.since(it.at) < REMOVED_MEMORY);
         for (name, entry) in self.entries.extract_if(|_, it| it.missing) {
-            let health = &entry.endpoint.health;
-            if health.is_leaving() || health.paused_until(now).is_some() {
-                self.removed.insert(name, (entry.endpoint, now));
-            }
+            self.departures.insert(name, Departure { endpoint: entry.endpoint, at: now });
+        }
+        for entry in self.entries.values_mut() {
+            entry.departed = false;
         }
         None
     }
@@ -182,7 +228,7 @@
             if !known.contains(build) {
                 known.push(build.clone());
             }
-            if *draining {
+            if *draining || entry.departed {
                 continue;
             }
             let service = service.clone();
