Claim that a target is new only if the rows before were current

A daemon that had been frozen or cut off read of a target late and told all others that it had been set just now; a target that the operator wrote again after a restore of the store counted as new, too. A known age takes precedence over an assumed one, so that daemons which only assumed theirs allowed calls on superseded weights for the whole grace period once more.

Change: a target is known to be new only if its row changed, was no target before, and the rows before were current at most 2.5 s ago. Else its age is assumed, at most up to when the rows were current.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -43,6 +43,10 @@
 /// during which a revoked key may still be accepted (`Settings::revocation`, 5 s on the platform).
 const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Age of the operator's rows from which changed ones may have been there for a while: longer than a
+/// long poll and its answer take.
+const MAX_OPERATOR_GAP: Duration = Duration::from_millis(2_500);
+
 /// Long-poll timeout for other topics. [`http::client`](crate::http::client) closes a connection
 /// earlier if the other side no longer acknowledges TCP segments.
 const POLL_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -264,7 +268,11 @@
         return;
     };
     match topic {
-        Topic::Operator => apply_operator_rows(context, &delta, position.era, confirmed_at),
+        Topic::Operator => {
+            let same_era = previous.filter(|it| it.position.era == position.era);
+            let unchanged_until = same_era.map(|it| it.confirmed_at);
+            apply_operator_rows(context, &delta, position.era, confirmed_at, unchanged_until);
+        }
         Topic::Upstreams => {
             let gap = previous.map(|it| confirmed_at.since(it.confirmed_at));
             let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
@@ -280,8 +288,14 @@
 
 /// The document and the targets stay active when their rows are removed, or when the store lost
 /// them. A document that the store lost is confirmed again once the operator has written it again,
-/// or a later one.
-fn apply_operator_rows(context: &Context, delta: &Delta, era: Era, confirmed_at: Time) {
+/// or a later one. `unchanged_until` is when the rows before were current, if they are of this era.
+fn apply_operator_rows(
+    context: &Context,
+    delta: &Delta,
+    era: Era,
+    confirmed_at: Time,
+    unchanged_until: Option<Time>,
+) {
     let mut all_decoded = true;
     context.documents.enter(era);
     for row in delta.rows.iter().filter(|it| !it.removed) {
@@ -291,7 +305,7 @@
                 apply_document(context, document);
             }
             Ok(dialect::Directive::Weights(model, version)) => {
-                set_target(context, &model, version, delta.full);
+                set_target(context, &model, version, unchanged_until);
             }
             Ok(dialect::Directive::Other) => {}
             Err(error) => {
@@ -306,15 +320,20 @@
     }
 }
 
-/// Sets a target that the operator's rows name. In the first listing, it may have been there for
-/// any time: then calls may start on older weights only as long as this daemon is not held to the
-/// deadline.
-fn set_target(context: &Context, model: &Model, version: Version, is_first_listing: bool) {
+/// Sets a target that the operator's rows name, which did not until `unchanged_until`. If that is long
+/// ago or not known, as in the first listing, or if the operator only wrote a known target again, the
+/// target may have been set for a while. Then calls may start on older weights only as long as this
+/// daemon is not held to the deadline, or as if the target had been set at the earliest possible time.
+fn set_target(context: &Context, model: &Model, version: Version, unchanged_until: Option<Time>) {
     let (now, settings) = (context.now(), &context.settings);
-    let assumed = (now + settings.steady_after) - settings.weights_deadline;
-    let target = match is_first_listing {
-        true => Target { version, since: assumed.min(now), is_assumed: true },
-        false => Target { version, since: now, is_assumed: false },
+    let is_known = context.progress.load().has_target(model, version);
+    let unchanged_until = unchanged_until.filter(|_| !is_known).unwrap_or_default();
+    let target = match now.since(unchanged_until) < MAX_OPERATOR_GAP {
+        true => Target { version, since: now, is_assumed: false },
+        false => {
+            let assumed = (now + settings.steady_after) - settings.weights_deadline;
+            Target { version, since: assumed.max(unchanged_until).min(now), is_assumed: true }
+        }
     };
     context.learn_target(model, target);
 }
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -444,3 +444,56 @@
         assert!(have_document(&fleet, LATER) && oldest(&fleet) <= MAX_CONFIRMATION_AGE);
     }
 }
+
+/// Guards against calls on superseded weights after a freeze: a daemon that reads of a target late must
+/// not tell others, who know less than they did, that it was set just now (review of incident inc1).
+#[test]
+fn a_daemon_that_was_cut_off_does_not_tell_that_an_old_target_is_new() {
+    const CUT: Duration = Duration::from_secs(8);
+    let age = |context: &Context| {
+        let progress = context.progress.load();
+        let since = progress.superseded_since(&Model::from(MODEL), Version(1));
+        context.now().since(since.expect("a newer version is known"))
+    };
+    let daemons = 7;
+    let mut fleet = settled(daemons, 7);
+    fleet.cut(0, true);
+    fleet.run(Duration::from_millis(500));
+    fleet.name_weights(2);
+    fleet.run(Duration::from_secs(1));
+    (1..daemons).for_each(|it| fleet.kill(it));
+    (1..daemons).for_each(|it| fleet.start(it));
+    fleet.run(CUT);
+    fleet.cut(0, false);
+    // Until then, the daemon is not held to the deadline.
+    fleet.run(fleet.context(0).settings.steady_after + Duration::from_millis(100));
+    for context in fleet.contexts() {
+        let (name, deadline) = (&context.settings.daemon, context.settings.weights_deadline);
+        assert!(age(&context) >= deadline, "{name}: {:?}", age(&context));
+    }
+}
+
+/// A target that the operator writes again after the store lost it was not set then.
+#[test]
+fn a_target_that_is_written_again_after_a_restore_keeps_its_age() {
+    let since = |context: &Context| {
+        let progress = context.progress.load();
+        progress.superseded_since(&Model::from(MODEL), Version(1)).expect("a newer version")
+    };
+    let mut fleet = settled(7, 7);
+    let snapshot = fleet.snapshot();
+    fleet.name_weights(2);
+    fleet.run(Duration::from_secs(2));
+    (0..7).for_each(|it| fleet.kill(it));
+    (0..7).for_each(|it| fleet.start(it));
+    fleet.run(Duration::from_secs(2));
+    let before: Vec<_> = fleet.contexts().iter().map(|it| since(it)).collect();
+    fleet.restore(snapshot);
+    fleet.run(Duration::from_secs(2));
+    fleet.name_weights(2);
+    fleet.run(Duration::from_secs(2));
+    let after: Vec<_> = fleet.contexts().iter().map(|it| since(it)).collect();
+    for (before, after) in before.iter().zip(&after) {
+        assert!(after <= before, "{before:?}, then {after:?}");
+    }
+}
