--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -18,9 +18,12 @@
     http::server::{self, Handler},
 };
 
-/// Fraction of the grace period, less [`SHUTDOWN_RESERVE`], during which new calls are still
-/// accepted, so that callers' address lists expire; the remainder is for the last calls to finish.
-const CALLER_DRAIN_RATIO: f64 = 0.6;
+/// Lifetimes of an address list after which no caller uses it any more.
+const MAX_LIST_LIFETIMES: u32 = 3;
+
+/// Longest part of the grace period, less [`SHUTDOWN_RESERVE`], during which new calls are accepted; the
+/// remainder is for the last calls to finish.
+const MAX_ACCEPT_RATIO: f64 = 0.6;
 
 /// Margin before the end of the grace period at which [`Controller::run`] stops waiting for calls
 /// to finish and returns in any case.
@@ -80,7 +83,7 @@
         info!("gateway is shutting down");
         context.leaving.cancel();
         let grace = context.settings.grace.saturating_sub(SHUTDOWN_RESERVE);
-        let drain = grace.mul_f64(CALLER_DRAIN_RATIO);
+        let drain = accept_period(context.settings.grace, context.settings.address_lifetime);
         time::sleep(drain).await;
         stop_callers.cancel();
         let calls_unfinished = time::timeout(grace - drain, &mut caller_server).await.is_err();
@@ -88,3 +91,10 @@
         info!(cut = calls_unfinished, "gateway stopped");
     }
 }
+
+/// How long new calls are still accepted after a planned shutdown has begun: until callers no longer use
+/// address lists that they were given before.
+pub fn accept_period(grace: Duration, address_lifetime: Duration) -> Duration {
+    let longest = grace.saturating_sub(SHUTDOWN_RESERVE).mul_f64(MAX_ACCEPT_RATIO);
+    (address_lifetime * MAX_LIST_LIFETIMES).min(longest)
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,8 @@
 mod roster;
 #[path = "gateway/scene.rs"]
 mod scene;
+#[path = "gateway/shutdown.rs"]
+mod shutdown;
 #[path = "gateway/simulation.rs"]
 mod simulation;
 #[path = "gateway/stale.rs"]
