Tell a daemon that fell behind the log of updates the origins of streams again

A daemon that was cut off or frozen longer than the log of 4,096 updates reaches back missed the origins of streams for good and refused to resume them. Change: it is told all, as one that starts is. Evidence: the_log_of_updates_tells_whether_it_still_reaches_back.

--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -71,15 +71,18 @@
     }
 }
 
-/// The updates that the peer lacks. One that has none yet gets all suspects and the origins of
-/// streams. Before its first message nothing is sent: it may never answer.
+/// The updates that the peer lacks. One that has none yet, or that is behind the log, gets all
+/// suspects and the origins of streams. Before its first message nothing is sent: it may never answer.
 fn updates(context: &Context, name: &str, to_link: Link, known: &Known) -> (u64, Vec<Update>) {
     if *known == Known::default() {
         return (0, Vec::new());
     }
     let after = known.acknowledged_update;
-    let (last, mut updates) = context.peers.updates().after(after, to_link, name_hash(name));
-    if after == 0 {
+    let log = context.peers.updates();
+    let is_behind = after == 0 || !log.reaches(after);
+    let (last, mut updates) = log.after(after, to_link, name_hash(name));
+    drop(log);
+    if is_behind {
         let facts = context.suspects().facts();
         updates.extend(facts.into_iter().map(|it| Update { hops: 0, news: News::Suspect(it) }));
         let origins = context.origins().shared();
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Whether all updates after `after` are retained.
+    pub fn reaches(&self, after: u64) -> bool {
+        self.last.saturating_sub(after) as usize <= self.updates.len()
+    }
+
     /// The last sequence number, and the retained updates after `after` that the peer with the hash
     /// `to` needs: those of the subtree, or for a spoke those of the fleet without its own.
     pub fn after(&self, after: u64, link: Link, to: u64) -> (u64, Vec<Update>) {
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -181,3 +181,15 @@
         assert_eq!(sent, expected, "to {} as {:?}", case.to, case.link);
     }
 }
+
+/// A peer that was cut off for long misses updates that the log no longer has, and must be told otherwise.
+#[test]
+fn the_log_of_updates_tells_whether_it_still_reaches_back() {
+    let mut updates = Updates::default();
+    let entry = Entry { cache: 1, incarnation: Incarnation(1), part: 1, tokens: 1, shared: true };
+    for _ in 0..5_000 {
+        updates.push(Origin::Own, Update { hops: 0, news: News::Cached(entry) });
+    }
+    assert!(updates.reaches(5_000) && updates.reaches(1_000));
+    assert!(!updates.reaches(100) && !updates.reaches(0));
+}
