Doubt a confirmed document only shortly after the store was restored

After any restore, a daemon dropped its confirmation at each change of the configuration whose number it heard before the rows: not ready, and calls with a key were refused until the rows came. Change: only within 10 s of its learning of the era. Found in review; it has no test of its own yet.

--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -1,5 +1,7 @@
 //! Applies a message from a peer.
 
+use std::time::Duration;
+
 use crate::{
     gateway::{
         context::Context,
@@ -13,6 +15,10 @@
     route::pool::name_hash,
 };
 
+/// Time after a daemon learned of an era of the store in which the operator may not have written again
+/// what the store lost.
+const RESTORE_DOUBT: Duration = Duration::from_secs(10);
+
 /// Applies a message.
 pub fn take(context: &Context, message: &Message) {
     let now = context.now();
@@ -69,8 +75,9 @@
 fn take_document(context: &Context, message: &Message) {
     context.documents.learn(message.document);
     let active = context.document.load().as_ref().map(|it| it.version);
-    let was_restored = context.eras.latest() > Some(Era::default());
-    if was_restored && message.document > active {
+    let observed = context.eras.observed().filter(|(era, _)| *era > Era::default());
+    let may_be_restored = observed.is_some_and(|(_, at)| context.now().since(at) < RESTORE_DOUBT);
+    if may_be_restored && message.document > active {
         context.freshness.reset();
     }
 }
