Let no stream wait for upstreams that leave, nor guess its build out of touch

A stream whose last upstreams of the build had announced that they leave waited up to the latency objective in vain. A daemon that had heard of no other daemon yet, or whose rows of upstreams were old, took the only build it knew for the one that began a stream. Change: upstreams that leave don't count; the build is guessed only with fresh rows and, unless the daemon is alone, another daemon that responds. Evidence: an_upstream_that_leaves_does_not_continue_streams; the guess has no test of its own beyond the daemon's tests of builds.

--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -76,7 +76,7 @@
             return false;
         };
         let may_continue =
-            |it: &Endpoint| it.record.build == *build && !self.excluded.contains(&it.name);
+            |it: &Endpoint| it.is_staying(build) && !self.excluded.contains(&it.name);
         upstreams.iter().any(|it| may_continue(it))
     }
 
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -11,6 +11,7 @@
         dialect::Refusal,
         origin::Entry,
         relay::{RETRY_AFTER, Relay},
+        store::Topic,
     },
     kernel::id::{Build, Service},
     route::pool::name_hash,
@@ -26,6 +27,9 @@
 /// that is in touch, no confirmation gets older.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(3_000);
 
+/// The same for the upstreams' rows, whose long polls take up to 5 s.
+const MAX_ROWS_AGE: Duration = Duration::from_millis(8_000);
+
 impl Relay {
     /// Finds the build that must continue the stream, if the call resumes one.
     pub(super) async fn find_origin(&mut self) -> Result<(), Refusal> {
@@ -44,7 +48,7 @@
         };
         let view = self.context.view.load();
         let mut upstreams = view.service(self.call.service()).iter();
-        if !upstreams.any(|it| it.record.build == build) {
+        if !upstreams.any(|it| it.is_staying(&build)) {
             return Err(self.refuse_resumption("absent_build"));
         }
         self.origin = Some(build);
@@ -55,7 +59,11 @@
         let (context, now) = (&self.context, self.context.now());
         let service = self.call.service();
         let attempt = name_hash(self.call.stream_attempt());
-        let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now);
+        let rows = context.mirror.head(Topic::Upstreams).map(|it| now.since(it.confirmed_at));
+        let is_alone = context.members.count() == 1;
+        let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now)
+            && rows.is_some_and(|it| it < MAX_ROWS_AGE)
+            && (is_alone || context.peers.any_responsive(now));
         let view = context.view.load();
         let registered = view.builds(service);
         let hash = name_hash(service.as_str());
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -62,6 +62,11 @@
 }
 
 impl Endpoint {
+    /// Whether it has this build and has not announced that it leaves.
+    pub fn is_staying(&self, build: &Build) -> bool {
+        self.record.build == *build && !self.health.is_leaving()
+    }
+
     /// The version of `model` in its registration.
     pub fn version(&self, model: &Model) -> Option<Version> {
         let registered = self.record.weights.iter().find(|(it, _)| it == model);
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -2,10 +2,13 @@
 
 use tealturn::{
     gateway::roster::{REMOVED_MEMORY, REREGISTRATION_GRACE, Record, Roster},
-    kernel::{clock::Time, id::Incarnation},
+    kernel::{
+        clock::Time,
+        id::{Build, Incarnation, Model, Version},
+    },
 };
 
-use crate::scene::{name, record};
+use crate::scene::{MODEL, engines, name, record};
 
 const START: Time = Time::from_millis(10_000);
 
@@ -195,3 +198,13 @@
         assert_eq!(names(&roster), ["engine-0"], "{}: it registered again", case.what);
     }
 }
+
+/// A stream must not wait for upstreams that will take no more calls.
+#[test]
+fn an_upstream_that_leaves_does_not_continue_streams() {
+    let engines = engines(&[1; 2]);
+    let build = engines[0].record.build.clone();
+    engines[0].health.record_leaving();
+    assert!(!engines[0].is_staying(&build) && engines[1].is_staying(&build));
+    assert!(!engines[1].is_staying(&Build::from("another")));
+}
