Keep newer weights of a process when the store comes back from an older copy

The copy names the weights before the last load: calls were sent there with old weights expected, and rejected, or the engine counted as expired. Change: for the same process the newer version stays, as draining does. Evidence: an_older_copy_of_the_store_brings_no_older_weights_back.

--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -48,6 +48,17 @@
     pub weights: Vec<(Model, Version)>,
 }
 
+impl Record {
+    /// Replaces weights that are older than those of an earlier registration of the same process,
+    /// which never goes back to older ones.
+    fn keep_newer_weights(&mut self, earlier: &Record) {
+        for (model, version) in &mut self.weights {
+            let known = earlier.weights.iter().find(|(it, _)| it == model);
+            *version = known.map_or(*version, |(_, it)| (*version).max(*it));
+        }
+    }
+}
+
 /// A registered upstream.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -161,6 +172,9 @@
             }
             let same_process = known.incarnation == record.incarnation;
             record.draining |= same_process && known.draining;
+            if same_process {
+                record.keep_newer_weights(known);
+            }
             let departed = same_process && entry.departed;
             self.put(name, record, None, departed);
             return;
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -199,6 +199,33 @@
     }
 }
 
+/// An older copy of the store names the weights that an engine had before its last load; calls that expect
+/// them would be rejected.
+#[test]
+fn an_older_copy_of_the_store_brings_no_older_weights_back() {
+    struct Case {
+        what: &'static str,
+        restored: Record,
+        version: u64,
+    }
+    for case in [
+        Case { what: "older weights", restored: record(0, 2), version: 3 },
+        Case { what: "newer weights", restored: record(0, 4), version: 4 },
+        Case {
+            what: "a later process",
+            restored: Record { incarnation: Incarnation(2), ..record(0, 2) },
+            version: 2,
+        },
+    ] {
+        let mut roster = Roster::default();
+        roster.insert(&name(0), record(0, 3));
+        roster.restore(&name(0), case.restored);
+        let view = roster.view();
+        let version = view.all().next().and_then(|it| it.version(&Model::from(MODEL)));
+        assert_eq!(version, Some(Version(case.version)), "{}", case.what);
+    }
+}
+
 /// A stream must not wait for upstreams that will take no more calls.
 #[test]
 fn an_upstream_that_leaves_does_not_continue_streams() {
