--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -21,8 +21,8 @@
 /// Lifetimes of an address list after which no caller uses it any more.
 const MAX_LIST_LIFETIMES: u32 = 3;
 
-/// Longest part of the grace period, less [`SHUTDOWN_RESERVE`], during which new calls are accepted; the
-/// remainder is for the last calls to finish.
+/// Longest part of the grace period, less [`SHUTDOWN_RESERVE`], during which new calls are accepted.
+/// The remainder is for the last calls to finish.
 const MAX_ACCEPT_RATIO: f64 = 0.6;
 
 /// Margin before the end of the grace period at which [`Controller::run`] stops waiting for calls
@@ -92,8 +92,8 @@
     }
 }
 
-/// How long new calls are still accepted after a planned shutdown has begun: until callers no longer use
-/// address lists that they were given before.
+/// How long new calls are still accepted after a planned shutdown has begun: until callers no longer
+/// use address lists that they were given before.
 pub fn accept_period(grace: Duration, address_lifetime: Duration) -> Duration {
     let longest = grace.saturating_sub(SHUTDOWN_RESERVE).mul_f64(MAX_ACCEPT_RATIO);
     (address_lifetime * MAX_LIST_LIFETIMES).min(longest)
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -72,7 +72,8 @@
 }
 
 /// The updates that the peer lacks. One that has none yet, or that is behind the log, gets all
-/// suspects and the origins of streams. Before its first message nothing is sent: it may never answer.
+/// suspects and the origins of streams. Before its first message nothing is sent: it may never
+/// answer.
 fn updates(context: &Context, name: &str, to_link: Link, known: &Known) -> (u64, Vec<Update>) {
     if *known == Known::default() {
         return (0, Vec::new());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -320,10 +320,12 @@
     }
 }
 
-/// Sets a target that the operator's rows name, which did not until `unchanged_until`. If that is long
-/// ago or not known, as in the first listing, or if the operator only wrote a known target again, the
-/// target may have been set for a while. Then calls may start on older weights only as long as this
-/// daemon is not held to the deadline, or as if the target had been set at the earliest possible time.
+/// Sets a target that the operator's rows name, which did not until `unchanged_until`.
+///
+/// If that is long ago or not known, as in the first listing, or if the operator only wrote a known
+/// target again, the target may have been set for a while. Then calls may start on older weights only
+/// as long as this daemon is not held to the deadline, or as if the target had been set at the
+/// earliest possible time.
 fn set_target(context: &Context, model: &Model, version: Version, unchanged_until: Option<Time>) {
     let (now, settings) = (context.now(), &context.settings);
     let is_known = context.progress.load().has_target(model, version);
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -182,8 +182,8 @@
         statuses.iter().find(is_match)
     }
 
-    /// Returns the engines that stay and lack a model's target weights. Those with the oldest weights come
-    /// first, so that no engine is starved when new versions arrive in quick succession.
+    /// Returns the engines that stay and lack a model's target weights. Those with the oldest weights
+    /// come first, so that no engine is starved when new versions arrive in quick succession.
     pub fn pending(&self, view: &View, model: &Model) -> Vec<Arc<Endpoint>> {
         let Some(target) = self.target(model) else {
             return Vec::new();
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -23,8 +23,9 @@
 /// takes about two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
-/// How long an upstream is remembered after its entry was removed. It may register again, for instance
-/// if it reached the store too late to keep its entry, or come back with an older copy of the store.
+/// How long an upstream is remembered after its entry was removed. It may register again, for
+/// instance if it reached the store too late to keep its entry, or come back with an older copy of
+/// the store.
 pub const REMOVED_MEMORY: Duration = Duration::from_secs(600);
 
 /// Registration written by an upstream.
