--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -43,9 +43,9 @@
 /// during which a revoked key may still be accepted (`Settings::revocation`, 5 s on the platform).
 const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_800);
 
-/// Age of the operator's rows from which changed ones may have been there for a while: longer than a
-/// long poll and its answer take.
-const MAX_OPERATOR_GAP: Duration = Duration::from_millis(2_500);
+/// Age of the operator's rows from which changed ones may have been there for a while. Rows are as old
+/// as the last complete long poll when the next one, which also takes its whole time, brings a change.
+const MAX_OPERATOR_GAP: Duration = Duration::from_millis(4_500);
 
 /// Long-poll timeout for other topics. [`http::client`](crate::http::client) closes a connection
 /// earlier if the other side no longer acknowledges TCP segments.
