Read and log the limit that an upstream names on its requests

Change: the head of any answer (to a call, a report or an order) gives a Notice with the limit; a change is logged and counted, the line of a selected upstream names the limit in force. Nothing acts on it yet. An answer that names none, or a higher one, counts only if its request was sent later than the last statement, because answers overtake each other.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,6 +6,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use metrics::counter;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
@@ -14,10 +15,11 @@
     fleet::board::Fact,
     gateway::{
         budget::Budget,
-        dialect::{Dialect, Engines, Schema},
+        dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
         freshness::{Documents, Freshness},
+        limit::Statement,
         member::Members,
         message::{News, Update},
         mirror::Mirror,
@@ -25,7 +27,7 @@
         peer::{Origin, Peers},
         place::Placer,
         rollout::{Progress, Target},
-        roster::{Roster, View},
+        roster::{Endpoint, Roster, View},
         settings::Settings,
         store::Store,
         topology::Plan,
@@ -205,6 +207,22 @@
         }
     }
 
+    /// Records what an upstream says of itself in an answer to a request that was sent at `sent_at`.
+    pub fn take_notice(&self, upstream: &Endpoint, notice: Notice, sent_at: Time) {
+        let (name, health) = (upstream.name.as_str(), &upstream.health);
+        if notice.leaving && health.record_leaving() {
+            info!(upstream = name, "upstream announced that it leaves");
+        }
+        if notice.limit == Statement::Unreadable {
+            info!(upstream = name, "upstream named a limit that can't be read");
+        }
+        if health.record_limit(notice.limit, sent_at, self.now()) {
+            let rate = health.limit().rate;
+            counter!("tealturn_limits_named_total").increment(u64::from(rate.is_some()));
+            info!(upstream = name, rate, "upstream changed the limit on its requests a second");
+        }
+    }
+
     /// Selects upstreams for calls.
     pub fn placer(&self) -> MutexGuard<'_, Placer> {
         self.placer.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
     gateway::{
         call::{Call, Dispatch, Head},
         document::Document,
+        limit::Statement,
         roster::{Endpoint, Record},
         store::Row,
     },
@@ -43,8 +44,17 @@
     TimedOut,
 }
 
+/// What an upstream says of itself in the head of any answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Whether it announces that it leaves.
+    pub leaving: bool,
+    /// The limit on the requests that it takes.
+    pub limit: Statement,
+}
+
 /// What the head of an upstream's response shows about the attempt.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
     /// Whether the response belongs to the request that was sent.
     pub matches_request: bool,
@@ -54,8 +64,8 @@
     pub misdirected: bool,
     /// Whether a successful response carries the upstream's signature.
     pub signed: bool,
-    /// Whether the upstream announces that it leaves.
-    pub leaving: bool,
+    /// What the upstream says of itself.
+    pub notice: Notice,
     /// How long the upstream, which turned the call away, asks for no calls.
     pub pause: Option<Duration>,
 }
@@ -150,17 +160,17 @@
 }
 
 /// An engine's answer to a control call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Answer<T> {
-    /// Whether the engine announces that it leaves.
-    pub leaving: bool,
+    /// What the engine says of itself; `None` if no head of an answer arrived.
+    pub notice: Option<Notice>,
     /// What it answered; `None` if there is no valid response, or nothing was sent.
     pub content: Option<T>,
 }
 
 impl<T> Default for Answer<T> {
     fn default() -> Answer<T> {
-        Answer { leaving: false, content: None }
+        Answer { notice: None, content: None }
     }
 }
 
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
-use crate::kernel::clock::Time;
+use crate::{
+    gateway::limit::{Limit, Statement},
+    kernel::clock::Time,
+};
 
 /// Consecutive failures after which an upstream is ejected for a while.
 const EJECTION_FAILURES: u32 = 3;
@@ -67,6 +70,7 @@
     ejected_until: Option<Time>,
     /// Whether it announced that it leaves, which holds for the rest of its process.
     leaving: bool,
+    limit: Limit,
     /// End of the pauses that it asked for. Unlike an ejection, only time ends them.
     paused_until: Option<Time>,
     /// When it last sent something, or received a call while it had none in flight.
@@ -242,6 +246,16 @@
         self.state().paused_until.filter(|it| now < *it)
     }
 
+    /// Records what an answer says of a limit; see [`Limit::update`].
+    pub fn record_limit(&self, statement: Statement, sent_at: Time, now: Time) -> bool {
+        self.state().limit.update(statement, sent_at, now)
+    }
+
+    /// The limit that the upstream last named.
+    pub fn limit(&self) -> Limit {
+        self.state().limit
+    }
+
     /// Marks the upstream as dead because it refuses connections: its process has ended. It gets no
     /// calls until a connection succeeds.
     pub fn mark_dead(&self, now: Time) {
--- a/src/gateway/operate/load.rs
+++ b/src/gateway/operate/load.rs
@@ -14,7 +14,7 @@
 use crate::{
     gateway::{
         context::Context,
-        dialect::{self, Order},
+        dialect::{self, Notice, Order},
         roster::Endpoint,
     },
     kernel::{
@@ -65,8 +65,9 @@
         time::sleep(STATUS_LEAD_TIME).await;
         let mut ordered_at: Option<Time> = None;
         loop {
+            let asked_at = self.context.now();
             let report = self.context.engines.report(&self.engine).await;
-            self.note_leaving(report.leaving);
+            self.take_notice(report.notice, asked_at);
             if self.engine.health.is_leaving() {
                 return false;
             }
@@ -100,7 +101,7 @@
                 };
                 ordered_at = Some(now);
                 let answer = self.context.engines.order(&self.engine, &order, deadline).await;
-                self.note_leaving(answer.leaving);
+                self.take_notice(answer.notice, now);
                 let accepted = answer.content;
                 let name = self.engine.name.as_str();
                 info!(
@@ -117,10 +118,9 @@
         }
     }
 
-    fn note_leaving(&self, leaving: bool) {
-        if leaving && self.engine.health.record_leaving() {
-            let upstream = self.engine.name.as_str();
-            info!(upstream, "upstream announced that it leaves");
+    fn take_notice(&self, notice: Option<Notice>, sent_at: Time) {
+        if let Some(notice) = notice {
+            self.context.take_notice(&self.engine, notice, sent_at);
         }
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -264,7 +264,8 @@
 
     async fn send(&self, reservation: &Reservation) -> Outcome {
         let (context, call) = (&self.context, &self.call);
-        let time_left = call.deadline.since(context.now()).saturating_sub(RESPONSE_MARGIN);
+        let sent_at = context.now();
+        let time_left = call.deadline.since(sent_at).saturating_sub(RESPONSE_MARGIN);
         let dispatch = self.dispatch(&reservation.choice, time_left);
         let mut headers = call.headers.clone();
         context.dialect.write_request_headers(call, &dispatch, &mut headers);
@@ -301,7 +302,7 @@
             Err(_) => Outcome::TimedOut,
             Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable(source.to_string()),
             Ok(Err(error)) => Outcome::Lost(error.to_string()),
-            Ok(Ok(answer)) => self.classify(reservation, answer),
+            Ok(Ok(answer)) => self.classify(reservation, answer, sent_at),
         }
     }
 
@@ -324,15 +325,14 @@
         }
     }
 
-    /// Classifies an answer by its head.
-    fn classify(&self, reservation: &Reservation, answer: Answer) -> Outcome {
+    /// Classifies the answer to a request that was sent at `sent_at`, by its head.
+    fn classify(&self, reservation: &Reservation, answer: Answer, sent_at: Time) -> Outcome {
         let (status, headers) = (answer.response.status(), answer.response.headers());
         let head = self.context.dialect.parse_response(&self.call, status, headers);
-        let Endpoint { name, health, .. } = &*reservation.choice.endpoint;
+        let endpoint = &reservation.choice.endpoint;
+        let Endpoint { name, health, .. } = &**endpoint;
         let now = self.context.now();
-        if head.leaving && health.record_leaving() {
-            info!(upstream = name.as_str(), "upstream announced that it leaves");
-        }
+        self.context.take_notice(endpoint, head.notice, sent_at);
         if let Some(pause) = head.pause.filter(|it| health.record_pause(*it, now)) {
             let pause_ms = pause.as_millis() as u64;
             info!(upstream = name.as_str(), pause_ms, "upstream asked for a pause");
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -168,7 +168,8 @@
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
         // holds or can fetch, and `save` whether it should save parts to the KV store.
-        // `superseded_ms` is how long newer weights than the upstream's have been configured.
+        // `superseded_ms` is how long newer weights than the upstream's have been configured, and
+        // `limit` the requests a second that the upstream takes from all daemons.
         info!(
             attempt = call.head.attempt,
             upstream = choice.endpoint.name.as_str(),
@@ -176,6 +177,7 @@
             build = choice.endpoint.record.build.as_str(),
             version = choice.version.map(|it| it.0),
             superseded_ms = choice.superseded_since.map(|it| now.since(it).as_millis() as u64),
+            limit = choice.endpoint.health.limit().rate,
             resumes = call.head.resumes,
             last_event = self.last_event,
             source = choice.source.as_ref().map(|it| it.address().to_string()),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod freshness;
 #[path = "gateway/gauge.rs"]
 mod gauge;
+#[path = "gateway/limit.rs"]
+mod limit;
 #[path = "gateway/message.rs"]
 mod message;
 #[path = "gateway/mirror.rs"]
