Ask for the operator's rows as often as the revocation of keys requires

Cause: a long poll of 1.8 s confirms the document as of its sending, so that the confirmation gets 3.6 s old whatever the time in which a revoked key may be accepted. Change: the poll is a share of that time, 1.8 s at most; the age from which others ask is a share of it, too. At 5 s both stay as they were.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -39,9 +39,13 @@
 /// The same for a daemon that is no watcher, and hears of the store's recovery from watchers.
 const RETRY_DELAY_MAX_UNWATCHED: Duration = Duration::from_millis(2_000);
 
-/// Long-poll timeout for the operator's rows: the document must be confirmed well within the time
-/// during which a revoked key may still be accepted (`Settings::revocation`, 5 s on the platform).
-const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_800);
+/// Longest long poll for the operator's rows.
+const MAX_OPERATOR_POLL_TIMEOUT: Duration = Duration::from_millis(1_800);
+
+/// The same as a share of the time during which a revoked key may still be accepted
+/// (`Settings::revocation`). A poll confirms the document as of its sending, so that a confirmation gets
+/// two polls old before the next one arrives.
+const OPERATOR_POLL_SHARE: f64 = 0.36;
 
 /// Age of the operator's rows from which changed ones may have been there for a while. Rows are as old
 /// as the last complete long poll when the next one, which also takes its whole time, brings a change.
@@ -51,10 +55,10 @@
 /// earlier if the other side no longer acknowledges TCP segments.
 const POLL_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// Age of the operator's rows from which a daemon that is no watcher asks the store itself: late
-/// enough that watchers' long polls and the exchange don't reach it, early enough that the answer
-/// arrives before calls that need a key must be refused (`Settings::revocation`).
-const OPERATOR_MAX_AGE: Duration = Duration::from_millis(2_800);
+/// Age of the operator's rows from which a daemon that is no watcher asks the store itself, as a share
+/// of `Settings::revocation`: late enough that watchers' long polls and the exchange don't reach it,
+/// early enough that the answer arrives before calls that need a key must be refused.
+const OPERATOR_MAX_AGE_SHARE: f64 = 0.56;
 
 /// The same for other topics, which nothing must confirm within a time. It matters only if the
 /// exchange fails.
@@ -135,7 +139,9 @@
         let started_at = self.context.now();
         let jitter = AGE_JITTER.mul_f64(rand::random::<f64>());
         let max_age = match self.topic {
-            Topic::Operator => OPERATOR_MAX_AGE,
+            Topic::Operator => {
+                self.context.settings.revocation.mul_f64(OPERATOR_MAX_AGE_SHARE).min(MAX_AGE)
+            }
             _ => MAX_AGE,
         };
         loop {
@@ -167,7 +173,7 @@
             Some(head) => {
                 let timeout = match self.topic {
                     _ if !is_watcher => Duration::ZERO,
-                    Topic::Operator => OPERATOR_POLL_TIMEOUT,
+                    Topic::Operator => operator_poll_timeout(self.context.settings.revocation),
                     _ => POLL_TIMEOUT,
                 };
                 // Others may learn of a later era while this call waits.
@@ -409,3 +415,8 @@
         context.expire_upstreams();
     }
 }
+
+/// The long-poll timeout for the operator's rows if a revoked key may be accepted for `revocation`.
+fn operator_poll_timeout(revocation: Duration) -> Duration {
+    revocation.mul_f64(OPERATOR_POLL_SHARE).min(MAX_OPERATOR_POLL_TIMEOUT)
+}
