Issue permits for requests to upstreams that named a limit

Cause: nothing counted what all daemons together send to one upstream, and the limit was not read. Class: a promise that holds for all daemons together, kept by none. Change: one daemon, the issuer (rendezvous hashing over the hubs), issues permits from a bucket for each upstream process; daemons ask it for each request to an upstream with a limit, also for reports and load orders, which may get ahead of calls by two. Limits, their changes and their end travel through the exchange. A daemon that is denied sends its call elsewhere; where no upstream gives a permit within the latency objective, the call is refused at once and told when. The simulation now retries unresponsive daemons as the exchange does: without that, its daemons that had been cut off stayed alone for good.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -18,6 +18,7 @@
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
+        exchange::permit::Connections,
         freshness::{Documents, Freshness},
         limit::Statement,
         member::Members,
@@ -25,6 +26,7 @@
         mirror::Mirror,
         origin,
         peer::{Origin, Peers},
+        permit::Issuer,
         place::Placer,
         rollout::{Progress, Target},
         roster::{Endpoint, Roster, View},
@@ -98,6 +100,8 @@
     pub peers: Peers,
     /// The part of this daemon in the exchange.
     pub plan: ArcSwap<Plan>,
+    /// Connections to the daemons that issue permits.
+    pub issuers: Connections,
     /// Wakes the exchange when something must be known to others at once.
     pub urgent: Notify,
     /// When another daemon last reported progress of a rollout.
@@ -109,6 +113,7 @@
     budget: Mutex<Budget>,
     suspects: Mutex<Table>,
     origins: Mutex<origin::Table>,
+    issuer: Mutex<Issuer>,
     attempt_counter: AtomicU64,
 }
 
@@ -136,6 +141,7 @@
             members: Members::default(),
             peers: Peers::default(),
             plan: ArcSwap::default(),
+            issuers: Connections::default(),
             urgent: Notify::new(),
             rollout_news: Freshness::default(),
             leaving: CancellationToken::new(),
@@ -144,6 +150,7 @@
             budget: Mutex::new(budget),
             suspects: Mutex::default(),
             origins: Mutex::default(),
+            issuer: Mutex::default(),
             attempt_counter: AtomicU64::new(0),
             settings: setup.settings,
         }
@@ -220,6 +227,7 @@
             let rate = health.limit().rate;
             counter!("tealturn_limits_named_total").increment(u64::from(rate.is_some()));
             info!(upstream = name, rate, "upstream changed the limit on its requests a second");
+            self.urgent.notify_one();
         }
     }
 
@@ -246,6 +254,11 @@
         self.urgent.notify_one();
     }
 
+    /// Permits that this daemon issues.
+    pub fn issuer(&self) -> MutexGuard<'_, Issuer> {
+        self.issuer.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Which builds began the recent streams.
     pub fn origins(&self) -> MutexGuard<'_, origin::Table> {
         self.origins.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,6 +5,7 @@
 #![allow(missing_docs)]
 
 mod compose;
+pub mod permit;
 mod take;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -26,6 +27,7 @@
     gateway::{
         context::Context,
         message::{Link, Message},
+        permit::{Ask, Verdict},
         topology::{self, Candidate, FULL_MESH_DAEMONS, Plan},
     },
 };
@@ -48,7 +50,7 @@
 
 /// Interval at which a daemon that doesn't answer is tried, one after the other, so that parts of
 /// the fleet that were cut off from each other meet again.
-const RETRY_INTERVAL: Duration = Duration::from_millis(300);
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Silence after which a hub calls another one that should have called it.
 const CALLER_SILENCE: Duration = Duration::from_millis(400);
@@ -64,6 +66,9 @@
 pub trait Exchange {
     /// Takes the caller's state and returns that of this daemon.
     async fn exchange(message: Message) -> Message;
+
+    /// Decides whether the caller may send a request to an upstream that named a limit.
+    async fn permit(ask: Ask) -> Verdict;
 }
 
 #[derive(Clone)]
@@ -75,6 +80,10 @@
         take(&self.0, &message);
         compose(&self.0, &from, link.reversed())
     }
+
+    async fn permit(self, _: call::Context, ask: Ask) -> Verdict {
+        crate::gateway::permit::decide(&self.0, &ask)
+    }
 }
 
 /// Serves other daemons until `stop`.
@@ -131,11 +140,7 @@
 ) -> Vec<(String, SocketAddr, Link)> {
     let (now, plan) = (context.now(), context.plan.load());
     let own = context.settings.daemon.as_str();
-    let members = context.members.all();
-    let address = |name: &str| {
-        let index = members.binary_search_by(|(it, _)| it.as_str().cmp(name)).ok()?;
-        Some(members[index].1.peer)
-    };
+    let address = |name: &str| context.members.peer_address(name);
     if !plan.is_hub {
         let hub = plan.hubs.first();
         context.peers.set_hub(hub.map(String::as_str));
@@ -157,6 +162,24 @@
     wanted
 }
 
+/// A random one of the daemons that seem to be gone, which a hub tries besides the peers that it calls;
+/// so does a spoke that knows no hub.
+pub fn unresponsive(context: &Context) -> Option<(String, SocketAddr)> {
+    let (now, plan) = (context.now(), context.plan.load());
+    if !plan.is_hub && !plan.hubs.is_empty() {
+        return None;
+    }
+    let own = context.settings.daemon.as_str();
+    let members = context.members.all();
+    let is_gone = |name: &str| name != own && !context.peers.is_responsive(name, now);
+    let gone: Vec<_> = members.iter().filter(|(name, it)| !it.leaving && is_gone(name)).collect();
+    if gone.is_empty() {
+        return None;
+    }
+    let (name, member) = gone[rand::random_range(0..gone.len())];
+    Some((name.clone(), member.peer))
+}
+
 /// Interval between messages to a peer to which this daemon is `link`.
 pub fn interval(plan: &Plan, link: Link) -> Duration {
     match link {
@@ -243,24 +266,13 @@
 
     /// Tries one of the daemons that seem to be gone.
     fn retry_unresponsive(&self) {
-        let context = &self.context;
-        let (now, plan) = (context.now(), context.plan.load());
-        if !plan.is_hub && !plan.hubs.is_empty() {
-            return;
-        }
-        let own = context.settings.daemon.as_str();
-        let members = context.members.all();
-        let is_gone = |name: &str| name != own && !context.peers.is_responsive(name, now);
-        let gone: Vec<_> =
-            members.iter().filter(|(name, it)| !it.leaving && is_gone(name)).collect();
-        if gone.is_empty() {
+        let Some((name, address)) = unresponsive(&self.context) else {
             return;
-        }
-        let (name, member) = gone[rand::random_range(0..gone.len())];
+        };
         let session = Session {
-            context: context.clone(),
-            name: name.clone(),
-            address: member.peer,
+            context: self.context.clone(),
+            name,
+            address,
             link: Link::Peer,
             wake: Arc::default(),
         };
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -6,8 +6,8 @@
     gateway::{
         context::Context,
         message::{
-            Age, Head, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Target, Targets,
-            Update, Usage,
+            Age, Head, Limit, Link, Load, Message, News, Offset, Rollout, Rows, Sighting, Target,
+            Targets, Update, Usage,
         },
         peer::{Known, live_digest},
         store::Topic,
@@ -22,6 +22,9 @@
 /// How long it is reported that an upstream was found dead.
 const SIGHTING_LIFETIME: Duration = Duration::from_secs(10);
 
+/// How long it is reported that a limit ended.
+const ENDED_LIMIT_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Target versions of each model that are reported: an engine's weights are rarely older.
 const REPORTED_TARGETS: usize = 6;
 
@@ -68,6 +71,7 @@
         rollouts_digest,
         rollouts,
         sightings: sightings(context, &known, now),
+        limits: limits(context, &known, now),
     }
 }
 
@@ -176,3 +180,22 @@
     }
     sightings
 }
+
+fn limits(context: &Context, known: &Known, now: Time) -> Vec<Limit> {
+    let mut limits = Vec::new();
+    for endpoint in context.view.load().all() {
+        let limit = endpoint.health.limit();
+        let was_named = limit.heard_at > Time::default();
+        if limit.rate.is_none() && !(was_named && now.since(limit.heard_at) < ENDED_LIMIT_LIFETIME)
+        {
+            continue;
+        }
+        limits.push(Limit {
+            upstream: endpoint.hash,
+            incarnation: endpoint.record.incarnation,
+            rate: limit.rate,
+            heard_at: Offset::new(limit.heard_at, known.heard_at),
+        });
+    }
+    limits
+}
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use tracing::info;
+
 use crate::{
     gateway::{
         context::Context,
         follow, gauge,
+        limit::Limit,
         message::{Message, News, Update},
         peer::Origin,
         rollout::Target,
@@ -38,6 +41,7 @@
         .filter(|it| *it <= now);
     if let Some(echo) = echo {
         take_sightings(context, message, echo, now);
+        take_limits(context, message, echo);
     }
     take_rows(context, message, echo);
 }
@@ -108,6 +112,24 @@
     }
 }
 
+fn take_limits(context: &Context, message: &Message, echo: Time) {
+    if message.limits.is_empty() {
+        return;
+    }
+    for endpoint in context.view.load().all() {
+        let process = (endpoint.hash, endpoint.record.incarnation);
+        let named = message.limits.iter().find(|it| (it.upstream, it.incarnation) == process);
+        let Some(named) = named else { continue };
+        let limit = Limit { rate: named.rate, heard_at: named.heard_at.resolve(echo) };
+        if endpoint.health.learn_limit(limit) {
+            let upstream = endpoint.name.as_str();
+            info!(upstream, rate = limit.rate, "another daemon told of a changed limit");
+            // Spokes of this daemon must know, too.
+            context.urgent.notify_one();
+        }
+    }
+}
+
 /// Takes the rows that this daemon lacks, and the confirmation of those that it has.
 fn take_rows(context: &Context, message: &Message, echo: Option<Time>) {
     for (index, topic) in Topic::FOLLOWED.into_iter().enumerate() {
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -71,6 +71,8 @@
     /// Whether it announced that it leaves, which holds for the rest of its process.
     leaving: bool,
     limit: Limit,
+    /// Until when this daemon may not ask for a permit again, which a limit requires.
+    no_permit_until: Option<Time>,
     /// End of the pauses that it asked for. Unlike an ejection, only time ends them.
     paused_until: Option<Time>,
     /// When it last sent something, or received a call while it had none in flight.
@@ -248,7 +250,33 @@
 
     /// Records what an answer says of a limit; see [`Limit::update`].
     pub fn record_limit(&self, statement: Statement, sent_at: Time, now: Time) -> bool {
-        self.state().limit.update(statement, sent_at, now)
+        let mut state = self.state();
+        let changes = state.limit.update(statement, sent_at, now);
+        if changes {
+            state.no_permit_until = None;
+        }
+        changes
+    }
+
+    /// Takes what another daemon knows of the limit; see [`Limit::merge`].
+    pub fn learn_limit(&self, limit: Limit) -> bool {
+        let mut state = self.state();
+        let changes = state.limit.merge(limit);
+        if changes {
+            state.no_permit_until = None;
+        }
+        changes
+    }
+
+    /// Keeps calls away until a permit may be asked for again.
+    pub fn await_permit(&self, until: Time) {
+        let mut state = self.state();
+        state.no_permit_until = state.no_permit_until.max(Some(until));
+    }
+
+    /// When a permit may be asked for again, if one was denied.
+    pub fn permit_denied_until(&self, now: Time) -> Option<Time> {
+        self.state().no_permit_until.filter(|it| now < *it)
     }
 
     /// The limit that the upstream last named.
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -97,6 +97,13 @@
         self.0.load().iter().filter(|(_, it)| !it.leaving).count().max(1)
     }
 
+    /// The address of a daemon for others.
+    pub fn peer_address(&self, name: &str) -> Option<SocketAddr> {
+        let members = self.0.load();
+        let index = members.binary_search_by(|(it, _)| it.as_str().cmp(name)).ok()?;
+        Some(members[index].1.peer)
+    }
+
     /// All registrations, sorted by name.
     pub fn all(&self) -> Arc<Vec<(String, Member)>> {
         self.0.load_full()
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -171,6 +171,19 @@
     pub alive_at: Option<Offset>,
 }
 
+/// The limit of an upstream process, see [`limit::Limit`](crate::gateway::limit::Limit).
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Limit {
+    /// Hash of the upstream's name.
+    pub upstream: u64,
+    /// Incarnation of its process.
+    pub incarnation: Incarnation,
+    /// Requests that it takes in a second; `None` if it no longer names a limit.
+    pub rate: Option<f64>,
+    /// When a daemon heard so.
+    pub heard_at: Offset,
+}
+
 /// News that is passed on along the tree.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum News {
@@ -262,4 +275,6 @@
     pub rollouts: Vec<Rollout>,
     /// Upstreams that were found dead recently.
     pub sightings: Vec<Sighting>,
+    /// Limits that upstreams name, and those that ended recently.
+    pub limits: Vec<Limit>,
 }
--- a/src/gateway/operate/load.rs
+++ b/src/gateway/operate/load.rs
@@ -15,6 +15,8 @@
     gateway::{
         context::Context,
         dialect::{self, Notice, Order},
+        exchange::permit,
+        permit::Purpose,
         roster::Endpoint,
     },
     kernel::{
@@ -65,6 +67,15 @@
         time::sleep(STATUS_LEAD_TIME).await;
         let mut ordered_at: Option<Time> = None;
         loop {
+            // The first report decides on the order, the others only tell how far it is.
+            let purpose = match ordered_at {
+                None => Purpose::Order,
+                Some(_) => Purpose::Call,
+            };
+            if !permit::obtain(&self.context, &self.engine, purpose).await {
+                time::sleep(REPORT_INTERVAL).await;
+                continue;
+            }
             let asked_at = self.context.now();
             let report = self.context.engines.report(&self.engine).await;
             self.take_notice(report.notice, asked_at);
@@ -86,7 +97,9 @@
             }
             let now = self.context.now();
             let is_due = ordered_at.is_none_or(|it| now.since(it) >= ORDER_RETRY_INTERVAL);
-            if is_due && !report.busy {
+            let may_order = is_due && !report.busy;
+            if may_order && permit::obtain(&self.context, &self.engine, Purpose::Order).await {
+                let now = self.context.now();
                 let deadline = Time(self.order_deadline.load(Ordering::Acquire));
                 if now >= deadline {
                     // The engine is scheduled again under a renewed lease.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -18,7 +18,7 @@
         document::KvStore,
         peer::Totals,
         place::{
-            candidate::{candidates, failure_rate, is_eligible},
+            candidate::{Candidates, candidates, failure_rate, is_eligible},
             holder::Holders,
         },
         rollout::Progress,
@@ -136,6 +136,9 @@
     Closed,
     /// All engines that could take the call have reached the memory limit for running calls.
     Full,
+    /// All upstreams that could take the call named limits, and permits may be asked for again from
+    /// this time on.
+    Limited(Time),
 }
 
 /// Selects upstreams and tracks the contents of their caches.
@@ -176,22 +179,33 @@
         }
         match query.prompt {
             Some(prompt) => self.choose_engine(query, prompt, endpoints, progress, now),
-            None => self.choose_plain(query, endpoints, now).ok_or(Error::Closed),
+            None => self.choose_plain(query, endpoints, now),
         }
     }
 
     /// Selects the least loaded upstream, full ones last. Another zone counts as one more call.
-    fn choose_plain(&self, query: &Query<'_>, all: &[Arc<Endpoint>], now: Time) -> Option<Choice> {
+    fn choose_plain(
+        &self,
+        query: &Query<'_>,
+        all: &[Arc<Endpoint>],
+        now: Time,
+    ) -> Result<Choice, Error> {
         let eligible = all.iter().filter(|it| is_eligible(it, query, now));
-        let chosen = eligible.min_by_key(|it| {
+        let permit_at = |it: &&Arc<Endpoint>| it.health.permit_denied_until(now);
+        let open = eligible.clone().filter(|it| permit_at(it).is_none());
+        let chosen = open.min_by_key(|it| {
             let peers = query.peers.get(&it.hash).map_or(0, |it| it.calls);
             let busy = u64::from(peers + it.health.calls_in_flight());
             let full = busy >= u64::from(it.record.slots);
             let is_remote = it.record.zone != self.zone;
             let failing = (failure_rate(it, query, now) * FAILURE_COST_CALLS) as u64;
             (full, busy + u64::from(is_remote) + failing, mix(query.random ^ it.hash))
-        })?;
-        Some(Choice {
+        });
+        let Some(chosen) = chosen else {
+            let first = eligible.filter_map(|it| permit_at(&it)).min();
+            return Err(first.map_or(Error::Closed, Error::Limited));
+        };
+        Ok(Choice {
             endpoint: chosen.clone(),
             version: None,
             superseded_since: None,
@@ -213,7 +227,8 @@
         now: Time,
     ) -> Result<Choice, Error> {
         let rate = self.prefill_tokens_per_ms;
-        let candidates = candidates(query, prompt, all, progress, rate, now);
+        let Candidates { engines: candidates, permit_at } =
+            candidates(query, prompt, all, progress, rate, now);
         let depth = |keys: &[u64], engine: &Endpoint| self.cached_depth(query, keys, engine);
         let holders = Holders::new(query, prompt, &candidates, depth);
         let shared_tokens = prefix_tokens(prompt, prompt.shared().len());
@@ -288,10 +303,11 @@
             };
             best = Some((cost, choice));
         }
-        match best {
-            Some((_, choice)) => Ok(choice),
-            None if any_full => Err(Error::Full),
-            None => Err(Error::Closed),
+        match (best, permit_at) {
+            (Some((_, choice)), _) => Ok(choice),
+            (None, _) if any_full => Err(Error::Full),
+            (None, Some(until)) => Err(Error::Limited(until)),
+            (None, None) => Err(Error::Closed),
         }
     }
 
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -70,6 +70,13 @@
     pub(super) version_cost_ms: f64,
 }
 
+/// The engines that may take a call.
+pub(super) struct Candidates<'a> {
+    pub(super) engines: Vec<Candidate<'a>>,
+    /// When a permit may first be asked for at one of the others that could take the call with one.
+    pub(super) permit_at: Option<Time>,
+}
+
 /// Returns the engines that may take a call. Each reads `prefill_tokens_per_ms` tokens.
 pub(super) fn candidates<'a>(
     query: &Query<'_>,
@@ -78,9 +85,10 @@
     progress: &Progress,
     prefill_tokens_per_ms: f64,
     now: Time,
-) -> Vec<Candidate<'a>> {
+) -> Candidates<'a> {
     let prefix = prefix_hash(query, prompt);
     let mut candidates: Vec<Candidate<'a>> = Vec::with_capacity(all.len());
+    let mut permit_at: Option<Time> = None;
     let mut homes: Map<Version, (bool, u64, usize)> = Map::default();
     for endpoint in all {
         if !is_eligible(endpoint, query, now) || progress.is_loading(endpoint, &prompt.model) {
@@ -99,6 +107,10 @@
         if age.is_some_and(may_be_late) {
             continue;
         }
+        if let Some(until) = endpoint.health.permit_denied_until(now) {
+            permit_at = Some(permit_at.map_or(until, |it| it.min(until)));
+            continue;
+        }
         let version_cost_ms = match age {
             None => 0.0,
             Some(age) if age < FULL_VALUE_PERIOD => RECENTLY_SUPERSEDED_COST_MS,
@@ -124,7 +136,7 @@
     if candidates.len() > WHOLE_POOL_ENGINES {
         weigh_few(&mut candidates, query.random);
     }
-    candidates
+    Candidates { engines: candidates, permit_at }
 }
 
 /// Leaves only a few engines weighed.
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -10,11 +10,13 @@
         budget::Fleet,
         call::Prompt,
         dialect::Refusal,
+        exchange::permit,
         hold::Reservation,
         message::{News, Update},
-        peer::Origin,
-        place::{self, Query},
-        relay::{RESPONSE_MARGIN, Relay},
+        peer::{Origin, Totals},
+        permit::Purpose,
+        place::{self, Choice, Query},
+        relay::{RESPONSE_MARGIN, RETRY_AFTER, Relay},
         roster::Endpoint,
         topology::FULL_MESH_DAEMONS,
     },
@@ -39,29 +41,49 @@
 /// The time that an engine needs to produce the first event for a long prompt.
 const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(200);
 
+/// The result of selecting an upstream.
+enum Selection {
+    Chosen(Choice),
+    /// All engines are full, or those that could continue the stream are unavailable.
+    Full,
+    /// All that could take the call gave no permit; they may be asked again from this time on.
+    Limited(Time),
+}
+
 impl Relay {
     /// Waits until an upstream has capacity and reserves it for the call.
     pub(super) async fn acquire(&mut self) -> Result<Reservation, Refusal> {
         loop {
-            match self.try_acquire()? {
-                Some(reservation) => return Ok(reservation),
-                None if !self.may_wait() => {
-                    let after = FULL_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>());
-                    return Err(match self.executions {
-                        0 => Refusal::NotRun(after),
-                        _ => Refusal::Lost,
-                    });
-                }
-                None => time::sleep(POLL_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await,
+            let opens_at = match self.select()? {
+                Selection::Chosen(choice) => match self.reserve(choice).await? {
+                    Some(reservation) => return Ok(reservation),
+                    None => continue,
+                },
+                Selection::Full => None,
+                Selection::Limited(until) => Some(until),
+            };
+            if !self.may_wait(opens_at) {
+                let after = match opens_at {
+                    None => FULL_RETRY_AFTER.mul_f64(0.5 + rand::random::<f64>()),
+                    Some(until) => {
+                        until.since(self.context.now()) + RETRY_AFTER.mul_f64(rand::random())
+                    }
+                };
+                return Err(match self.executions {
+                    0 => Refusal::NotRun(after),
+                    _ => Refusal::Lost,
+                });
             }
+            time::sleep(POLL_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
         }
     }
 
-    /// Whether the call may keep waiting for capacity. It may not once its latency objective has
-    /// passed, because calls that can still meet theirs would overtake it repeatedly.
-    pub(super) fn may_wait(&self) -> bool {
-        let now = self.context.now();
-        now.since(self.waiting_since) < self.call.route.latency_objective
+    /// Whether the call may keep waiting for capacity, of which there is none before `opens_at`. It may
+    /// not once its latency objective has passed, because calls that can still meet theirs would
+    /// overtake it repeatedly.
+    fn may_wait(&self, opens_at: Option<Time>) -> bool {
+        let at = opens_at.unwrap_or_default().max(self.context.now());
+        at.since(self.waiting_since) < self.call.route.latency_objective
     }
 
     /// Whether the call can still meet its latency objective.
@@ -80,9 +102,8 @@
         upstreams.iter().any(|it| may_continue(it))
     }
 
-    /// Reserves an upstream for the call. Returns `None` if all engines are full, or those that
-    /// could continue its stream are unavailable.
-    pub(super) fn try_acquire(&mut self) -> Result<Option<Reservation>, Refusal> {
+    /// Refuses a call that may no longer be sent to any upstream.
+    fn check(&self) -> Result<(), Refusal> {
         let (context, call) = (&self.context, &self.call);
         let now = context.now();
         let has_prompt = call.head.prompt.is_some();
@@ -106,30 +127,45 @@
                 _ => Refusal::Lost,
             });
         }
-        let service = call.service();
-        let progress = context.progress.load();
-        let query = Query {
+        Ok(())
+    }
+
+    fn query<'a>(&'a self, peers: &'a Totals, now: Time) -> Query<'a> {
+        let (context, call) = (&self.context, &self.call);
+        Query {
             prompt: call.head.prompt.as_ref(),
             cache_owner: self.cache_owner(),
             excluded: &self.excluded,
             build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
-            running_limit_tokens: self.running_limit_tokens(service, now),
+            running_limit_tokens: self.running_limit_tokens(call.service(), now),
             kv_store: self.kv_store(),
             engine_capacity_tokens: context
                 .document
                 .load()
                 .as_ref()
                 .map_or(0, |it| it.engine_tokens()),
-            peers: &context.peers.peer_load(now),
+            peers,
             random: rand::random(),
-        };
+        }
+    }
+
+    /// Selects an upstream for the call.
+    fn select(&self) -> Result<Selection, Refusal> {
+        self.check()?;
+        let (context, call) = (&self.context, &self.call);
+        let (now, service) = (context.now(), call.service());
+        let progress = context.progress.load();
+        let peers = context.peers.peer_load(now);
+        let query = self.query(&peers, now);
         let view = context.view.load();
-        let choice = context.placer().choose(&query, view.service(service), &progress, now);
-        let choice = match choice {
-            Ok(choice) => choice,
-            Err(place::Error::Full) => return Ok(None),
-            Err(place::Error::Closed) if self.may_reopen(view.service(service)) => return Ok(None),
+        let upstreams = view.service(service);
+        let choice = context.placer().choose(&query, upstreams, &progress, now);
+        match choice {
+            Ok(choice) => Ok(Selection::Chosen(choice)),
+            Err(place::Error::Full) => Ok(Selection::Full),
+            Err(place::Error::Limited(until)) => Ok(Selection::Limited(until)),
+            Err(place::Error::Closed) if self.may_reopen(upstreams) => Ok(Selection::Full),
             Err(reason) => {
                 let service = service.as_str();
                 info!(
@@ -138,9 +174,27 @@
                     ?reason,
                     "no upstream selected: none can take the call"
                 );
-                return Err(self.no_upstream());
+                Err(self.no_upstream())
             }
-        };
+        }
+    }
+
+    /// Reserves the selected upstream. Returns `None` if another one must be selected, because it gave
+    /// no permit or is no longer available.
+    async fn reserve(&mut self, choice: Choice) -> Result<Option<Reservation>, Refusal> {
+        if choice.endpoint.health.limit().rate.is_some() {
+            if !permit::obtain(&self.context, &choice.endpoint, Purpose::Call).await {
+                return Ok(None);
+            }
+            self.check()?;
+            if choice.endpoint.health.is_unavailable(self.context.now()) {
+                return Ok(None);
+            }
+        }
+        let (context, call) = (&self.context, &self.call);
+        let (now, service) = (context.now(), call.service());
+        let peers = context.peers.peer_load(now);
+        let query = self.query(&peers, now);
         if self.sends == 0 {
             context.budget().record_call(service, now);
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -20,6 +20,8 @@
 mod origin;
 #[path = "gateway/peer.rs"]
 mod peer;
+#[path = "gateway/permit.rs"]
+mod permit;
 #[path = "gateway/place.rs"]
 mod place;
 #[path = "gateway/rollout.rs"]
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -397,3 +397,33 @@
         }
     }
 }
+
+/// A call to an upstream that gave no permit would exceed its limit.
+#[test]
+fn an_upstream_that_gave_no_permit_is_left_out_until_it_may_be_asked_again() {
+    let peers = Totals::default();
+    let prompt = prompt(7, 1);
+    for is_plain in [false, true] {
+        let all = engines(&[1; 2]);
+        let query = Query { prompt: (!is_plain).then_some(&prompt), ..query(&prompt, &peers) };
+        let choose = |at| {
+            let choice = placer().choose(&query, &all, &Progress::default(), at);
+            choice.map(|it| it.endpoint.name.clone())
+        };
+        all[0].health.await_permit(START + Duration::from_secs(3));
+        assert_eq!(choose(START), Ok(all[1].name.clone()));
+        all[1].health.await_permit(START + Duration::from_secs(2));
+        let first = START + Duration::from_secs(2);
+        assert_eq!(choose(START), Err(place::Error::Limited(first)));
+        assert_eq!(choose(first), Ok(all[1].name.clone()));
+    }
+    all[1].health.record_pause(Duration::from_secs(9), START);
+    let query = query(&prompt, &peers);
+    let choice = placer().choose(&query, &all, &Progress::default(), START);
+    let until = START + Duration::from_secs(3);
+    assert_eq!(
+        choice.map(|_| ()),
+        Err(place::Error::Limited(until)),
+        "a pause ends by itself only"
+    );
+}
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -170,6 +170,7 @@
     /// When each running caller sends its next message.
     calls: BTreeMap<String, (Link, Time)>,
     planned_at: Time,
+    retried_at: Time,
     asked_at: Time,
     traffic: Traffic,
     /// Messages to and from it are lost.
@@ -213,6 +214,7 @@
             context: None,
             calls: BTreeMap::new(),
             planned_at: Time::default(),
+            retried_at: Time::default(),
             asked_at: Time::default(),
             traffic: Traffic::default(),
             is_cut: false,
@@ -340,6 +342,21 @@
         self.vms[index].context.as_ref().expect("the daemon should run")
     }
 
+    /// The state of one daemon, if it runs.
+    pub fn try_context(&self, index: usize) -> Option<&Arc<Context>> {
+        self.vms[index].context.as_ref()
+    }
+
+    /// The number of a daemon.
+    pub fn index(&self, name: &str) -> usize {
+        self.vms.iter().position(|it| it.name == name).expect("a known daemon")
+    }
+
+    /// The state of the daemon of this name, if it runs.
+    pub fn named(&self, name: &str) -> Option<Arc<Context>> {
+        self.vms[self.index(name)].context.clone()
+    }
+
     /// What each daemon has sent and received since the last call.
     pub fn take_traffic(&mut self) -> Vec<Traffic> {
         self.vms.iter_mut().map(|it| std::mem::take(&mut it.traffic)).collect()
@@ -376,6 +393,20 @@
             self.ask_store(index);
             self.plan(index);
             self.send_due(index);
+            self.retry(index);
+        }
+    }
+
+    /// Tries a daemon that seems to be gone.
+    fn retry(&mut self, index: usize) {
+        let vm = &mut self.vms[index];
+        let Some(context) = vm.context.clone() else { return };
+        if self.now.since(vm.retried_at) < exchange::RETRY_INTERVAL {
+            return;
+        }
+        vm.retried_at = self.now;
+        if let Some((name, _)) = exchange::unresponsive(&context) {
+            self.exchange(index, &context, &name, Link::Peer);
         }
     }
 
