Bound the memory that upstreams' answers take

Cause: a whole answer could take 64 MiB, each one by itself, a head 417 KB, and pieces of streams that a slow caller doesn't read were not counted at all. 16 callers at upstreams with endless bodies took a daemon to 209 MB on a VM with 88 (seen with the new test before the change). Up to 4 KiB nothing is counted, so that ordinary answers don't fail with the endless ones. A head has 32 KiB. Elsewhere: tealturnd's clients share 64 MiB for all answers, too, where each could have as much before.

--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -1,6 +1,6 @@
 //! Forwards event streams and resumes them at another upstream after a failure.
 
-use std::io;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
@@ -22,6 +22,9 @@
 /// The number of stream chunks buffered for a slow caller.
 const BUFFERED_CHUNKS: usize = 8;
 
+/// The interval between checks for memory that other streams have given back.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 impl Relay {
     /// Returns a response whose body forwards events as they arrive.
     pub(super) fn deliver_stream(
@@ -51,7 +54,7 @@
         sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) {
         let mut last_event = self.call.head.last_event.clone();
-        let mut splitter = Splitter::default();
+        let mut splitter = Splitter::new(self.context.client.memory().hold());
         loop {
             let end = self.forward_events(
                 &mut reservation,
@@ -178,14 +181,26 @@
             if events.last_id.is_some() {
                 *last_event = events.last_id;
             }
-            let sent = time::timeout(time_left, sender.send(Ok(Frame::data(events.bytes)))).await;
-            match sent {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return End::CallerDisconnected,
+            match time::timeout(time_left, self.pass_on(events.bytes, sender)).await {
+                Ok(true) => {}
+                Ok(false) => return End::CallerDisconnected,
                 Err(_) => return End::Expired,
             }
         }
     }
+
+    /// Passes bytes on to a caller, once there is memory for as long as it takes the caller to read
+    /// them; returns whether the caller is still connected.
+    async fn pass_on(&self, bytes: Bytes, sender: &mpsc::Sender<io::Result<Frame<Bytes>>>) -> bool {
+        let mut hold = self.context.client.memory().hold();
+        while !hold.resize(bytes.len()) {
+            tokio::select! {
+                () = sender.closed() => return false,
+                () = time::sleep(MEMORY_POLL_INTERVAL) => {}
+            }
+        }
+        sender.send(Ok(Frame::data(hold.keep(bytes)))).await.is_ok()
+    }
 }
 
 /// How the stream from an upstream ended.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,13 +2,18 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::http::memory::Hold;
+
 /// The maximum number of bytes buffered for an incomplete event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Buffers the bytes of an event stream until events are complete.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     buffer: BytesMut,
+    /// The memory of the buffer.
+    hold: Hold,
+    exceeds_limit: bool,
 }
 
 /// One or more complete events.
@@ -21,11 +26,21 @@
 }
 
 impl Splitter {
+    /// A splitter without bytes that takes its memory from `hold`.
+    pub fn new(hold: Hold) -> Splitter {
+        Splitter { buffer: BytesMut::new(), hold, exceeds_limit: false }
+    }
+
     /// Appends bytes and returns the events that are now complete, if any.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
+        if !self.hold.resize(self.buffer.len() + bytes.len()) {
+            self.exceeds_limit = true;
+            return None;
+        }
         self.buffer.extend_from_slice(bytes);
         let end = end_of_events(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
+        self.hold.resize(self.buffer.len());
         let last_id = last_id(&bytes);
         Some(Events { bytes, last_id })
     }
@@ -35,9 +50,9 @@
         !self.buffer.is_empty()
     }
 
-    /// Whether the buffered event exceeds the size limit.
+    /// Whether the buffered event exceeds the size limit, or there is no memory for it.
     pub fn exceeds_limit(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+        self.exceeds_limit || self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Discards the incomplete event.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -7,12 +7,12 @@
 
 use std::{
     net::SocketAddr,
-    sync::Mutex,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
@@ -20,7 +20,11 @@
 use tokio::{net::TcpStream, time};
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::{Error, Result, collections::Map};
+use crate::{
+    Error, Result,
+    collections::Map,
+    http::memory::{Buffer, Memory},
+};
 
 /// The time in which a connection must open.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -44,8 +48,14 @@
 /// Lost probes that break a connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// Bytes of a whole answer that are read.
-const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes of all answers that are read at the same time, unless the memory is bounded.
+const DEFAULT_MEMORY_BYTES: usize = 64 * 1024 * 1024;
+
+/// The part of a bounded memory that one answer may take.
+const ANSWERS_PER_MEMORY: usize = 8;
+
+/// Bytes of an answer's head. The HTTP library reads no more than this ahead of a body's reader.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// Bytes of a body that are quoted in an error.
 const MAX_QUOTE_BYTES: usize = 512;
@@ -53,9 +63,20 @@
 type Sender = SendRequest<Full<Bytes>>;
 
 /// Connections to other processes.
-#[derive(Default)]
 pub struct Client {
     idle: Mutex<Map<SocketAddr, Vec<Connection>>>,
+    memory: Arc<Memory>,
+    max_answer_bytes: usize,
+}
+
+impl Default for Client {
+    fn default() -> Client {
+        Client {
+            idle: Mutex::default(),
+            memory: Memory::new(DEFAULT_MEMORY_BYTES),
+            max_answer_bytes: DEFAULT_MEMORY_BYTES,
+        }
+    }
 }
 
 /// An open connection; dropping it closes it.
@@ -81,6 +102,21 @@
         Client::default()
     }
 
+    /// A client without connections whose answers take `bytes` of memory at most, all together. One of
+    /// them may take an eighth of that.
+    pub fn bounded(bytes: usize) -> Client {
+        Client {
+            idle: Mutex::default(),
+            memory: Memory::new(bytes),
+            max_answer_bytes: bytes / ANSWERS_PER_MEMORY,
+        }
+    }
+
+    /// The memory that answers take.
+    pub fn memory(&self) -> &Arc<Memory> {
+        &self.memory
+    }
+
     /// Sends a request on an idle connection or a new one and waits for the answer's head.
     ///
     /// # Errors
@@ -202,17 +238,27 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NoResponse`] if the answer broke off.
+    /// [`Error::NoResponse`] if the answer broke off, or if there is no memory for it.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
         let Answer { response, address, connection } = answer;
         let kept = idle_time(&response);
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        let collected = body
-            .collect()
-            .await
-            .map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
+        let lost = |reason| Error::NoResponse { address, reason };
+        let mut body = response.into_body();
+        let mut whole = Buffer::new(self.memory.hold(), self.max_answer_bytes);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| lost(error.to_string()))?;
+            let Some(bytes) = frame.data_ref() else { continue };
+            if !whole.push(bytes) {
+                let (limit, used) = (self.max_answer_bytes, self.memory.used());
+                let reason = format!(
+                    "the body is longer than the {limit} bytes that one may have, or than what \
+                     {used} bytes of others leave"
+                );
+                return Err(lost(reason));
+            }
+        }
         self.keep(address, connection, kept);
-        Ok(collected.to_bytes())
+        Ok(whole.finish())
     }
 
     /// Keeps the connection of an answer whose body was read to its end elsewhere.
@@ -300,7 +346,9 @@
         .map_err(|elapsed| refused(elapsed.into()))?
         .map_err(refused)?;
     prepare(&stream).map_err(refused)?;
-    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| refused(std::io::Error::other(error)))?;
     // The error, if any, reaches the sender of the request.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod gauge;
 #[path = "gateway/limit.rs"]
 mod limit;
+#[path = "gateway/memory.rs"]
+mod memory;
 #[path = "gateway/message.rs"]
 mod message;
 #[path = "gateway/mirror.rs"]
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -1,4 +1,4 @@
-use tealturn::gateway::stream::Splitter;
+use tealturn::{gateway::stream::Splitter, http::memory::Memory};
 
 #[test]
 fn only_complete_events_are_returned() {
@@ -24,7 +24,7 @@
         },
         Case { chunks: &["data: a\n\n"], complete: "data: a\n\n", last_id: None, partial: false },
     ] {
-        let mut splitter = Splitter::default();
+        let mut splitter = Splitter::new(Memory::new(0).hold());
         let (mut bytes, mut last_id) = (Vec::new(), None);
         for chunk in case.chunks {
             let Some(events) = splitter.push(chunk.as_bytes()) else { continue };
@@ -36,3 +36,25 @@
         assert_eq!(splitter.is_partial(), case.partial, "{:?}", case.chunks);
     }
 }
+
+/// An event without end must not take all memory, nor may one keep its memory after it was passed on.
+#[test]
+fn an_event_takes_no_more_memory_than_there_is() {
+    const LIMIT: usize = 100_000;
+    let memory = Memory::new(LIMIT);
+    let piece = [b'x'; 10_000];
+    let mut splitter = Splitter::new(memory.hold());
+    let pushed = (0..100).take_while(|_| {
+        assert!(splitter.push(&piece).is_none());
+        !splitter.exceeds_limit()
+    });
+    assert_eq!(pushed.count(), LIMIT / piece.len());
+    assert!(memory.used() <= LIMIT);
+    drop(splitter);
+    assert_eq!(memory.used(), 0);
+    let mut splitter = Splitter::new(memory.hold());
+    (0..5).for_each(|_| drop(splitter.push(&piece)));
+    assert_eq!(memory.used(), 5 * piece.len());
+    let events = splitter.push(b"\n\n").expect("a whole event");
+    assert_eq!((events.bytes.len(), memory.used()), (5 * piece.len() + 2, 0));
+}
