Let no late answer to another request end a limit

A second copy of an older answer, late on a connection in use again, names no limit if it was made before, and ended the limit for the whole fleet. Change: an answer to another request can name a limit, but not end one.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -20,7 +20,6 @@
         era::Eras,
         exchange::permit::Connections,
         freshness::{Documents, Freshness},
-        limit::Statement,
         member::Members,
         message::{News, Update},
         mirror::Mirror,
@@ -220,9 +219,6 @@
         if notice.leaving && health.record_leaving() {
             info!(upstream = name, "upstream announced that it leaves");
         }
-        if notice.limit == Statement::Unreadable {
-            info!(upstream = name, "upstream named a limit that can't be read");
-        }
         if health.record_limit(notice.limit, sent_at, self.now()) {
             let rate = health.limit().rate;
             counter!("tealturn_limits_named_total").increment(u64::from(rate.is_some()));
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -19,8 +19,9 @@
     Unlimited,
     /// It takes this many requests a second.
     Limited(f64),
-    /// It names a limit that can't be read. The last statement stays in force.
-    Unreadable,
+    /// It tells nothing: the limit can't be read, or the answer may be an old one. The last statement
+    /// stays in force.
+    Unknown,
 }
 
 /// The limit of an upstream process as last stated.
@@ -39,7 +40,7 @@
         let rate = match statement {
             Statement::Unlimited => None,
             Statement::Limited(rate) => Some(rate),
-            Statement::Unreadable => return false,
+            Statement::Unknown => return false,
         };
         let is_lower = match (rate, self.rate) {
             (Some(rate), Some(known)) => rate <= known,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
         document::KvStore,
         entry::end_to_end,
         hold::Reservation,
+        limit::Statement,
         place::{self, Choice, Source},
         roster::Endpoint,
     },
@@ -332,7 +333,12 @@
         let endpoint = &reservation.choice.endpoint;
         let Endpoint { name, health, .. } = &**endpoint;
         let now = self.context.now();
-        self.context.take_notice(endpoint, head.notice, sent_at);
+        let mut notice = head.notice;
+        if !head.matches_request && notice.limit == Statement::Unlimited {
+            // It may have been made before the upstream named its limit.
+            notice.limit = Statement::Unknown;
+        }
+        self.context.take_notice(endpoint, notice, sent_at);
         if let Some(pause) = head.pause.filter(|it| health.record_pause(*it, now)) {
             let pause_ms = pause.as_millis() as u64;
             info!(upstream = name.as_str(), pause_ms, "upstream asked for a pause");
--- a/tests/gateway/limit.rs
+++ b/tests/gateway/limit.rs
@@ -68,7 +68,7 @@
         },
         Case {
             what: "one that can't be read",
-            statement: Statement::Unreadable,
+            statement: Statement::Unknown,
             sent_ms: 1_900,
             rate: Some(2.0),
             changes: false,
@@ -86,7 +86,7 @@
 fn an_upstream_that_never_named_a_limit_has_none_to_tell_of() {
     let mut limit = Limit::default();
     assert!(!limit.update(Statement::Unlimited, at(0), at(10)));
-    assert!(!limit.update(Statement::Unreadable, at(0), at(10)));
+    assert!(!limit.update(Statement::Unknown, at(0), at(10)));
     assert_eq!(limit, Limit::default());
 }
 
