Test that what upstreams announce holds in fleets of any size

Leaving, pauses and limits that a daemon heard in an answer, in fleets of 7 to 350, while the rows of these upstreams are written again and the store comes back from an older copy. It passed at once: no fault found.

--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -6,6 +6,8 @@
     gateway::{
         cache,
         context::Context,
+        dialect::Notice,
+        limit::Statement,
         member,
         message::{MAX_HOPS, News, Update},
         origin::{Entry, LIFETIME},
@@ -526,3 +528,44 @@
         );
     }
 }
+
+/// Guards against rows of the store, new ones or those of an older copy, that undo what an upstream told a
+/// daemon in an answer: that it leaves, wants no calls for a while, or takes few.
+#[test]
+fn what_upstreams_announced_holds_whatever_rows_arrive() {
+    const PAUSE: Duration = Duration::from_secs(30);
+    let told = |context: &Context| {
+        let (view, now) = (context.view.load(), context.now());
+        let health = |name: &str| {
+            let engine = view.all().find(|it| it.name.as_str() == name).expect("a known engine");
+            engine.health.clone()
+        };
+        let paused = health("engine-8").paused_until(now).is_some();
+        (health("engine-7").is_leaving(), paused, health("engine-9").limit().rate)
+    };
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 12);
+        let snapshot = fleet.snapshot();
+        for context in fleet.contexts() {
+            let (view, now) = (context.view.load(), context.now());
+            let engine = |name: &str| view.all().find(|it| it.name.as_str() == name).cloned();
+            let [leaving, paused, limited] =
+                ["engine-7", "engine-8", "engine-9"].map(|it| engine(it).expect("a known engine"));
+            let limit = Statement::Unlimited;
+            context.take_notice(&leaving, Notice { leaving: true, limit }, now);
+            paused.health.record_pause(PAUSE, now);
+            let limit = Statement::Limited(2.0);
+            context.take_notice(&limited, Notice { leaving: false, limit }, now);
+        }
+        for name in ["engine-7", "engine-8", "engine-9"] {
+            fleet.write(Topic::Upstreams, name);
+        }
+        fleet.run(Duration::from_secs(2));
+        fleet.restore(snapshot);
+        fleet.run(Duration::from_secs(3));
+        for context in fleet.contexts() {
+            let name = &context.settings.daemon;
+            assert_eq!(told(&context), (true, true, Some(2.0)), "{daemons}, {name}");
+        }
+    }
+}
