Leave a permit for the order that follows a report, and keep two in stock

Two faults of the permits, found by reading and by a test that failed once. With a limit of 0.1 a second, the report before each load order used up what is granted ahead of time, so that no order was ever given: a report now needs room for the order, too, and a load that was denied doesn't ask again before its time.

--- a/src/gateway/exchange/permit.rs
+++ b/src/gateway/exchange/permit.rs
@@ -67,6 +67,10 @@
     let Some(ask) = permit::ask(upstream, purpose) else {
         return true;
     };
+    let is_denied = upstream.health.permit_denied_until(context.now()).is_some();
+    if is_denied && purpose == Purpose::Call {
+        return false;
+    }
     let (own, plan) = (context.settings.daemon.as_str(), context.plan.load_full());
     let issuer = permit::issuer(own, &plan, upstream.hash);
     let verdict = match context.members.peer_address(issuer) {
--- a/src/gateway/operate/load.rs
+++ b/src/gateway/operate/load.rs
@@ -69,7 +69,7 @@
         loop {
             // The first report decides on the order, the others only tell how far it is.
             let purpose = match ordered_at {
-                None => Purpose::Order,
+                None => Purpose::Report,
                 Some(_) => Purpose::Call,
             };
             if !permit::obtain(&self.context, &self.engine, purpose).await {
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -20,10 +20,12 @@
 /// that a limit has ended.
 const MIN_RATE: f64 = 0.1;
 
-/// The time whose permits are kept in stock while nobody asks for them; one permit at least.
+/// The time whose permits are kept in stock while nobody asks for them, and the permits that are kept at
+/// least: with a single one, those that fall due until the next daemon asks would be lost.
 const STOCK: Duration = Duration::from_millis(500);
+const MIN_STOCK: f64 = 2.0;
 
-/// Permits that load orders may get ahead of time.
+/// Permits that a load order, with the report before it, may get ahead of time.
 const MAX_DEBT: f64 = 2.0;
 
 /// Time constant of the count of daemons that were denied a permit and will ask again.
@@ -46,8 +48,10 @@
 pub enum Purpose {
     /// A caller's call, or a question that can wait.
     Call,
-    /// A load order, or the report that must precede it. Weights have a deadline, and calls can go to
-    /// other engines.
+    /// The report that must precede a load order. Weights have a deadline, and calls can go to other
+    /// engines.
+    Report,
+    /// A load order, for which the report before it has left a permit.
     Order,
 }
 
@@ -99,12 +103,13 @@
         let new = Bucket { stock: 0.0, denied: 0.0, at: now };
         let bucket = self.buckets.entry((ask.upstream, ask.incarnation)).or_insert(new);
         let passed = now.since(bucket.at).as_secs_f64();
-        let most = (rate * STOCK.as_secs_f64()).max(1.0);
+        let most = (rate * STOCK.as_secs_f64()).max(MIN_STOCK);
         bucket.stock = (bucket.stock + rate * passed).min(most);
         bucket.denied *= (-passed / DENIAL_DECAY_S).exp();
         bucket.at = now;
         let needed = match ask.purpose {
             Purpose::Call => 1.0,
+            Purpose::Report => 2.0 - MAX_DEBT,
             Purpose::Order => 1.0 - MAX_DEBT,
         };
         if bucket.stock >= needed {
