--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -6,8 +6,8 @@
     gateway::{
         context::Context,
         message::{
-            Age, Head, Limit, Link, Load, Message, News, Offset, RecentBuild, Rollout, Rows,
-            Sighting, Target, Targets, Update, Usage,
+            Age, Head, Limit, Link, Load, Message, News, Offset, Release, Rollout, Rows, Sighting,
+            Target, Targets, Update, Usage,
         },
         peer::{Known, live_digest},
         store::Topic,
@@ -201,13 +201,13 @@
     limits
 }
 
-fn builds(context: &Context, now: Time) -> Vec<RecentBuild> {
+fn builds(context: &Context, now: Time) -> Vec<Release> {
     let (view, origins) = (context.view.load(), context.origins());
     let mut builds = Vec::new();
     for name in view.services() {
         let service = name_hash(name.as_str());
         for (build, at) in origins.mixed_builds(service, view.builds(name), now) {
-            builds.push(RecentBuild { service, build, age: Age::new(at, now) });
+            builds.push(Release { service, build, age: Age::new(at, now) });
         }
     }
     builds
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -173,7 +173,7 @@
 
 /// A build that upstreams of a service had lately.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RecentBuild {
+pub struct Release {
     /// Hash of the service's name.
     pub service: u64,
     /// The build.
@@ -289,5 +289,5 @@
     /// Limits that upstreams name, and those that ended recently.
     pub limits: Vec<Limit>,
     /// Builds of the services that have had more than one lately.
-    pub builds: Vec<RecentBuild>,
+    pub builds: Vec<Release>,
 }
