Add failing tests of streams that are lost with their daemon

Callers saw streams that they took up again refused while new ones began (LOST). The wait for news of an origin moves to the module of origins, unchanged.

--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -21,6 +21,9 @@
 /// How long after the end of a stream its caller may come back to resume it.
 const RETURN_PERIOD: Duration = Duration::from_secs(10);
 
+/// How long a daemon waits for another one's news of which build began a stream.
+pub const ORIGIN_WAIT: Duration = Duration::from_millis(100);
+
 /// Number of origins that are kept; the oldest are dropped.
 pub const MAX_ORIGINS: usize = 65_536;
 
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         dialect::Refusal,
-        origin::Entry,
+        origin::{Entry, ORIGIN_WAIT},
         relay::{RETRY_AFTER, Relay},
         store::Topic,
     },
@@ -17,9 +17,6 @@
     route::pool::name_hash,
 };
 
-/// How long to wait for another daemon's news of which build began a stream.
-const ORIGIN_WAIT: Duration = Duration::from_millis(100);
-
 /// Interval between checks for such news.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -26,6 +26,8 @@
 mod permit;
 #[path = "gateway/place.rs"]
 mod place;
+#[path = "gateway/resumption.rs"]
+mod resumption;
 #[path = "gateway/rollout.rs"]
 mod rollout;
 #[path = "gateway/roster.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -26,6 +26,7 @@
         follow::{self, MEMBER_PREFIX},
         member::Member,
         message::{Link, Message},
+        origin,
         roster::{Endpoint, Record},
         settings::Settings,
         store::{self, Era, Page, Position, Row, Store, Topic, Write},
@@ -33,8 +34,9 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Build, Daemon, Incarnation, Model, Version, Zone},
+        id::{Build, Daemon, Incarnation, Model, Service, Version, Zone},
     },
+    route::pool::name_hash,
 };
 
 use crate::scene;
@@ -357,6 +359,23 @@
         self.vms[self.index(name)].context.clone()
     }
 
+    /// A stream of the service begins at a daemon, at an upstream of this build.
+    pub fn begin_stream(&mut self, index: usize, attempt: u64, build: &Build) {
+        let context = self.context(index);
+        let service = name_hash(scene::SERVICE);
+        let entry = origin::Entry { attempt, service, build: build.clone() };
+        context.origins().begin(&entry, context.now());
+        context.publish_origins(&Service::from(scene::SERVICE));
+    }
+
+    /// The build that began a stream, as a daemon knows where a caller takes it up.
+    pub fn find_origin(&self, index: usize, attempt: u64) -> Option<Build> {
+        let context = self.context(index);
+        let (view, service) = (context.view.load(), Service::from(scene::SERVICE));
+        let (registered, hash) = (view.builds(&service), name_hash(scene::SERVICE));
+        context.origins().find(attempt, hash, registered, true, context.now())
+    }
+
     /// What each daemon has sent and received since the last call.
     pub fn take_traffic(&mut self) -> Vec<Traffic> {
         self.vms.iter_mut().map(|it| std::mem::take(&mut it.traffic)).collect()
