Tell other daemons of a stream's origin before its first event

Cause: which build began a stream travelled along the tree only. Class: a fact that one daemon holds and another needs at once is sent at leisure.

A daemon now tells three hubs, which every daemon computes from the stream, before it passes on the first event, and a daemon that is asked to resume a stream of unknown origin asks the same ones. Connections for such calls and for permits are shared.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -18,7 +18,7 @@
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
-        exchange::permit::Connections,
+        exchange::connection::Connections,
         freshness::{Documents, Freshness},
         member::Members,
         message::{News, Update},
@@ -99,8 +99,8 @@
     pub peers: Peers,
     /// The part of this daemon in the exchange.
     pub plan: ArcSwap<Plan>,
-    /// Connections to the daemons that issue permits.
-    pub issuers: Connections,
+    /// Connections for calls to single daemons.
+    pub connections: Connections,
     /// Wakes the exchange when something must be known to others at once.
     pub urgent: Notify,
     /// When another daemon last reported progress of a rollout.
@@ -140,7 +140,7 @@
             members: Members::default(),
             peers: Peers::default(),
             plan: ArcSwap::default(),
-            issuers: Connections::default(),
+            connections: Connections::default(),
             urgent: Notify::new(),
             rollout_news: Freshness::default(),
             leaving: CancellationToken::new(),
@@ -260,14 +260,28 @@
         self.origins.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Records that an upstream has begun to answer with a stream of a service; returns whether other
+    /// daemons need to know.
+    pub fn begin_stream(&self, service: &Service, entry: &origin::Entry) -> bool {
+        let (view, now) = (self.view.load(), self.now());
+        let mut origins = self.origins();
+        origins.begin(entry, now);
+        let untold = origins.take_unshared(entry.service, view.builds(service), now);
+        drop(origins);
+        let is_untold = untold.contains(entry);
+        self.send_origins(untold);
+        is_untold
+    }
+
     /// Tells the other daemons which builds began this daemon's streams of a service, if they need
     /// to know and weren't told.
     pub fn publish_origins(&self, service: &Service) {
         let (view, hash) = (self.view.load(), name_hash(service.as_str()));
-        let entries = self.origins().take_unshared(hash, view.builds(service), self.now());
-        if entries.is_empty() {
-            return;
-        }
+        let untold = self.origins().take_unshared(hash, view.builds(service), self.now());
+        self.send_origins(untold);
+    }
+
+    fn send_origins(&self, entries: Vec<origin::Entry>) {
         let mut updates = self.peers.updates();
         for entry in entries {
             updates.push(Origin::Own, Update { hops: 0, news: News::Began(entry) });
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,6 +5,8 @@
 #![allow(missing_docs)]
 
 mod compose;
+pub mod connection;
+pub mod origin;
 pub mod permit;
 mod take;
 
@@ -27,9 +29,11 @@
     gateway::{
         context::Context,
         message::{Link, Message},
+        origin::Entry,
         permit::{Ask, Verdict},
         topology::{self, Candidate, FULL_MESH_DAEMONS, Plan},
     },
+    kernel::id::Build,
 };
 
 /// Interval between messages of two daemons in a full mesh.
@@ -69,6 +73,12 @@
 
     /// Decides whether the caller may send a request to an upstream that named a limit.
     async fn permit(ask: Ask) -> Verdict;
+
+    /// Keeps which build began a stream of the caller.
+    async fn keep_origin(entry: Entry);
+
+    /// Tells which build began a stream, if this daemon knows it.
+    async fn find_origin(attempt: u64) -> Option<Build>;
 }
 
 #[derive(Clone)]
@@ -84,6 +94,14 @@
     async fn permit(self, _: call::Context, ask: Ask) -> Verdict {
         crate::gateway::permit::decide(&self.0, &ask)
     }
+
+    async fn keep_origin(self, _: call::Context, entry: Entry) {
+        self.0.origins().keep(&entry, self.0.now());
+    }
+
+    async fn find_origin(self, _: call::Context, attempt: u64) -> Option<Build> {
+        self.0.origins().known(attempt, self.0.now())
+    }
 }
 
 /// Serves other daemons until `stop`.
--- /dev/null
+++ b/src/gateway/exchange/origin.rs
@@ -0,0 +1,110 @@
+//! Tells a few daemons directly which build began a stream, and asks them.
+//!
+//! News takes up to a second through the tree of a large fleet, and dies with a daemon that has not
+//! sent it yet. A caller that lost its daemon comes back at once. So a daemon tells [`REPLICAS`]
+//! others before it passes on the first event: the hubs with the highest rendezvous ranks for the stream,
+//! leaving out those that don't answer. A daemon that is asked to resume the stream asks the same ones.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use tokio::{sync::oneshot, time};
+use tracing::info;
+
+use crate::{
+    gateway::{
+        context::Context,
+        exchange::ExchangeClient,
+        origin::{Entry, ORIGIN_WAIT},
+    },
+    kernel::id::Build,
+};
+
+/// Number of daemons that are told of a stream directly.
+pub const REPLICAS: usize = 3;
+
+/// How long the first event of a stream waits until another daemon knows its origin, and how long that
+/// one may take to answer: time to open a connection.
+const TELL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// The other daemons that may keep the origin of a stream, the preferred ones first.
+pub fn candidates(context: &Context, attempt: u64) -> Vec<String> {
+    let plan = context.plan.load();
+    plan.ranked_hubs(attempt).into_iter().map(str::to_owned).collect()
+}
+
+/// Tells [`REPLICAS`] daemons which build began a stream, and returns once the first of them knows it.
+pub async fn tell(context: &Arc<Context>, entry: &Entry) {
+    let names = candidates(context, entry.attempt);
+    if names.is_empty() {
+        return;
+    }
+    let (sender, first_told) = oneshot::channel();
+    let (shared, entry) = (context.clone(), entry.clone());
+    tokio::spawn(async move {
+        let mut sender = Some(sender);
+        let keep = |name| keep(&shared, name, &entry);
+        call_in_turn(names, keep, |()| {
+            if let Some(sender) = sender.take() {
+                // The receiver may have given up.
+                let _ = sender.send(());
+            }
+            false
+        })
+        .await;
+    });
+    if !matches!(time::timeout(TELL_TIMEOUT, first_told).await, Ok(Ok(()))) {
+        info!("no other daemon confirmed yet that it knows which build began a stream");
+    }
+}
+
+async fn keep(context: &Context, name: String, entry: &Entry) -> Option<()> {
+    let address = context.members.peer_address(&name)?;
+    let entry = entry.clone();
+    let make = |client: ExchangeClient, call| async move { client.keep_origin(call, entry).await };
+    context.connections.call(address, TELL_TIMEOUT, make).await
+}
+
+/// Asks the daemons that were told which build began a stream.
+pub async fn ask(context: &Context, attempt: u64) -> Option<Build> {
+    let mut found = None;
+    let find = |name| find(context, name, attempt);
+    call_in_turn(candidates(context, attempt), find, |answer| {
+        found = answer;
+        found.is_some()
+    })
+    .await;
+    found
+}
+
+async fn find(context: &Context, name: String, attempt: u64) -> Option<Option<Build>> {
+    let address = context.members.peer_address(&name)?;
+    let make =
+        |client: ExchangeClient, call| async move { client.find_origin(call, attempt).await };
+    context.connections.call(address, ORIGIN_WAIT, make).await
+}
+
+/// Calls daemons, [`REPLICAS`] at a time, until that many have answered or `is_done` says so of an answer.
+async fn call_in_turn<T, F: Future<Output = Option<T>>>(
+    names: Vec<String>,
+    call: impl Fn(String) -> F,
+    mut is_done: impl FnMut(T) -> bool,
+) {
+    let mut names = names.into_iter();
+    let mut answered = 0;
+    let mut running: FuturesUnordered<_> = names.by_ref().take(REPLICAS).map(&call).collect();
+    while let Some(answer) = running.next().await {
+        match answer {
+            Some(answer) => {
+                answered += 1;
+                if is_done(answer) {
+                    return;
+                }
+            }
+            None => running.extend(names.next().map(&call)),
+        }
+        if answered == REPLICAS {
+            return;
+        }
+    }
+}
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -3,7 +3,8 @@
 //! The events of two builds don't fit together, and upstreams don't check that. So a stream is
 //! continued only by upstreams of the build that began it, whichever daemon its caller resumes it
 //! at. Daemons tell each other which build began a stream as soon as its service has had more than
-//! one lately; until then, the only one began it.
+//! one lately; until then, the only one began it. They tell all along the tree, and before the first
+//! event a few directly (see [`exchange::origin`](crate::gateway::exchange::origin)).
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -21,8 +22,9 @@
 /// How long after the end of a stream its caller may come back to resume it.
 const RETURN_PERIOD: Duration = Duration::from_secs(10);
 
-/// How long a daemon waits for another one's news of which build began a stream.
-pub const ORIGIN_WAIT: Duration = Duration::from_millis(100);
+/// How long a daemon waits until it hears from others which build began a stream: time for a lost packet
+/// to be sent again.
+pub const ORIGIN_WAIT: Duration = Duration::from_millis(250);
 
 /// Number of origins that are kept; the oldest are dropped.
 pub const MAX_ORIGINS: usize = 65_536;
@@ -127,15 +129,27 @@
         }
     }
 
-    /// Records what another daemon told; returns whether it is new.
+    /// Records what another daemon told all; returns whether to pass it on.
     pub fn learn(&mut self, entry: &Entry, now: Time) -> bool {
         if let Some(state) = self.states.get_mut(&entry.attempt) {
-            state.is_shared = true;
-            return false;
+            let was_shared = std::mem::replace(&mut state.is_shared, true);
+            return !was_shared && state.build == entry.build;
         }
         self.insert(entry, true, now)
     }
 
+    /// Records what another daemon told this one directly. All others hear of it along the tree.
+    pub fn keep(&mut self, entry: &Entry, now: Time) {
+        self.insert(entry, false, now);
+    }
+
+    /// The build that began a stream, if this daemon knows it.
+    pub fn known(&mut self, attempt: u64, now: Time) -> Option<Build> {
+        let state = self.states.get_mut(&attempt)?;
+        state.used_at = now;
+        Some(state.build.clone())
+    }
+
     /// The build that must continue a stream of a service whose upstreams have the builds
     /// `registered`. If the origin of the stream isn't known, it is the only recent build of the
     /// service. `is_current` tells whether this daemon would have heard of others.
@@ -147,9 +161,8 @@
         is_current: bool,
         now: Time,
     ) -> Option<Build> {
-        if let Some(state) = self.states.get_mut(&attempt) {
-            state.used_at = now;
-            return Some(state.build.clone());
+        if let Some(build) = self.known(attempt, now) {
+            return Some(build);
         }
         let builds = self.recent_builds(service, registered, now);
         let mut builds = builds.into_iter().filter(|_| is_current);
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -12,6 +12,7 @@
 use crate::{
     gateway::{
         entry::end_to_end,
+        exchange,
         hold::Reservation,
         relay::{MAX_REJECTIONS, Outcome, Relay},
         stream::Splitter,
@@ -34,9 +35,12 @@
     ) -> Response<Body> {
         let status = answer.response.status();
         let headers = stream_headers(answer.response.headers());
-        self.begin_stream(&reservation.choice.endpoint.record.build);
+        let origin = self.begin_stream(&reservation.choice.endpoint.record.build);
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
         tokio::spawn(async move {
+            if let Some(origin) = &origin {
+                exchange::origin::tell(&self.context, origin).await;
+            }
             self.forward(reservation, answer, sender).await;
             self.end_stream();
         });
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -9,6 +9,7 @@
 use crate::{
     gateway::{
         dialect::Refusal,
+        exchange,
         origin::{Entry, ORIGIN_WAIT},
         relay::{RETRY_AFTER, Relay},
         store::Topic,
@@ -33,15 +34,8 @@
         if !self.call.is_resumption() {
             return Ok(());
         }
-        let give_up_at = self.context.now() + ORIGIN_WAIT;
-        let build = loop {
-            if let Some(build) = self.look_up_origin() {
-                break build;
-            }
-            if self.context.now() >= give_up_at {
-                return Err(self.refuse_resumption("unknown_build"));
-            }
-            time::sleep(POLL_INTERVAL).await;
+        let Some(build) = self.obtain_origin().await else {
+            return Err(self.refuse_resumption("unknown_build"));
         };
         let view = self.context.view.load();
         let mut upstreams = view.service(self.call.service()).iter();
@@ -52,6 +46,29 @@
         Ok(())
     }
 
+    /// Looks the origin up, asks the daemons that were told of it directly, and waits for news of it.
+    async fn obtain_origin(&self) -> Option<Build> {
+        let give_up_at = self.context.now() + ORIGIN_WAIT;
+        if let Some(build) = self.look_up_origin() {
+            return Some(build);
+        }
+        let attempt = name_hash(self.call.stream_attempt());
+        if let Some(build) = exchange::origin::ask(&self.context, attempt).await {
+            let service = name_hash(self.call.service().as_str());
+            let entry = Entry { attempt, service, build };
+            self.context.origins().keep(&entry, self.context.now());
+        }
+        loop {
+            if let Some(build) = self.look_up_origin() {
+                return Some(build);
+            }
+            if self.context.now() >= give_up_at {
+                return None;
+            }
+            time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     fn look_up_origin(&self) -> Option<Build> {
         let (context, now) = (&self.context, self.context.now());
         let service = self.call.service();
@@ -80,10 +97,11 @@
         Refusal::NotRun(RETRY_AFTER)
     }
 
-    /// Records that an upstream of this build has begun to answer with a stream.
-    pub(super) fn begin_stream(&mut self, build: &Build) {
+    /// Records that an upstream of this build has begun to answer with a stream. Returns its origin if
+    /// other daemons must know it before the caller has an event.
+    pub(super) fn begin_stream(&mut self, build: &Build) -> Option<Entry> {
         if !self.call.is_resumable() {
-            return;
+            return None;
         }
         let service: &Service = self.call.service();
         let entry = Entry {
@@ -91,9 +109,9 @@
             service: name_hash(service.as_str()),
             build: build.clone(),
         };
-        self.context.origins().begin(&entry, self.context.now());
-        self.context.publish_origins(service);
-        self.origin = Some(entry.build);
+        let must_tell = self.context.begin_stream(service, &entry);
+        self.origin = Some(entry.build.clone());
+        must_tell.then_some(entry)
     }
 
     /// Records that the stream to the caller has ended.
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -56,6 +56,15 @@
     pub daemons: usize,
 }
 
+impl Plan {
+    /// All hubs but the daemon itself, by their rendezvous rank for `key`, the highest first.
+    pub fn ranked_hubs(&self, key: u64) -> Vec<&str> {
+        let mut ranked: Vec<&str> = self.hubs.iter().map(String::as_str).collect();
+        ranked.sort_by_key(|it| Reverse(mix(key ^ name_hash(it))));
+        ranked
+    }
+}
+
 /// Computes the part of the daemon `own`. It counts as responsive in any case; without its own
 /// registration among the candidates it is a spoke.
 pub fn plan(own: &str, candidates: &[Candidate<'_>]) -> Plan {
--- a/tests/gateway/origin.rs
+++ b/tests/gateway/origin.rs
@@ -128,6 +128,22 @@
     assert_eq!(shared, [2, 3, 4, 5], "a daemon that starts is told all that was told");
 }
 
+/// Guards against news that a hub doesn't pass on because it was told directly before: its spokes would
+/// refuse the stream (docs/incidents/cascade-grown-lost.md).
+#[test]
+fn an_origin_that_was_told_directly_is_passed_on_when_it_is_told_to_all() {
+    let both = builds(&["v1", "v2"]);
+    let mut table = Table::default();
+    assert_eq!(table.known(STREAM, START), None);
+    table.keep(&entry(STREAM, "v1"), START);
+    assert_eq!(table.known(STREAM, START), Some(Build::from("v1")));
+    assert!(table.take_unshared(SERVICE, &both, START).is_empty(), "others are told by its daemon");
+    assert!(table.learn(&entry(STREAM, "v1"), START), "news is passed on");
+    assert!(!table.learn(&entry(STREAM, "v1"), START), "once");
+    table.keep(&entry(STREAM, "v2"), START);
+    assert_eq!(table.known(STREAM, START), Some(Build::from("v1")), "the first one stays");
+}
+
 #[test]
 fn origins_are_kept_for_a_while_after_their_last_use_and_not_without_bound() {
     let both = ["v1", "v2"];
--- a/tests/gateway/resumption.rs
+++ b/tests/gateway/resumption.rs
@@ -4,21 +4,11 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use tealturn::{
-    gateway::{
-        origin::{Entry, ORIGIN_WAIT},
-        store::Topic,
-    },
-    kernel::{
-        clock::Time,
-        id::{Build, Service},
-    },
-    route::pool::name_hash,
+    gateway::{origin::ORIGIN_WAIT, store::Topic},
+    kernel::{clock::Time, id::Build},
 };
 
-use crate::{
-    scene::{BUILD, SERVICE},
-    simulation::Fleet,
-};
+use crate::{scene::BUILD, simulation::Fleet};
 
 const SIZES: [usize; 4] = [7, 58, 195, 350];
 
@@ -87,6 +77,7 @@
             Case { killed: 0.15, loss: 0.0, seed: 1 },
             Case { killed: 0.3, loss: 0.0, seed: 2 },
             Case { killed: 0.3, loss: 0.025, seed: 3 },
+            Case { killed: 0.6, loss: 0.0, seed: 4 },
         ] {
             let mut rng = StdRng::seed_from_u64(case.seed);
             let mut fleet = Fleet::new(daemons, 78, case.seed);
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -361,19 +361,44 @@
 
     /// A stream of the service begins at a daemon, at an upstream of this build.
     pub fn begin_stream(&mut self, index: usize, attempt: u64, build: &Build) {
-        let context = self.context(index);
+        let context = self.context(index).clone();
         let service = name_hash(scene::SERVICE);
         let entry = origin::Entry { attempt, service, build: build.clone() };
-        context.origins().begin(&entry, context.now());
-        context.publish_origins(&Service::from(scene::SERVICE));
+        if !context.begin_stream(&Service::from(scene::SERVICE), &entry) {
+            return;
+        }
+        for replica in self.reached_replicas(index, attempt) {
+            replica.origins().keep(&entry, replica.now());
+        }
+    }
+
+    /// The daemons that a call about a stream's origin reaches.
+    fn reached_replicas(&mut self, from: usize, attempt: u64) -> Vec<Arc<Context>> {
+        let mut reached = Vec::new();
+        for name in exchange::origin::candidates(self.context(from), attempt) {
+            let vm = &self.vms[self.index(&name)];
+            let is_cut = vm.is_cut || self.vms[from].is_cut;
+            let replica = vm.context.clone().filter(|_| !is_cut);
+            if self.rng.random::<f64>() >= self.loss {
+                reached.extend(replica);
+            }
+            if reached.len() == exchange::origin::REPLICAS {
+                break;
+            }
+        }
+        reached
     }
 
     /// The build that began a stream, as a daemon knows where a caller takes it up.
-    pub fn find_origin(&self, index: usize, attempt: u64) -> Option<Build> {
-        let context = self.context(index);
+    pub fn find_origin(&mut self, index: usize, attempt: u64) -> Option<Build> {
+        let context = self.context(index).clone();
         let (view, service) = (context.view.load(), Service::from(scene::SERVICE));
         let (registered, hash) = (view.builds(&service), name_hash(scene::SERVICE));
-        context.origins().find(attempt, hash, registered, true, context.now())
+        let found = context.origins().find(attempt, hash, registered, true, context.now());
+        found.or_else(|| {
+            let replicas = self.reached_replicas(index, attempt);
+            replicas.iter().find_map(|it| it.origins().known(attempt, it.now()))
+        })
     }
 
     /// What each daemon has sent and received since the last call.
