Name the parts of the prompts that ran at an upstream when it crashed

Guarded by `a_crash_names_the_parts_of_the_prompts_that_ran_there`, which the code before can't run (the type is new).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod context;
 pub mod controller;
+pub mod crash;
 pub mod dialect;
 pub mod document;
 pub mod entry;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,6 +15,7 @@
     fleet::board::Fact,
     gateway::{
         budget::Budget,
+        crash::Runs,
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
@@ -111,6 +112,7 @@
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
     suspects: Mutex<Table>,
+    runs: Mutex<Runs>,
     origins: Mutex<origin::Table>,
     issuer: Mutex<Issuer>,
     attempt_counter: AtomicU64,
@@ -148,6 +150,7 @@
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
             suspects: Mutex::default(),
+            runs: Mutex::default(),
             origins: Mutex::default(),
             issuer: Mutex::default(),
             attempt_counter: AtomicU64::new(0),
@@ -237,6 +240,11 @@
         self.suspects.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Prompts that this daemon runs at upstreams.
+    pub fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Tells the other daemons of requests that crashed upstreams, or were cleared of that.
     pub fn publish_suspects(&self, facts: Vec<Fact>) {
         if facts.is_empty() {
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -6,7 +6,13 @@
 use tracing::info;
 
 use crate::{
-    gateway::{context::Context, place::Choice, roster::Endpoint},
+    gateway::{
+        call::Prompt,
+        context::Context,
+        crash::{self, Process, Run},
+        place::Choice,
+        roster::Endpoint,
+    },
     kernel::id::Request,
     request::suspect::Fingerprint,
 };
@@ -29,15 +35,16 @@
 }
 
 impl Reservation {
-    /// Starts accounting for a call at the selected upstream. `memory_tokens` is the engine memory
-    /// that the call uses. `fingerprint` identifies the request if it crashes the upstream.
+    /// Starts accounting for a call at the selected upstream. `fingerprint` and the parts of the
+    /// prompt identify the request if it crashes the upstream.
     pub fn new(
         context: &Arc<Context>,
         choice: Choice,
-        memory_tokens: u64,
+        prompt: Option<&Prompt>,
         fingerprint: Fingerprint,
     ) -> Reservation {
         let endpoint = &choice.endpoint;
+        let memory_tokens = prompt.map_or(0, Prompt::memory_tokens);
         let upstream_death =
             endpoint.health.start_call(choice.unread_tokens, memory_tokens, context.now());
         let attempt_id = context.next_attempt_id();
@@ -45,6 +52,9 @@
         let mut suspects = context.suspects();
         suspects.started(attempt_id, fingerprint, &endpoint.name, incarnation);
         drop(suspects);
+        if let Some(prompt) = prompt {
+            context.runs().start(attempt_id, Run::new(Process::of(endpoint), prompt));
+        }
         let (unread_tokens, context) = (choice.unread_tokens, context.clone());
         Reservation {
             choice,
@@ -74,8 +84,15 @@
         }
         health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
+        let prompts = self.context.runs().crash(Process::of(&self.choice.endpoint));
         if !suspects.is_empty() {
-            info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
+            info!(
+                upstream = name.as_str(),
+                suspects = suspects.len(),
+                prompts = prompts.len(),
+                parts = crash::list_parts(&prompts),
+                "upstream crashed"
+            );
         }
         self.context.publish_suspects(suspects);
     }
@@ -94,5 +111,6 @@
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
+        self.context.runs().end(self.attempt_id);
     }
 }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -8,7 +8,6 @@
 use crate::{
     gateway::{
         budget::Fleet,
-        call::Prompt,
         dialect::Refusal,
         exchange::permit,
         hold::Reservation,
@@ -242,8 +241,8 @@
             waited_ms = now.since(call.received).as_millis() as u64,
             "upstream selected, sending the call"
         );
-        let memory = call.head.prompt.as_ref().map_or(0, Prompt::memory_tokens);
-        Ok(Some(Reservation::new(context, choice, memory, self.fingerprint)))
+        let prompt = call.head.prompt.as_ref();
+        Ok(Some(Reservation::new(context, choice, prompt, self.fingerprint)))
     }
 
     /// The number of the workspace if it is isolated, or 0 for the shared prompt cache.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,8 @@
 mod budget;
 #[path = "gateway/cache.rs"]
 mod cache;
+#[path = "gateway/crash.rs"]
+mod crash;
 #[path = "gateway/document.rs"]
 mod document;
 #[path = "gateway/freshness.rs"]
