Bar the part of prompts that crashes upstreams

The daemons knew only whole calls, by a digest of workspace, target and body; calls that share one part are all new to that.

gateway::crash records which shared parts were in the prompts that ran where an upstream crashed. Daemons tell each other these facts along the tree and derive from them, greedily, which parts explain the crashes: three crashes bar a part, five over 2 s one that any daemon saw in a whole answer lately. Of the crashes of a part within 250 ms one counts. A whole answer, known to be whole by its framing, clears its parts. A barred part is refused before each sending for 10 minutes after its last crash. An answer that ends with its connection makes the daemon look whether the upstream is still there.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,7 +15,7 @@
     fleet::board::Fact,
     gateway::{
         budget::Budget,
-        crash::Runs,
+        crash,
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
@@ -112,7 +112,7 @@
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
     suspects: Mutex<Table>,
-    runs: Mutex<Runs>,
+    crashes: Mutex<crash::Table>,
     origins: Mutex<origin::Table>,
     issuer: Mutex<Issuer>,
     attempt_counter: AtomicU64,
@@ -150,7 +150,7 @@
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
             suspects: Mutex::default(),
-            runs: Mutex::default(),
+            crashes: Mutex::default(),
             origins: Mutex::default(),
             issuer: Mutex::default(),
             attempt_counter: AtomicU64::new(0),
@@ -240,9 +240,45 @@
         self.suspects.lock().unwrap_or_else(|it| it.into_inner())
     }
 
-    /// Prompts that this daemon runs at upstreams.
-    pub fn runs(&self) -> MutexGuard<'_, Runs> {
-        self.runs.lock().unwrap_or_else(|it| it.into_inner())
+    /// Parts of prompts that crash upstreams.
+    pub fn crashes(&self) -> MutexGuard<'_, crash::Table> {
+        self.crashes.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Changes what is known of parts that crash upstreams, and logs which ones are barred from now
+    /// on, or no longer.
+    pub fn change_crashes<T>(&self, change: impl FnOnce(&mut crash::Table) -> T) -> T {
+        let mut crashes = self.crashes();
+        let result = change(&mut crashes);
+        let changes = crashes.take_changes();
+        drop(crashes);
+        for change in changes {
+            match change {
+                crash::Change::Barred { part, crashes, depth } => {
+                    counter!("tealturn_parts_barred_total").increment(1);
+                    let part = format!("{part:x}");
+                    info!(part, crashes, depth, "part of prompts barred: it crashes upstreams");
+                }
+                crash::Change::Lifted { part } => {
+                    info!(part = format!("{part:x}"), "part of prompts no longer barred");
+                }
+            }
+        }
+        result
+    }
+
+    /// Tells the other daemons of parts that were in prompts when an upstream crashed, or were
+    /// cleared of that.
+    pub fn publish_crashes(&self, facts: Vec<crash::Fact>) {
+        if facts.is_empty() {
+            return;
+        }
+        let mut updates = self.peers.updates();
+        for fact in facts {
+            updates.push(Origin::Own, Update { hops: 0, news: News::Crashed(fact) });
+        }
+        drop(updates);
+        self.urgent.notify_one();
     }
 
     /// Tells the other daemons of requests that crashed upstreams, or were cleared of that.
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,8 +1,25 @@
 //! Parts of prompts that crash upstreams.
+//!
+//! One part may crash each upstream that begins to answer a prompt with it, whatever else the
+//! prompt holds. Each daemon records which shared parts were in the prompts that it ran at an
+//! upstream process when that crashed. These records are facts that daemons tell each other and
+//! merge: the crashes of a part are united, and a whole answer to a prompt with the part clears it
+//! of all crashes until then.
+//!
+//! Which parts are barred follows from the facts, see [`Table`]. Prompts that crash an upstream
+//! share parts with sound ones, and end others that run there, so a crash counts only for the part
+//! that explains the most. The daemons of a fleet in touch hold the same facts after a few
+//! exchanges and so bar the same parts.
 
+mod fact;
 mod run;
+mod table;
 
-pub use self::run::{Process, Run, Runs};
+pub use self::{
+    fact::{Crash, Fact},
+    run::{Process, Run, Runs},
+    table::{BAR, BAR_CRASHES, Bar, Change, Learned, SEEN_BAR_CRASHES, SEEN_SPAN, SPACING, Table},
+};
 
 /// Prompts of which the log line of a crash shows the parts.
 const LOGGED_PROMPTS: usize = 8;
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -88,7 +88,15 @@
     let is_behind = after == 0 || !log.reaches(after);
     let (last, mut updates) = log.after(after, to_link, name_hash(name));
     drop(log);
+    let now = context.now();
+    for update in &mut updates {
+        if let News::Crashed(fact) = &mut update.news {
+            context.crashes().update_ages(fact, now);
+        }
+    }
     if is_behind {
+        let crashes = context.crashes().facts(now);
+        updates.extend(crashes.into_iter().map(|it| Update { hops: 0, news: News::Crashed(it) }));
         let facts = context.suspects().facts();
         updates.extend(facts.into_iter().map(|it| Update { hops: 0, news: News::Suspect(it) }));
         let origins = context.origins().shared();
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -55,8 +55,10 @@
     let document = context.document.load();
     let capacities = document.as_ref().map(|it| (it.engine_tokens(), it.kv_store()));
     let origin = Origin::Peer(message.link, name_hash(&message.from));
+    take_crashes(context, message, now);
     for update in &message.updates {
         match &update.news {
+            News::Crashed(_) => continue,
             News::Cached(entry) => {
                 if let Some((tokens, store)) = capacities {
                     context.placer().record_entries(&[*entry], tokens, store);
@@ -78,6 +80,31 @@
     }
 }
 
+/// Takes what is told of parts that crash upstreams, and keeps it to be passed on.
+fn take_crashes(context: &Context, message: &Message, now: Time) {
+    let mut told = Vec::new();
+    for update in &message.updates {
+        if let News::Crashed(fact) = &update.news {
+            told.push((update.hops, fact.clone()));
+        }
+    }
+    if told.is_empty() {
+        return;
+    }
+    let facts: Vec<_> = told.iter().map(|(_, fact)| fact.clone()).collect();
+    let learned = context.change_crashes(|it| it.learn(&facts, now));
+    let origin = Origin::Peer(message.link, name_hash(&message.from));
+    let mut replies = Vec::new();
+    for ((hops, fact), learned) in told.into_iter().zip(learned) {
+        if learned.is_news {
+            let update = Update { hops: hops + 1, news: News::Crashed(fact) };
+            context.peers.updates().push(origin, update);
+        }
+        replies.extend(learned.reply);
+    }
+    context.publish_crashes(replies);
+}
+
 /// Notes the latest document that the sender knows of. A daemon that started after the store came
 /// back from an older copy may have confirmed an older one.
 fn take_document(context: &Context, message: &Message) {
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -32,6 +32,7 @@
     /// Identifies this attempt in the table of requests that may have crashed an upstream.
     attempt_id: Request,
     succeeded: bool,
+    is_whole: bool,
 }
 
 impl Reservation {
@@ -53,7 +54,7 @@
         suspects.started(attempt_id, fingerprint, &endpoint.name, incarnation);
         drop(suspects);
         if let Some(prompt) = prompt {
-            context.runs().start(attempt_id, Run::new(Process::of(endpoint), prompt));
+            context.crashes().started(attempt_id, Run::new(Process::of(endpoint), prompt));
         }
         let (unread_tokens, context) = (choice.unread_tokens, context.clone());
         Reservation {
@@ -64,27 +65,37 @@
             context,
             attempt_id,
             succeeded: false,
+            is_whole: false,
         }
     }
 
-    /// Records that the complete answer was received and is not a server error.
-    pub fn succeed(&mut self) {
+    /// Records that the complete answer was received and is not a server error. `is_whole` tells
+    /// whether it is a successful one whose end can't be that of a crashed upstream.
+    pub fn succeed(&mut self, is_whole: bool) {
         self.choice.endpoint.health.record_success(self.context.now());
         self.succeeded = true;
+        self.is_whole = is_whole;
     }
 
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
     /// crashed, and the requests that were running there become suspects.
     pub async fn connection_lost(&self) {
+        self.choice.endpoint.health.record_failure(self.context.now());
+        self.connection_closed().await;
+    }
+
+    /// The same for a connection whose end may belong to the answer. Returns whether the upstream
+    /// crashed.
+    pub async fn connection_closed(&self) -> bool {
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
-        health.record_failure(now);
         if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
-            return;
+            return false;
         }
         health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
-        let prompts = self.context.runs().crash(Process::of(&self.choice.endpoint));
+        let process = Process::of(&self.choice.endpoint);
+        let (prompts, facts) = self.context.change_crashes(|it| it.crashed(process, now));
         if !suspects.is_empty() {
             info!(
                 upstream = name.as_str(),
@@ -95,6 +106,8 @@
             );
         }
         self.context.publish_suspects(suspects);
+        self.context.publish_crashes(facts);
+        true
     }
 
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
@@ -111,6 +124,8 @@
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
-        self.context.runs().end(self.attempt_id);
+        let (id, is_whole) = (self.attempt_id, self.is_whole);
+        let cleared = self.context.change_crashes(|it| it.ended(id, is_whole, now));
+        self.context.publish_crashes(cleared);
     }
 }
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -12,7 +12,7 @@
 use crate::{
     fleet::board::Fact,
     gateway::{
-        cache,
+        cache, crash,
         gauge::Outcomes,
         origin, rollout,
         store::{Position, Row},
@@ -204,6 +204,8 @@
     Suspect(Fact),
     /// The build that began a stream.
     Began(origin::Entry),
+    /// A part that was in prompts when upstreams crashed, or was cleared of that.
+    Crashed(crash::Fact),
 }
 
 /// News and how many daemons have passed it on. It is dropped after [`MAX_HOPS`], because daemons
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt, Full};
-use hyper::Response;
+use hyper::{HeaderMap, Response, header};
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -368,6 +368,7 @@
         let (mut reservation, mut answer) = (reservation, answer);
         loop {
             let status = answer.response.status();
+            let tells_its_end = tells_its_end(answer.response.headers());
             let headers = end_to_end(answer.response.headers());
             let time_left = self.call.deadline.since(self.context.now());
             let finish = self.context.client.finish(*answer);
@@ -375,8 +376,8 @@
                 Ok(Ok(body)) => {
                     if status.is_server_error() {
                         reservation.choice.endpoint.health.record_failure(self.context.now());
-                    } else {
-                        reservation.succeed();
+                    } else if tells_its_end || !reservation.connection_closed().await {
+                        reservation.succeed(tells_its_end && status.is_success());
                     }
                     self.record_metrics();
                     let body = Full::new(body).map_err(|never| match never {}).boxed();
@@ -415,3 +416,9 @@
         histogram!("tealturn_call_seconds").record(took.as_secs_f64());
     }
 }
+
+/// Whether an answer with these headers tells where it ends. Any other ends with its connection, as
+/// it also does if the upstream crashes.
+fn tells_its_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -2,12 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use metrics::counter;
 use tokio::time;
 use tracing::info;
 
 use crate::{
     gateway::{
         budget::Fleet,
+        call::Prompt,
         dialect::Refusal,
         exchange::permit,
         hold::Reservation,
@@ -126,6 +128,20 @@
                 _ => Refusal::Lost,
             });
         }
+        let parts = call.head.prompt.as_ref().map_or(&[][..], Prompt::shared);
+        let barred = context.crashes().bar(parts, now);
+        if let Some(bar) = barred {
+            counter!("tealturn_calls_barred_total").increment(1);
+            info!(
+                attempt = call.head.attempt,
+                part = format!("{:x}", bar.part),
+                "call refused: a part of its prompt is barred because it crashed upstreams"
+            );
+            return Err(match self.executions {
+                0 => Refusal::NotRun(bar.rest),
+                _ => Refusal::Lost,
+            });
+        }
         Ok(())
     }
 
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -13,7 +13,7 @@
     gateway::{
         entry::end_to_end,
         hold::Reservation,
-        relay::{MAX_REJECTIONS, Outcome, Relay},
+        relay::{MAX_REJECTIONS, Outcome, Relay, tells_its_end},
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
@@ -68,7 +68,10 @@
             let upstream = reservation.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
-                    reservation.succeed();
+                    let is_whole = tells_its_end(answer.response.headers());
+                    if is_whole || !reservation.connection_closed().await {
+                        reservation.succeed(is_whole);
+                    }
                     self.context.client.release(*answer);
                     self.record_metrics();
                     return;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,8 @@
 mod cache;
 #[path = "gateway/crash.rs"]
 mod crash;
+#[path = "gateway/crashing.rs"]
+mod crashing;
 #[path = "gateway/document.rs"]
 mod document;
 #[path = "gateway/freshness.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -332,6 +332,11 @@
         self.vms[index].is_cut = is_cut;
     }
 
+    /// Whether a daemon is cut off.
+    pub fn is_cut(&self, index: usize) -> bool {
+        self.vms[index].is_cut
+    }
+
     /// The states of the daemons that run and aren't cut off.
     pub fn contexts(&self) -> Vec<Arc<Context>> {
         self.vms.iter().filter(|it| !it.is_cut).filter_map(|it| it.context.clone()).collect()
