--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -6,7 +6,13 @@
 use tracing::info;
 
 use crate::{
-    gateway::{context::Context, place::Choice, roster::Endpoint},
+    gateway::{
+        call::Prompt,
+        context::Context,
+        crash::{self, Process, Run},
+        place::Choice,
+        roster::Endpoint,
+    },
     kernel::id::Request,
     request::suspect::Fingerprint,
 };
@@ -26,18 +32,20 @@
     /// Identifies this attempt in the table of requests that may have crashed an upstream.
     attempt_id: Request,
     succeeded: bool,
+    is_whole: bool,
 }
 
 impl Reservation {
-    /// Starts accounting for a call at the selected upstream. `memory_tokens` is the engine memory
-    /// that the call uses. `fingerprint` identifies the request if it crashes the upstream.
+    /// Starts accounting for a call at the selected upstream. `fingerprint` and the parts of the
+    /// prompt identify the request if it crashes the upstream.
     pub fn new(
         context: &Arc<Context>,
         choice: Choice,
-        memory_tokens: u64,
+        prompt: Option<&Prompt>,
         fingerprint: Fingerprint,
     ) -> Reservation {
         let endpoint = &choice.endpoint;
+        let memory_tokens = prompt.map_or(0, Prompt::memory_tokens);
         let upstream_death =
             endpoint.health.start_call(choice.unread_tokens, memory_tokens, context.now());
         let attempt_id = context.next_attempt_id();
@@ -45,6 +53,9 @@
         let mut suspects = context.suspects();
         suspects.started(attempt_id, fingerprint, &endpoint.name, incarnation);
         drop(suspects);
+        if let Some(prompt) = prompt {
+            context.crashes().started(attempt_id, Run::new(Process::of(endpoint), prompt));
+        }
         let (unread_tokens, context) = (choice.unread_tokens, context.clone());
         Reservation {
             choice,
@@ -54,30 +65,49 @@
             context,
             attempt_id,
             succeeded: false,
+            is_whole: false,
         }
     }
 
-    /// Records that the complete answer was received and is not a server error.
-    pub fn succeed(&mut self) {
+    /// Records that the complete answer was received and is not a server error. `is_whole` tells
+    /// whether it is a successful one whose end can't be that of a crashed upstream.
+    pub fn succeed(&mut self, is_whole: bool) {
         self.choice.endpoint.health.record_success(self.context.now());
         self.succeeded = true;
+        self.is_whole = is_whole;
     }
 
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
     /// crashed, and the requests that were running there become suspects.
     pub async fn connection_lost(&self) {
+        self.choice.endpoint.health.record_failure(self.context.now());
+        self.connection_closed().await;
+    }
+
+    /// The same for a connection whose end may belong to the answer. Returns whether the upstream
+    /// crashed.
+    pub async fn connection_closed(&self) -> bool {
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
-        health.record_failure(now);
         if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
-            return;
+            return false;
         }
         health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
+        let process = Process::of(&self.choice.endpoint);
+        let (prompts, facts) = self.context.change_crashes(|it| it.crashed(process, now));
         if !suspects.is_empty() {
-            info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
+            info!(
+                upstream = name.as_str(),
+                suspects = suspects.len(),
+                prompts = prompts.len(),
+                parts = crash::list_parts(&prompts),
+                "upstream crashed"
+            );
         }
         self.context.publish_suspects(suspects);
+        self.context.publish_crashes(facts);
+        true
     }
 
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
@@ -94,5 +124,8 @@
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
+        let (id, is_whole) = (self.attempt_id, self.is_whole);
+        let cleared = self.context.change_crashes(|it| it.ended(id, is_whole, now));
+        self.context.publish_crashes(cleared);
     }
 }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use metrics::counter;
 use tokio::time;
 use tracing::info;
 
@@ -127,6 +128,20 @@
                 _ => Refusal::Lost,
             });
         }
+        let parts = call.head.prompt.as_ref().map_or(&[][..], Prompt::shared);
+        let barred = context.crashes().bar(parts, now);
+        if let Some(bar) = barred {
+            counter!("tealturn_calls_barred_total").increment(1);
+            info!(
+                attempt = call.head.attempt,
+                part = format!("{:x}", bar.part),
+                "call refused: a part of its prompt is barred because it crashed upstreams"
+            );
+            return Err(match self.executions {
+                0 => Refusal::NotRun(bar.rest),
+                _ => Refusal::Lost,
+            });
+        }
         Ok(())
     }
 
@@ -242,8 +257,8 @@
             waited_ms = now.since(call.received).as_millis() as u64,
             "upstream selected, sending the call"
         );
-        let memory = call.head.prompt.as_ref().map_or(0, Prompt::memory_tokens);
-        Ok(Some(Reservation::new(context, choice, memory, self.fingerprint)))
+        let prompt = call.head.prompt.as_ref();
+        Ok(Some(Reservation::new(context, choice, prompt, self.fingerprint)))
     }
 
     /// The number of the workspace if it is isolated, or 0 for the shared prompt cache.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,10 @@
 mod budget;
 #[path = "gateway/cache.rs"]
 mod cache;
+#[path = "gateway/crash.rs"]
+mod crash;
+#[path = "gateway/crashing.rs"]
+mod crashing;
 #[path = "gateway/document.rs"]
 mod document;
 #[path = "gateway/freshness.rs"]
