Tell whether an answer is framed

A body without a length and without chunks ends with its connection, also when its sender crashes. Answer::is_framed tells such answers from others.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -13,7 +13,12 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    client::conn::http1::SendRequest,
+    header,
+};
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::{SockRef, TcpKeepalive};
@@ -96,6 +101,16 @@
     connection: Connection,
 }
 
+impl Answer {
+    /// Whether the answer tells where its body ends, by a length or in chunks. Otherwise the body ends
+    /// with the connection, as it also does when the sender crashes.
+    pub fn is_framed(&self) -> bool {
+        // An answer that can't have a body has an exact size, too.
+        let has_length = self.response.body().size_hint().exact().is_some();
+        has_length || is_chunked(&self.response)
+    }
+}
+
 impl Client {
     /// A client without connections.
     pub fn new() -> Client {
@@ -307,6 +322,13 @@
     }
 }
 
+/// Whether the last coding of a body is the chunked one, so that its end is marked.
+fn is_chunked<B>(response: &Response<B>) -> bool {
+    let codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.last().and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How long the connection of an answer may be used after it.
 fn idle_time<B>(response: &Response<B>) -> Duration {
     let header = response.headers().get("keep-alive").and_then(|it| it.to_str().ok());
