Don't pass on an unframed answer of a crashed upstream as complete

Cause: an answer without a length and without chunks ends with its connection, and the kernel closes the connections of a process that crashes in the same way. Such an answer, plain or a stream that stopped between two events, was passed on as complete, and the call that may have crashed the upstream was recorded as a success.

Change: when the body of an unframed answer ends, the upstream must still accept connections; two probes of 100 ms decide, a refusal at once. Otherwise the answer has broken off, as after a reset: it is sent again or goes on elsewhere where that is allowed. Upstreams that leave, by an answer or by their registration, are excepted: they may close their port with their last answer.

--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -14,6 +14,10 @@
 /// The timeout for reconnecting to an upstream after a connection was lost.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Probes that must fail until an upstream counts as crashed whose connection ended without an error;
+/// a single one may be due to packet loss.
+const END_PROBES: usize = 2;
+
 /// The resources that a call uses at an upstream, released on drop.
 pub struct Reservation {
     /// The selected upstream.
@@ -63,13 +67,39 @@
         self.succeeded = true;
     }
 
+    /// Whether an answer is whole whose body ended without an error. Without framing, this is also how
+    /// the answer of an upstream ends that crashes, and so closes its port. An upstream that leaves
+    /// may have closed its port, too.
+    pub async fn is_whole(&self, is_framed: bool) -> bool {
+        if is_framed || self.is_leaving() {
+            return true;
+        }
+        for _ in 0..END_PROBES {
+            if self.accepts_connections().await {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn is_leaving(&self) -> bool {
+        let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
+        let view = self.context.view.load();
+        health.is_leaving() || !view.service(&record.service).iter().any(|it| it.name == *name)
+    }
+
+    async fn accepts_connections(&self) -> bool {
+        let address = self.choice.endpoint.record.address;
+        self.context.client.opens(address, CRASH_PROBE_TIMEOUT).await
+    }
+
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
     /// crashed, and the requests that were running there become suspects.
     pub async fn connection_lost(&self) {
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
         health.record_failure(now);
-        if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
+        if self.accepts_connections().await {
             return;
         }
         health.mark_dead(now);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::Response;
 use metrics::{counter, histogram};
@@ -58,6 +59,10 @@
 /// The interval between checks whether the weights that a call waits for have been superseded.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Why an answer without framing is not whole although its connection ended without an error.
+const CRASHED_AT_END: &str = "the upstream accepts no connections after the end of an answer whose \
+                              length is unknown";
+
 /// The outcome of an attempt.
 enum Outcome {
     /// The upstream sent the head of an answer.
@@ -370,8 +375,8 @@
             let status = answer.response.status();
             let headers = end_to_end(answer.response.headers());
             let time_left = self.call.deadline.since(self.context.now());
-            let finish = self.context.client.finish(*answer);
-            match time::timeout(time_left, finish).await {
+            let read = self.read_whole(&reservation, *answer);
+            match time::timeout(time_left, read).await {
                 Ok(Ok(body)) => {
                     if status.is_server_error() {
                         reservation.choice.endpoint.health.record_failure(self.context.now());
@@ -409,6 +414,17 @@
         }
     }
 
+    /// Reads the body of an answer.
+    async fn read_whole(&self, reservation: &Reservation, answer: Answer) -> Result<Bytes, Error> {
+        let is_framed = answer.is_framed();
+        let body = self.context.client.finish(answer).await?;
+        if reservation.is_whole(is_framed).await {
+            return Ok(body);
+        }
+        let address = reservation.choice.endpoint.record.address;
+        Err(Error::NoResponse { address, reason: CRASHED_AT_END.to_owned() })
+    }
+
     fn record_metrics(&self) {
         let took = self.context.now().since(self.call.received);
         counter!("tealturn_calls_answered_total").increment(1);
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -13,7 +13,7 @@
     gateway::{
         entry::end_to_end,
         hold::Reservation,
-        relay::{MAX_REJECTIONS, Outcome, Relay},
+        relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
@@ -149,6 +149,7 @@
         last_event: &mut Option<String>,
         sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) -> End {
+        let is_framed = answer.is_framed();
         loop {
             let time_left = self.call.deadline.since(self.context.now());
             let frame = tokio::select! {
@@ -165,6 +166,9 @@
                 None if splitter.is_partial() => {
                     return End::Broken("the stream ended within an event".to_owned());
                 }
+                None if !reservation.is_whole(is_framed).await => {
+                    return End::Broken(CRASHED_AT_END.to_owned());
+                }
                 None => return End::Complete,
             };
             let Some(bytes) = frame.data_ref() else {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -324,8 +324,8 @@
 
 /// Whether the last coding of a body is the chunked one, so that its end is marked.
 fn is_chunked<B>(response: &Response<B>) -> bool {
-    let codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
-    let last = codings.last().and_then(|it| it.to_str().ok()?.rsplit(',').next());
+    let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    let last = codings.next_back().and_then(|it| it.to_str().ok()?.rsplit(',').next());
     last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"))
 }
 
