Take an unframed stream without any event for broken off

Cause: a stream that ends with its connection was passed on as complete as soon as no part of an event was left over, so also when its upstream had closed the connection before the first event. No stream begins without an event.

Change: such a stream has broken off, unless the caller resumes it after an event that it has. A stream in chunks may still be empty, as its last chunk says.

--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -166,6 +166,9 @@
                 None if splitter.is_partial() => {
                     return End::Broken("the stream ended within an event".to_owned());
                 }
+                None if !is_framed && !self.is_begun(splitter) => {
+                    return End::Broken("the stream ended before its first event".to_owned());
+                }
                 None if !reservation.is_whole(is_framed).await => {
                     return End::Broken(CRASHED_AT_END.to_owned());
                 }
@@ -193,6 +196,11 @@
         }
     }
 
+    /// Whether the caller has an event of the stream. Otherwise it can't have ended.
+    fn is_begun(&self, splitter: &Splitter) -> bool {
+        self.call.head.last_event.is_some() || splitter.has_returned_events()
+    }
+
     /// Passes bytes on to a caller, once there is memory for as long as it takes the caller to read
     /// them; returns whether the caller is still connected.
     async fn pass_on(&self, bytes: Bytes, sender: &mpsc::Sender<io::Result<Frame<Bytes>>>) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
     /// The memory of the buffer.
     hold: Hold,
     exceeds_limit: bool,
+    has_returned_events: bool,
 }
 
 /// One or more complete events.
@@ -28,7 +29,7 @@
 impl Splitter {
     /// A splitter without bytes that takes its memory from `hold`.
     pub fn new(hold: Hold) -> Splitter {
-        Splitter { buffer: BytesMut::new(), hold, exceeds_limit: false }
+        Splitter { buffer: BytesMut::new(), hold, exceeds_limit: false, has_returned_events: false }
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
@@ -41,10 +42,16 @@
         let end = end_of_events(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
         self.hold.resize(self.buffer.len());
+        self.has_returned_events = true;
         let last_id = last_id(&bytes);
         Some(Events { bytes, last_id })
     }
 
+    /// Whether any event was complete.
+    pub fn has_returned_events(&self) -> bool {
+        self.has_returned_events
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -34,6 +34,8 @@
         assert_eq!(String::from_utf8_lossy(&bytes), case.complete);
         assert_eq!(last_id.as_deref(), case.last_id);
         assert_eq!(splitter.is_partial(), case.partial, "{:?}", case.chunks);
+        let is_begun = splitter.has_returned_events();
+        assert_eq!(is_begun, !case.complete.is_empty(), "{:?}", case.chunks);
     }
 }
 
