--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -20,6 +20,10 @@
 /// The timeout for reconnecting to an upstream after a connection was lost.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Probes that must fail until an upstream counts as crashed whose connection ended without an error;
+/// a single one may be due to packet loss.
+const END_PROBES: usize = 2;
+
 /// The resources that a call uses at an upstream, released on drop.
 pub struct Reservation {
     /// The selected upstream.
@@ -32,7 +36,8 @@
     /// Identifies this attempt in the table of requests that may have crashed an upstream.
     attempt_id: Request,
     succeeded: bool,
-    is_whole: bool,
+    /// Whether the answer shows that no part of the prompt crashes upstreams.
+    clears_prompt: bool,
 }
 
 impl Reservation {
@@ -65,32 +70,52 @@
             context,
             attempt_id,
             succeeded: false,
-            is_whole: false,
+            clears_prompt: false,
         }
     }
 
-    /// Records that the complete answer was received and is not a server error. `is_whole` tells
+    /// Records that the complete answer was received and is not a server error. `clears_prompt` tells
     /// whether it is a successful one whose end can't be that of a crashed upstream.
-    pub fn succeed(&mut self, is_whole: bool) {
+    pub fn succeed(&mut self, clears_prompt: bool) {
         self.choice.endpoint.health.record_success(self.context.now());
         self.succeeded = true;
-        self.is_whole = is_whole;
+        self.clears_prompt = clears_prompt;
+    }
+
+    /// Whether an answer is whole whose body ended without an error. Without framing, this is also how
+    /// the answer of an upstream ends that crashes, and so closes its port. An upstream that leaves
+    /// may have closed its port, too.
+    pub async fn is_whole(&self, is_framed: bool) -> bool {
+        if is_framed || self.is_leaving() {
+            return true;
+        }
+        for _ in 0..END_PROBES {
+            if self.accepts_connections().await {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn is_leaving(&self) -> bool {
+        let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
+        let view = self.context.view.load();
+        health.is_leaving() || !view.service(&record.service).iter().any(|it| it.name == *name)
+    }
+
+    async fn accepts_connections(&self) -> bool {
+        let address = self.choice.endpoint.record.address;
+        self.context.client.opens(address, CRASH_PROBE_TIMEOUT).await
     }
 
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
     /// crashed, and the requests that were running there become suspects.
     pub async fn connection_lost(&self) {
-        self.choice.endpoint.health.record_failure(self.context.now());
-        self.connection_closed().await;
-    }
-
-    /// The same for a connection whose end may belong to the answer. Returns whether the upstream
-    /// crashed.
-    pub async fn connection_closed(&self) -> bool {
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
-        if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
-            return false;
+        health.record_failure(now);
+        if self.accepts_connections().await {
+            return;
         }
         health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
@@ -107,7 +132,6 @@
         }
         self.context.publish_suspects(suspects);
         self.context.publish_crashes(facts);
-        true
     }
 
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
@@ -124,7 +148,7 @@
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
-        let (id, is_whole) = (self.attempt_id, self.is_whole);
+        let (id, is_whole) = (self.attempt_id, self.clears_prompt);
         let cleared = self.context.change_crashes(|it| it.ended(id, is_whole, now));
         self.context.publish_crashes(cleared);
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -6,8 +6,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Response, header};
+use hyper::Response;
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -58,6 +59,10 @@
 /// The interval between checks whether the weights that a call waits for have been superseded.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Why an answer without framing is not whole although its connection ended without an error.
+const CRASHED_AT_END: &str = "the upstream accepts no connections after the end of an answer whose \
+                              length is unknown";
+
 /// The outcome of an attempt.
 enum Outcome {
     /// The upstream sent the head of an answer.
@@ -368,16 +373,16 @@
         let (mut reservation, mut answer) = (reservation, answer);
         loop {
             let status = answer.response.status();
-            let tells_its_end = tells_its_end(answer.response.headers());
+            let is_framed = answer.is_framed();
             let headers = end_to_end(answer.response.headers());
             let time_left = self.call.deadline.since(self.context.now());
-            let finish = self.context.client.finish(*answer);
-            match time::timeout(time_left, finish).await {
+            let read = self.read_whole(&reservation, *answer);
+            match time::timeout(time_left, read).await {
                 Ok(Ok(body)) => {
                     if status.is_server_error() {
                         reservation.choice.endpoint.health.record_failure(self.context.now());
-                    } else if tells_its_end || !reservation.connection_closed().await {
-                        reservation.succeed(tells_its_end && status.is_success());
+                    } else {
+                        reservation.succeed(is_framed && status.is_success());
                     }
                     self.record_metrics();
                     let body = Full::new(body).map_err(|never| match never {}).boxed();
@@ -410,15 +415,20 @@
         }
     }
 
+    /// Reads the body of an answer.
+    async fn read_whole(&self, reservation: &Reservation, answer: Answer) -> Result<Bytes, Error> {
+        let is_framed = answer.is_framed();
+        let body = self.context.client.finish(answer).await?;
+        if reservation.is_whole(is_framed).await {
+            return Ok(body);
+        }
+        let address = reservation.choice.endpoint.record.address;
+        Err(Error::NoResponse { address, reason: CRASHED_AT_END.to_owned() })
+    }
+
     fn record_metrics(&self) {
         let took = self.context.now().since(self.call.received);
         counter!("tealturn_calls_answered_total").increment(1);
         histogram!("tealturn_call_seconds").record(took.as_secs_f64());
     }
 }
-
-/// Whether an answer with these headers tells where it ends. Any other ends with its connection, as
-/// it also does if the upstream crashes.
-fn tells_its_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -14,7 +14,7 @@
         entry::end_to_end,
         exchange,
         hold::Reservation,
-        relay::{MAX_REJECTIONS, Outcome, Relay, tells_its_end},
+        relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
@@ -72,10 +72,7 @@
             let upstream = reservation.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
-                    let is_whole = tells_its_end(answer.response.headers());
-                    if is_whole || !reservation.connection_closed().await {
-                        reservation.succeed(is_whole);
-                    }
+                    reservation.succeed(answer.is_framed());
                     self.context.client.release(*answer);
                     self.record_metrics();
                     return;
@@ -156,6 +153,7 @@
         last_event: &mut Option<String>,
         sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) -> End {
+        let is_framed = answer.is_framed();
         loop {
             let time_left = self.call.deadline.since(self.context.now());
             let frame = tokio::select! {
@@ -172,6 +170,12 @@
                 None if splitter.is_partial() => {
                     return End::Broken("the stream ended within an event".to_owned());
                 }
+                None if !is_framed && !self.is_begun(splitter) => {
+                    return End::Broken("the stream ended before its first event".to_owned());
+                }
+                None if !reservation.is_whole(is_framed).await => {
+                    return End::Broken(CRASHED_AT_END.to_owned());
+                }
                 None => return End::Complete,
             };
             let Some(bytes) = frame.data_ref() else {
@@ -196,6 +200,11 @@
         }
     }
 
+    /// Whether the caller has an event of the stream. Otherwise it can't have ended.
+    fn is_begun(&self, splitter: &Splitter) -> bool {
+        self.call.head.last_event.is_some() || splitter.has_returned_events()
+    }
+
     /// Passes bytes on to a caller, once there is memory for as long as it takes the caller to read
     /// them; returns whether the caller is still connected.
     async fn pass_on(&self, bytes: Bytes, sender: &mpsc::Sender<io::Result<Frame<Bytes>>>) -> bool {
