Don't pass on a change of protocols

Cause: status 101 was passed on as any other answer, though no call to an upstream asks for another protocol: Upgrade is not forwarded. It has no body, but what comes after it is no HTTP.

Change: it counts as a lost attempt, as an answer to another request does.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -352,6 +352,9 @@
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
         health.record_activity(now);
+        if status.is_informational() {
+            return Outcome::Lost("the upstream switched protocols unasked".to_owned());
+        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
