Pass on event streams whose lines end with CR

Cause: text/event-stream allows LF, CRLF and CR as line ends, and events were split at LF only. A stream with CR was held back until its end, and then taken for broken off within an event.

Change: CR ends a line, too. At the end of what has arrived, an empty line that begins with CR still waits for its LF, unless the line before ended with CR alone: a stream with CRLF that ends there has been broken off.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -68,25 +68,32 @@
     }
 }
 
-/// Returns the offset after the last empty line.
+/// Returns the offset after the last empty line. Lines end with LF, CRLF or CR.
 fn end_of_events(bytes: &[u8]) -> Option<usize> {
     let mut end = None;
     let mut line_start = 0;
+    let mut follows_cr = false;
     for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
+        let is_cr = match (byte, bytes.get(index + 1)) {
+            (b'\n', _) => false,
+            (b'\r', Some(b'\n')) => continue,
+            // If all lines end with CRLF, the LF is still to come.
+            (b'\r', None) if !follows_cr => break,
+            (b'\r', _) => true,
+            _ => continue,
+        };
         let text = &bytes[line_start..index];
         if text.is_empty() || text == b"\r" {
             end = Some(index + 1);
         }
         line_start = index + 1;
+        follows_cr = is_cr;
     }
     end
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|it| *it == b'\n').rev();
+    let lines = events.split(|it| matches!(it, b'\n' | b'\r')).rev();
     for line in lines {
         let Some(id) = line.strip_prefix(b"id:") else {
             continue;
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -23,6 +23,25 @@
             partial: false,
         },
         Case { chunks: &["data: a\n\n"], complete: "data: a\n\n", last_id: None, partial: false },
+        Case { chunks: &["id: 1\r\ndata: a\r\n\r"], complete: "", last_id: None, partial: true },
+        Case {
+            chunks: &["id: 1\rdata: a\r", "\rid: 2\rdata: b\r\rdata:"],
+            complete: "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+            last_id: Some("2"),
+            partial: true,
+        },
+        Case {
+            chunks: &["id: 1\ndata: a\r", "\n", "\r", "\ndata: b\r\n\n"],
+            complete: "id: 1\ndata: a\r\n\r\ndata: b\r\n\n",
+            last_id: Some("1"),
+            partial: false,
+        },
+        Case {
+            chunks: &["data: a\r\r", "\ndata: b\r", "id: 2\n"],
+            complete: "data: a\r\r\n",
+            last_id: None,
+            partial: true,
+        },
     ] {
         let mut splitter = Splitter::new(Memory::new(0).hold());
         let (mut bytes, mut last_id) = (Vec::new(), None);
