Notice the crash of an upstream that was to continue a stream

A continuation whose connection broke before the head of the answer was given up without a look at the upstream, so a crash there counted neither for the call nor for the parts of its prompt. No test guards this; the daemon tests of streams and builds pass.

--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -136,9 +136,11 @@
                     self.rejections += 1;
                     self.excluded.push(reservation.choice.endpoint.name.clone());
                 }
-                Outcome::Answer(..) | Outcome::Lost(_) | Outcome::TimedOut | Outcome::Expired => {
+                Outcome::Lost(_) => {
+                    reservation.connection_lost().await;
                     return None;
                 }
+                Outcome::Answer(..) | Outcome::TimedOut | Outcome::Expired => return None,
             }
         }
         None
