Keep bars of parts in the store, so that they outlive the daemons

What daemons know of parts that crash upstreams was gone when all of them were killed. A daemon whose own crashes made it bar a part now writes a row barred/PART into the topic of the fleet, once the part has been barred for a second, with the time of the last crash. Daemons that read the topic bar the part too, unless it was cleared more often than when the row was written, or the crashes that they know are explained by another part.

The test of daemons that start now also empties the log of updates before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
 
+pub mod bar;
 pub mod budget;
 pub mod cache;
 pub mod call;
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -9,6 +9,7 @@
 use crate::{
     Result,
     gateway::{
+        bar,
         context::{Context, Setup},
         entry::Entry,
         exchange, follow, member, operate,
@@ -72,6 +73,7 @@
         tasks.spawn(exchange::run(context.clone(), stop.clone()));
         tasks.spawn(watch::probe_endpoints(context.clone(), stop.clone()));
         tasks.spawn(member::announce(context.clone(), stop.clone()));
+        tasks.spawn(bar::keep(context.clone(), stop.clone()));
         for (listener, handler) in extra_listeners {
             tasks.spawn(server::serve(listener, handler, stop.clone()));
         }
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -9,16 +9,21 @@
 //! Which parts are barred follows from the facts, see [`Table`]. Prompts that crash an upstream
 //! share parts with sound ones, and end others that run there, so a crash counts only for the part
 //! that explains the most. The daemons of a fleet in touch hold the same facts after a few
-//! exchanges and so bar the same parts.
+//! exchanges and so bar the same parts. Bars outlive the daemons as rows in the store, see [`Row`].
 
 mod fact;
+mod row;
 mod run;
 mod table;
 
 pub use self::{
     fact::{Crash, Fact},
+    row::Row,
     run::{Process, Run, Runs},
-    table::{BAR, BAR_CRASHES, Bar, Change, Learned, SEEN_BAR_CRASHES, SEEN_SPAN, SPACING, Table},
+    table::{
+        BAR, BAR_CRASHES, Bar, Change, Learned, SEEN_BAR_CRASHES, SEEN_SPAN, SPACING, Table,
+        WRITE_DELAY,
+    },
 };
 
 /// Prompts of which the log line of a crash shows the parts.
--- a/src/gateway/crash/table.rs
+++ b/src/gateway/crash/table.rs
@@ -8,8 +8,10 @@
         call::Part,
         crash::{
             fact::{Crash, Fact, State},
+            row::{self, Entry, Row, Rows},
             run::{Process, Run, Runs},
         },
+        store,
     },
     kernel::{clock::Time, id::Request},
 };
@@ -33,6 +35,10 @@
 /// How long a part is barred after its last crash.
 pub const BAR: Duration = Duration::from_secs(600);
 
+/// How long a part must be barred before that is stored: until then, news of other daemons may tell
+/// that another part explains its crashes.
+pub const WRITE_DELAY: Duration = Duration::from_millis(1_000);
+
 /// Parts of which crashes are known; beyond it, those with few and old crashes are forgotten.
 const MAX_PARTS: usize = 2_048;
 
@@ -54,11 +60,11 @@
 /// A part that is barred from now on, or no longer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// It is barred because of this many crashes.
+    /// It is barred.
     Barred {
         /// The hash of the part.
         part: u64,
-        /// Its crashes.
+        /// Its crashes that this daemon knows: none if another one stored the bar.
         crashes: usize,
         /// The last place that it had in a prompt.
         depth: u8,
@@ -91,11 +97,21 @@
     runs: Runs,
     parts: Map<u64, State>,
     seen: Seen,
-    /// The barred parts, and until when they are.
-    barred: Map<u64, Time>,
+    /// The barred parts.
+    barred: Map<u64, Term>,
+    rows: Rows,
     changes: Vec<Change>,
 }
 
+/// The time in which a part is barred.
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    since: Time,
+    until: Time,
+    /// Whether the crashes that this daemon knows are enough for the bar.
+    by_facts: bool,
+}
+
 impl Table {
     /// Records that a prompt is about to be sent.
     pub fn started(&mut self, attempt: Request, run: Run) {
@@ -111,10 +127,15 @@
         let mut facts = Vec::new();
         for part in run.parts {
             self.seen.insert(part, now);
-            let Some(state) = self.parts.get_mut(&part).filter(|it| !it.crashes.is_empty()) else {
+            let stored = self.rows.0.get(&part).map(|it| it.row.clearances);
+            let known = self.parts.get(&part);
+            let clearances = known.map_or(0, |it| it.clearances);
+            let has_crashes = known.is_some_and(|it| !it.crashes.is_empty());
+            if !has_crashes && stored.is_none_or(|it| it < clearances) {
                 continue;
-            };
-            state.clear(state.clearances + 1, now);
+            }
+            let state = self.parts.entry(part).or_default();
+            state.clear(clearances.max(stored.unwrap_or_default()) + 1, now);
             facts.push(state.fact(part, &[], now));
         }
         if !facts.is_empty() {
@@ -186,14 +207,14 @@
         if self.barred.is_empty() {
             return None;
         }
-        let barred = parts.iter().find_map(|it| Some((it.hash, *self.barred.get(&it.hash)?)));
+        let barred = parts.iter().find_map(|it| Some((it.hash, self.barred.get(&it.hash)?.until)));
         let (part, until) = barred.filter(|(_, until)| *until > now)?;
         Some(Bar { part, rest: until.since(now) })
     }
 
     /// The parts that are barred now.
     pub fn barred(&self, now: Time) -> Vec<u64> {
-        let barred = self.barred.iter().filter(|(_, until)| **until > now);
+        let barred = self.barred.iter().filter(|(_, term)| term.until > now);
         let mut barred: Vec<_> = barred.map(|(part, _)| *part).collect();
         barred.sort_unstable();
         barred
@@ -223,11 +244,89 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Takes in rows of the store by their parts, with the transactions that wrote them; `None` if one
+    /// was removed. `wall` is the time now since the Unix epoch.
+    pub fn take_rows(&mut self, rows: Vec<(u64, Option<(Row, u64)>)>, now: Time, wall: Duration) {
+        for (part, row) in rows {
+            match row {
+                Some((row, version)) => self.rows.insert(part, row, version, now, wall),
+                None => drop(self.rows.0.remove(&part)),
+            }
+        }
+        self.derive(now);
+    }
+
+    /// Writes to the store that this daemon should make: rows of parts that it barred because of
+    /// crashes of its own, and removals of rows that are over.
+    pub fn writes(&mut self, daemon: &str, now: Time, wall: Duration) -> Vec<store::Write> {
+        let is_over = |part: &u64, it: &Entry| it.until <= now || !self.applies(*part, it);
+        let over: Set<_> =
+            self.rows.0.iter().filter(|(part, it)| is_over(part, it)).map(|(it, _)| *it).collect();
+        for (part, entry) in &mut self.rows.0 {
+            let since = entry.unneeded_since.unwrap_or(now);
+            entry.unneeded_since = over.contains(part).then_some(since);
+        }
+        let mut writes = self.rows.removals(daemon, now);
+        for (part, term) in &self.barred {
+            let is_due = term.by_facts && term.until > now && now.since(term.since) >= WRITE_DELAY;
+            let state = self.parts.get(part).filter(|it| is_due && it.own);
+            let Some((state, (last, _))) = state.and_then(|it| Some((it, it.crashes.last()?)))
+            else {
+                continue;
+            };
+            let entry = self.rows.0.get(part);
+            if entry.is_some_and(|it| it.unneeded_since.is_none()) {
+                continue;
+            }
+            let clearances = state.clearances;
+            let last_crash = wall.saturating_sub(now.since(*last));
+            let row = Row { daemon: daemon.to_owned(), clearances, last_crash };
+            let Ok(value) = serde_json::to_vec(&row) else {
+                continue;
+            };
+            writes.retain(|it| it.key != Row::key(*part));
+            writes.push(row::write(*part, entry.map_or(0, |it| it.version), Some(value)));
+        }
+        writes
+    }
+
+    /// Whether a row still bars its part: it doesn't if the part was cleared since, or if the crashes
+    /// that this daemon knows are enough to decide and another part explains them.
+    fn applies(&self, part: u64, entry: &Entry) -> bool {
+        let Some(state) = self.parts.get(&part) else {
+            return true;
+        };
+        let by_facts = self.barred.get(&part).is_some_and(|it| it.by_facts);
+        let decides = excess(state, &Set::default()).is_some();
+        state.clearances <= entry.row.clearances && (by_facts || !decides)
+    }
+
+    /// Parts that are barred because of rows, as the crashes that this daemon knows are too few to
+    /// decide.
+    fn stored(&self, now: Time) -> Vec<(u64, Time)> {
+        let mut stored = Vec::new();
+        for (part, entry) in &self.rows.0 {
+            let state = self.parts.get(part);
+            let decides = state.is_some_and(|it| excess(it, &Set::default()).is_some());
+            let is_cleared = state.is_some_and(|it| it.clearances > entry.row.clearances);
+            if entry.until > now && !decides && !is_cleared {
+                stored.push((*part, entry.until));
+            }
+        }
+        stored
+    }
+
     fn derive(&mut self, now: Time) {
         let known = self.parts.iter().filter(|(_, it)| it.crashes.len() >= BAR_CRASHES);
         let mut candidates: Vec<_> = known.filter(|(_, it)| !it.is_expired(now)).collect();
         let mut explained: Set<u64> = Set::default();
         let mut barred = Map::default();
+        let since = |part: &u64| self.barred.get(part).map_or(now, |it| it.since);
+        for (part, until) in self.stored(now) {
+            let crashes = self.parts.get(&part).map_or(&[][..], |it| &it.crashes);
+            explained.extend(crashes.iter().map(|(_, id)| *id));
+            barred.insert(part, Term { since: since(&part), until, by_facts: false });
+        }
         loop {
             let ranked = candidates.iter().enumerate().filter_map(|(index, (part, state))| {
                 let excess = excess(state, &explained)?;
@@ -239,11 +338,11 @@
             let (part, state) = candidates.swap_remove(index);
             explained.extend(state.crashes.iter().map(|(_, id)| *id));
             let last = state.crashes.last().map_or(now, |(at, _)| *at);
-            barred.insert(*part, last + BAR);
+            barred.insert(*part, Term { since: since(part), until: last + BAR, by_facts: true });
         }
         for part in barred.keys().filter(|it| !self.barred.contains_key(*it)) {
-            let state = &self.parts[part];
-            let (crashes, depth) = (state.crashes.len(), state.depth);
+            let state = self.parts.get(part);
+            let (crashes, depth) = state.map_or((0, 0), |it| (it.crashes.len(), it.depth));
             self.changes.push(Change::Barred { part: *part, crashes, depth });
         }
         for part in self.barred.keys().filter(|it| !barred.contains_key(*it)) {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     gateway::{
+        bar,
         context::Context,
         dialect,
         document::Document,
@@ -284,7 +285,10 @@
             let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
             apply_upstream_rows(context, &delta, was_lost);
         }
-        Topic::Fleet => context.members.apply_rows(&delta),
+        Topic::Fleet => {
+            context.members.apply_rows(&delta);
+            bar::apply_rows(context, &delta);
+        }
         Topic::Leases => {}
     }
     if previous.is_some() && !delta.rows.is_empty() {
--- a/tests/gateway/crash.rs
+++ b/tests/gateway/crash.rs
@@ -6,9 +6,10 @@
     gateway::{
         call::Part,
         crash::{
-            BAR, BAR_CRASHES, Change, Fact, Process, Run, Runs, SEEN_BAR_CRASHES, SPACING, Table,
-            list_parts,
+            BAR, BAR_CRASHES, Change, Fact, Process, Row, Run, Runs, SEEN_BAR_CRASHES, SPACING,
+            Table, WRITE_DELAY, list_parts,
         },
+        store::{Topic, Write},
     },
     kernel::{
         clock::Time,
@@ -321,3 +322,120 @@
         assert!(seer.table.barred(now).is_empty(), "{upstream}");
     }
 }
+
+/// A daemon that has barred [`CULPRIT`], and when.
+fn barring() -> (Daemon, Time) {
+    let (mut daemon, mut now) = (Daemon::default(), START);
+    for upstream in 0..BAR_CRASHES as u64 {
+        now = now + STEP;
+        daemon.crash(upstream, &[&[FIRST, CULPRIT]], now);
+    }
+    (daemon, now)
+}
+
+/// The time since the Unix epoch when the clocks of daemons show `now`.
+fn wall(now: Time) -> Duration {
+    Duration::from_secs(1_700_000_000) + now.since(START)
+}
+
+fn row(write: &Write) -> Row {
+    let value = write.value.as_ref().expect("a value");
+    serde_json::from_slice(value).expect("a row")
+}
+
+/// Guards against bars that are lost when all daemons are killed: nobody wrote them, or all did, or one
+/// wrote what others refuted a moment later.
+#[test]
+fn a_daemon_stores_the_bar_of_a_part_that_crashed_its_upstreams() {
+    let (mut daemon, barred_at) = barring();
+    let mut other = Daemon::default();
+    other.learn(&daemon.table.facts(barred_at), barred_at);
+    assert_eq!(other.table.barred(barred_at), [CULPRIT]);
+    let early = barred_at + WRITE_DELAY / 2;
+    assert_eq!(daemon.table.writes("a", early, wall(early)), []);
+    let now = barred_at + WRITE_DELAY;
+    assert_eq!(other.table.writes("b", now, wall(now)), []);
+    let writes = daemon.table.writes("a", now, wall(now));
+    assert_eq!(writes.len(), 1, "{writes:?}");
+    let Write { topic, key, expected, .. } = &writes[0];
+    assert_eq!(
+        (*topic, key.as_str(), *expected),
+        (Topic::Fleet, "barred/0000000000000003", Some(0))
+    );
+    let row = row(&writes[0]);
+    let last_crash = wall(barred_at);
+    assert_eq!(row, Row { daemon: "a".to_owned(), clearances: 0, last_crash });
+    daemon.table.take_rows(vec![(CULPRIT, Some((row, 7)))], now, wall(now));
+    assert_eq!(daemon.table.writes("a", now, wall(now)), [], "the store has it");
+}
+
+/// Guards against a bar from the store that is not taken in, outlives its time, or holds although the part
+/// was cleared.
+#[test]
+fn a_stored_bar_holds_until_it_is_over_or_cleared() {
+    let (last_crash, version) = (wall(START), 7);
+    let stored = |clearances| {
+        let row = Row { daemon: "a".to_owned(), clearances, last_crash };
+        vec![(CULPRIT, Some((row, version)))]
+    };
+    let removal = |daemon: &mut Daemon, name: &str, now: Time| {
+        let writes = daemon.table.writes(name, now, wall(now));
+        let is_removal = |it: &Write| it.value.is_none() && it.expected == Some(version);
+        writes.len() == 1 && writes.iter().all(is_removal)
+    };
+    let now = START + Duration::from_secs(60);
+    let mut daemon = Daemon::default();
+    daemon.table.take_rows(stored(0), now, wall(now));
+    assert_eq!(daemon.table.barred(now), [CULPRIT]);
+    assert_eq!(daemon.table.writes("a", now, wall(now)), []);
+    let last = START + BAR - Duration::from_millis(1);
+    assert_eq!(daemon.table.barred(last), [CULPRIT]);
+    let over = START + BAR;
+    assert!(daemon.table.barred(over).is_empty());
+    assert!(removal(&mut daemon, "a", over), "the daemon that wrote it removes it");
+
+    let mut daemon = Daemon::default();
+    daemon.table.take_rows(stored(0), now, wall(now));
+    assert!(!removal(&mut daemon, "b", over), "it is left to the other one");
+    assert!(removal(&mut daemon, "b", over + Duration::from_secs(60)), "that may be gone");
+
+    let mut daemon = Daemon::default();
+    daemon.table.take_rows(stored(0), now, wall(now));
+    let cleared = daemon.answer(&[CULPRIT], true, now);
+    assert_eq!(cleared.len(), 1);
+    assert!(daemon.table.barred(now).is_empty(), "a whole answer clears it");
+    assert!(removal(&mut daemon, "a", now));
+    let mut other = Daemon::default();
+    other.learn(&cleared, now);
+    other.table.take_rows(stored(0), now, wall(now));
+    assert!(other.table.barred(now).is_empty(), "it was cleared after it was stored");
+    other.table.take_rows(stored(1), now, wall(now));
+    assert_eq!(other.table.barred(now), [CULPRIT], "it was stored again later");
+    other.table.take_rows(vec![(CULPRIT, None)], now, wall(now));
+    assert!(other.table.barred(now).is_empty(), "the row was removed");
+}
+
+/// Guards against a sound part that stays barred because a daemon had stored its bar before the facts of
+/// others told which part explains the crashes.
+#[test]
+fn a_stored_bar_yields_to_the_crashes_that_a_daemon_knows() {
+    let mut daemon = Daemon::default();
+    let mut now = START;
+    for upstream in 0..BAR_CRASHES as u64 {
+        now = now + STEP;
+        daemon.crash(upstream, &[&[CALLER, OTHER], &[CALLER, CULPRIT]], now);
+    }
+    let barred = daemon.table.barred(now);
+    now = now + STEP;
+    let facts = daemon.crash(100, &[&[CALLER, CULPRIT]], now);
+    assert_eq!(facts.len(), 2);
+    assert_eq!(barred, [OTHER], "of equal parts, either");
+    assert_eq!(daemon.table.barred(now), [CULPRIT]);
+    let row = Row { daemon: "a".to_owned(), clearances: 0, last_crash: wall(now) };
+    daemon.table.take_rows(vec![(OTHER, Some((row, 7)))], now, wall(now));
+    assert_eq!(daemon.table.barred(now), [CULPRIT]);
+    let writes = daemon.table.writes("a", now, wall(now));
+    let removed: Vec<_> = writes.iter().filter(|it| it.value.is_none()).collect();
+    assert_eq!(removed.len(), 1, "{writes:?}");
+    assert_eq!(removed[0].key, Row::key(OTHER));
+}
--- a/tests/gateway/crashing.rs
+++ b/tests/gateway/crashing.rs
@@ -15,7 +15,7 @@
     },
 };
 
-use crate::simulation::Fleet;
+use crate::{simulation::Fleet, tree::fill_log};
 
 const SIZES: [usize; 4] = [7, 86, 195, 350];
 
@@ -313,6 +313,9 @@
             fleet.kill(late);
             fleet.cut(cut, true);
             traffic.run(&mut fleet, Duration::from_secs(8), true);
+            // The log of updates no longer holds what they missed.
+            fleet.contexts().iter().for_each(|it| fill_log(it));
+            traffic.run(&mut fleet, Duration::from_secs(1), true);
             fleet.start(late);
             fleet.cut(cut, false);
             traffic.run(&mut fleet, Duration::from_secs(10), true);
@@ -349,3 +352,23 @@
         }
     }
 }
+
+/// Guards against a part that crashes upstreams again once all daemons have started anew: what they knew is
+/// gone then, and the store may have been away when they found it out.
+#[test]
+fn the_part_is_known_after_all_daemons_were_killed() {
+    for daemons in SIZES {
+        for (rate, store_was_away) in [(1.3, false), (20.0, true)] {
+            let (mut fleet, mut traffic) = settled(daemons, rate, 26);
+            fleet.store_answers = !store_was_away;
+            traffic.run(&mut fleet, Duration::from_secs(7), true);
+            fleet.store_answers = true;
+            traffic.run(&mut fleet, Duration::from_secs(3), true);
+            (0..daemons).for_each(|it| fleet.kill(it));
+            (0..daemons).for_each(|it| fleet.start(it));
+            traffic.run(&mut fleet, Duration::from_secs(8), true);
+            let name = format!("{daemons} daemons, {rate}/s, store away: {store_was_away}");
+            traffic.check(&name);
+        }
+    }
+}
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -263,6 +263,33 @@
         version
     }
 
+    /// Daemons write and remove the rows of barred parts.
+    fn write_bars(&mut self) {
+        if !self.store_answers || !self.now.0.is_multiple_of(PLAN_INTERVAL.as_micros() as u64) {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let vm = &self.vms[index];
+            let Some(context) = vm.context.clone().filter(|_| !vm.is_cut) else { continue };
+            let wall = Duration::from_micros(context.clock.wall_micros());
+            let writes = context.crashes().writes(&vm.name, context.now(), wall);
+            writes.into_iter().for_each(|it| self.commit(it));
+        }
+    }
+
+    /// Applies a write unless the row has another version than expected.
+    fn commit(&mut self, write: Write) {
+        let rows = &mut self.rows[write.topic as usize];
+        let known = rows.iter().find(|it| it.key == write.key && !it.removed);
+        if write.expected.is_some_and(|it| it != known.map_or(0, |row| row.version)) {
+            return;
+        }
+        self.position.version += 1;
+        rows.retain(|it| it.key != write.key);
+        let (version, removed) = (self.position.version, write.value.is_none());
+        rows.push(Row { key: write.key, value: write.value, version, removed });
+    }
+
     /// Writes a document of this version.
     pub fn write_document(&mut self, version: u64) {
         self.write_value(Topic::Operator, "document", version.to_string().into_bytes());
@@ -394,6 +421,7 @@
         self.clock.store(self.now.0, Ordering::Relaxed);
         let mut order: Vec<_> = (0..self.vms.len()).collect();
         order.shuffle(&mut self.rng);
+        self.write_bars();
         for index in order {
             self.ask_store(index);
             self.plan(index);
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -297,7 +297,7 @@
 }
 
 /// Fills the log of updates with ones that the receivers don't pass on.
-fn fill_log(context: &Context) {
+pub fn fill_log(context: &Context) {
     const UPDATES: u64 = 5_000;
     let mut updates = context.peers.updates();
     for part in 0..UPDATES {
