Ask further hubs for a stream's origin after those that don't know it

A daemon that is asked to resume a stream asked three hubs and gave up once they had answered that they don't know it. Its teller may have told others: it leaves out those that are away, and for 3 s those to which a call of its own failed. Hubs that have started again or can be reached again answer that they know nothing.

--- a/src/gateway/exchange/origin.rs
+++ b/src/gateway/exchange/origin.rs
@@ -3,7 +3,8 @@
 //! News takes up to a second through the tree of a large fleet, and dies with a daemon that has not
 //! sent it yet. A caller that lost its daemon comes back at once. So a daemon tells [`REPLICAS`]
 //! others before it passes on the first event: the hubs with the highest rendezvous ranks for the stream,
-//! leaving out those that don't answer. A daemon that is asked to resume the stream asks the same ones.
+//! leaving out those that don't answer. A daemon that is asked to resume the stream asks the same ones
+//! first, and then the other hubs: it may see other hubs than the teller did.
 
 use std::{future::Future, sync::Arc, time::Duration};
 
@@ -44,7 +45,7 @@
     tokio::spawn(async move {
         let mut sender = Some(sender);
         let keep = |name| keep(&shared, name, &entry);
-        call_in_turn(names, keep, |()| {
+        call_in_turn(names, REPLICAS, keep, |()| {
             if let Some(sender) = sender.take() {
                 // The receiver may have given up.
                 let _ = sender.send(());
@@ -65,11 +66,13 @@
     context.connections.call(address, TELL_TIMEOUT, make).await
 }
 
-/// Asks the daemons that were told which build began a stream.
+/// Asks other daemons which build began a stream until one of them knows, those first that were probably told.
 pub async fn ask(context: &Context, attempt: u64) -> Option<Build> {
     let mut found = None;
+    let names = candidates(context, attempt);
+    let count = names.len();
     let find = |name| find(context, name, attempt);
-    call_in_turn(candidates(context, attempt), find, |answer| {
+    call_in_turn(names, count, find, |answer| {
         found = answer;
         found.is_some()
     })
@@ -84,9 +87,10 @@
     context.connections.call(address, ORIGIN_WAIT, make).await
 }
 
-/// Calls daemons, [`REPLICAS`] at a time, until that many have answered or `is_done` says so of an answer.
+/// Calls daemons, [`REPLICAS`] at a time, until `count` have answered or `is_done` says so of an answer.
 async fn call_in_turn<T, F: Future<Output = Option<T>>>(
     names: Vec<String>,
+    count: usize,
     call: impl Fn(String) -> F,
     mut is_done: impl FnMut(T) -> bool,
 ) {
@@ -94,17 +98,14 @@
     let mut answered = 0;
     let mut running: FuturesUnordered<_> = names.by_ref().take(REPLICAS).map(&call).collect();
     while let Some(answer) = running.next().await {
-        match answer {
-            Some(answer) => {
-                answered += 1;
-                if is_done(answer) {
-                    return;
-                }
+        if let Some(answer) = answer {
+            answered += 1;
+            if is_done(answer) {
+                return;
             }
-            None => running.extend(names.next().map(&call)),
         }
-        if answered == REPLICAS {
-            return;
+        if answered + running.len() < count {
+            running.extend(names.next().map(&call));
         }
     }
 }
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -367,12 +367,14 @@
         if !context.begin_stream(&Service::from(scene::SERVICE), &entry) {
             return;
         }
-        for replica in self.reached_replicas(index, attempt) {
+        for replica in
+            self.reached_replicas(index, attempt).into_iter().take(exchange::origin::REPLICAS)
+        {
             replica.origins().keep(&entry, replica.now());
         }
     }
 
-    /// The daemons that a call about a stream's origin reaches.
+    /// The daemons that calls about a stream's origin reach, in the order in which they are called.
     fn reached_replicas(&mut self, from: usize, attempt: u64) -> Vec<Arc<Context>> {
         let mut reached = Vec::new();
         for name in exchange::origin::candidates(self.context(from), attempt) {
@@ -382,9 +384,6 @@
             if self.rng.random::<f64>() >= self.loss {
                 reached.extend(replica);
             }
-            if reached.len() == exchange::origin::REPLICAS {
-                break;
-            }
         }
         reached
     }
