Search each byte of an event once

Cause: with each piece that arrived of an event, all that was there of the event was searched again for its end. The cost grew with the square of the event's length, which may be 1 MiB. An upstream that sent such an event in small pieces kept a processor of the daemon busy for that time.

Change: the search goes on where it stopped.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,18 @@
     hold: Hold,
     exceeds_limit: bool,
     has_returned_events: bool,
+    search: Search,
+}
+
+/// The search for empty lines in bytes that grow. Each byte is searched once.
+#[derive(Debug, Default)]
+struct Search {
+    /// Bytes that were searched.
+    position: usize,
+    /// The start of the last line.
+    line_start: usize,
+    /// Whether CR alone ended the line before it.
+    follows_cr: bool,
 }
 
 /// One or more complete events.
@@ -29,7 +41,13 @@
 impl Splitter {
     /// A splitter without bytes that takes its memory from `hold`.
     pub fn new(hold: Hold) -> Splitter {
-        Splitter { buffer: BytesMut::new(), hold, exceeds_limit: false, has_returned_events: false }
+        Splitter {
+            buffer: BytesMut::new(),
+            hold,
+            exceeds_limit: false,
+            has_returned_events: false,
+            search: Search::default(),
+        }
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
@@ -39,8 +57,9 @@
             return None;
         }
         self.buffer.extend_from_slice(bytes);
-        let end = end_of_events(&self.buffer)?;
+        let end = self.search.end_of_events(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
+        self.search.skip(end);
         self.hold.resize(self.buffer.len());
         self.has_returned_events = true;
         let last_id = last_id(&bytes);
@@ -65,31 +84,40 @@
     /// Discards the incomplete event.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.search = Search::default();
     }
 }
 
-/// Returns the offset after the last empty line. Lines end with LF, CRLF or CR.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let mut end = None;
-    let mut line_start = 0;
-    let mut follows_cr = false;
-    for (index, byte) in bytes.iter().enumerate() {
-        let is_cr = match (byte, bytes.get(index + 1)) {
-            (b'\n', _) => false,
-            (b'\r', Some(b'\n')) => continue,
-            // If all lines end with CRLF, the LF is still to come.
-            (b'\r', None) if !follows_cr => break,
-            (b'\r', _) => true,
-            _ => continue,
-        };
-        let text = &bytes[line_start..index];
-        if text.is_empty() || text == b"\r" {
-            end = Some(index + 1);
+impl Search {
+    /// Returns the offset after the last empty line found. Lines end with LF, CRLF or CR.
+    fn end_of_events(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        while let Some(byte) = bytes.get(self.position) {
+            let index = self.position;
+            let is_cr = match (byte, bytes.get(index + 1)) {
+                (b'\n', _) => Some(false),
+                // If all lines end with CRLF, the LF is still to come.
+                (b'\r', None) if !self.follows_cr => break,
+                (b'\r', next) => (next != Some(&b'\n')).then_some(true),
+                _ => None,
+            };
+            self.position += 1;
+            let Some(is_cr) = is_cr else { continue };
+            let line = &bytes[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                end = Some(index + 1);
+            }
+            self.line_start = index + 1;
+            self.follows_cr = is_cr;
         }
-        line_start = index + 1;
-        follows_cr = is_cr;
+        end
+    }
+
+    /// Leaves out the first `length` bytes, which were searched.
+    fn skip(&mut self, length: usize) {
+        self.position -= length;
+        self.line_start -= length;
     }
-    end
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -1,3 +1,5 @@
+use std::time::{Duration, Instant};
+
 use tealturn::{gateway::stream::Splitter, http::memory::Memory};
 
 #[test]
@@ -79,3 +81,20 @@
     let events = splitter.push(b"\n\n").expect("a whole event");
     assert_eq!((events.bytes.len(), memory.used()), (5 * piece.len() + 2, 0));
 }
+
+/// Guards against events whose cost grows with the square of their size: one that came in small pieces
+/// kept a daemon from all other work for longer than callers wait for an event.
+#[test]
+fn an_event_in_small_pieces_costs_little() {
+    const EVENT_BYTES: usize = 1024 * 1024;
+    const SHORTEST_WAIT: Duration = Duration::from_secs(2);
+    for piece in ["x", "data: x\n", "data: x\r\n", "data: x\r"] {
+        let mut splitter = Splitter::new(Memory::new(EVENT_BYTES).hold());
+        let piece = piece.repeat(8);
+        let start = Instant::now();
+        for _ in 0..EVENT_BYTES / piece.len() {
+            assert!(splitter.push(piece.as_bytes()).is_none());
+        }
+        assert!(start.elapsed() < SHORTEST_WAIT, "{piece:?}: {:?}", start.elapsed());
+    }
+}
