Keep room for streams that only engines of one build may continue

Cause: new streams, which may begin at any engine, take all the memory that calls may use also at the few engines of that build; a resumption competes for what is given back there with all of them, and is refused after its latency objective.

A stream that is bound to one of several builds may now use three quarters of an engine's memory, other calls half of it as before. The rest still holds cached prompts; what the higher share costs in prompts that are read again was not measured.

--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -31,6 +31,10 @@
 /// The share of engine memory available to calls that can no longer meet their objective.
 const LATE_RUNNING_MEMORY_SHARE: f64 = 0.35;
 
+/// The share of engine memory available to a stream that only some of the engines may continue. New
+/// streams, which may begin at any, would leave no room at these.
+const CONTINUED_MEMORY_SHARE: f64 = 0.75;
+
 /// The mean interval between checks for free engine capacity.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -253,12 +257,15 @@
     }
 
     /// The limit on the memory that running calls use in each engine of the service, in tokens. It
-    /// is lower for late calls, to leave capacity to those that can still meet their objective.
+    /// is lower for late calls, to leave capacity to those that can still meet their objective, and
+    /// higher for streams that only engines of one of several builds may continue.
     pub(super) fn running_limit_tokens(&self, service: &Service, now: Time) -> u64 {
         let document = self.context.document.load();
         let spec = document.as_ref().and_then(|it| it.service(service));
         let capacity = spec.and_then(|it| it.capacity_tokens);
-        let share = if self.can_meet_objective(now) {
+        let share = if self.origin.is_some() && self.context.view.load().builds(service).len() > 1 {
+            CONTINUED_MEMORY_SHARE
+        } else if self.can_meet_objective(now) {
             RUNNING_MEMORY_SHARE
         } else {
             LATE_RUNNING_MEMORY_SHARE
