Count the wait for an upstream of a resumed stream from its origin on

A call that resumes a stream may ask for its origin for 250 ms and more, and that counted as time in which it waited for an upstream.

Measured on loopback: a resumption whose origin is learned after 150 ms, with the only upstream of its build unavailable for 400 ms, was refused before (`left: (503, 0) right: (200, 1)`) and goes on now.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -85,7 +85,8 @@
     last_event: Option<String>,
     /// The build that began the stream, which alone may continue it.
     origin: Option<Build>,
-    /// When it began to wait for an upstream: when it was received, or when its stream broke off.
+    /// When it began to wait for an upstream: when it was received, when the origin of the stream that it
+    /// resumes was found, or when its stream broke off.
     waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -43,6 +43,7 @@
             return Err(self.refuse_resumption("absent_build"));
         }
         self.origin = Some(build);
+        self.waiting_since = self.context.now();
         Ok(())
     }
 
