Wait for the LF of a line that may end with CRLF

Cause: since a CR at the end of what had arrived ended a line with text after a line that ended with CR alone. If its LF came later, that passed for an empty line, and the event for complete before its end: broken off there, a stream would go on after half of an event.

Change: only an empty line after one that ended with CR alone doesn't wait for an LF. Each case of the table is now also pushed in one piece and byte by byte.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -96,8 +96,9 @@
             let index = self.position;
             let is_cr = match (byte, bytes.get(index + 1)) {
                 (b'\n', _) => Some(false),
-                // If all lines end with CRLF, the LF is still to come.
-                (b'\r', None) if !self.follows_cr => break,
+                // An LF may follow, which is no line of its own. After a line that ended with CR
+                // alone, none is expected, and an event need not wait for it.
+                (b'\r', None) if !(self.follows_cr && index == self.line_start) => break,
                 (b'\r', next) => (next != Some(&b'\n')).then_some(true),
                 _ => None,
             };
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -32,6 +32,12 @@
             last_id: Some("2"),
             partial: true,
         },
+        Case {
+            chunks: &["id: 1\rdata: a\r", "\ndata: b\r"],
+            complete: "",
+            last_id: None,
+            partial: true,
+        },
         Case {
             chunks: &["id: 1\ndata: a\r", "\n", "\r", "\ndata: b\r\n\n"],
             complete: "id: 1\ndata: a\r\n\r\ndata: b\r\n\n",
@@ -45,18 +51,22 @@
             partial: true,
         },
     ] {
-        let mut splitter = Splitter::new(Memory::new(0).hold());
-        let (mut bytes, mut last_id) = (Vec::new(), None);
-        for chunk in case.chunks {
-            let Some(events) = splitter.push(chunk.as_bytes()) else { continue };
-            bytes.extend_from_slice(&events.bytes);
-            last_id = events.last_id.or(last_id);
+        let whole = case.chunks.concat();
+        let bytewise: Vec<_> = whole.split_inclusive(|_| true).collect();
+        for chunks in [case.chunks, &[whole.as_str()], &bytewise] {
+            let mut splitter = Splitter::new(Memory::new(0).hold());
+            let (mut bytes, mut last_id) = (Vec::new(), None);
+            for chunk in chunks {
+                let Some(events) = splitter.push(chunk.as_bytes()) else { continue };
+                bytes.extend_from_slice(&events.bytes);
+                last_id = events.last_id.or(last_id);
+            }
+            assert_eq!(String::from_utf8_lossy(&bytes), case.complete, "{chunks:?}");
+            assert_eq!(last_id.as_deref(), case.last_id, "{chunks:?}");
+            assert_eq!(splitter.is_partial(), case.partial, "{chunks:?}");
+            let is_begun = splitter.has_returned_events();
+            assert_eq!(is_begun, !case.complete.is_empty(), "{chunks:?}");
         }
-        assert_eq!(String::from_utf8_lossy(&bytes), case.complete);
-        assert_eq!(last_id.as_deref(), case.last_id);
-        assert_eq!(splitter.is_partial(), case.partial, "{:?}", case.chunks);
-        let is_begun = splitter.has_returned_events();
-        assert_eq!(is_begun, !case.complete.is_empty(), "{:?}", case.chunks);
     }
 }
 
