Don't pass on bodies with another transfer coding

Cause: the header Transfer-Encoding concerns one connection and is not forwarded, but the body was, in whatever coding besides chunks it had. The caller got bytes that are not the upstream's body, as a success.

Change: such an answer counts as a lost attempt. No request to an upstream allows other codings.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -355,6 +355,9 @@
         if status.is_informational() {
             return Outcome::Lost("the upstream switched protocols unasked".to_owned());
         }
+        if answer.has_foreign_coding() {
+            return Outcome::Lost("the answer has a transfer coding other than chunks".to_owned());
+        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -107,7 +107,12 @@
     pub fn is_framed(&self) -> bool {
         // An answer that can't have a body has an exact size, too.
         let has_length = self.response.body().size_hint().exact().is_some();
-        has_length || is_chunked(&self.response)
+        has_length || transfer_codings(&self.response).last().is_some_and(is_chunked)
+    }
+
+    /// Whether the body has a transfer coding besides chunks. No request here allows one.
+    pub fn has_foreign_coding(&self) -> bool {
+        transfer_codings(&self.response).any(|it| !is_chunked(it))
     }
 }
 
@@ -322,11 +327,15 @@
     }
 }
 
-/// Whether the last coding of a body is the chunked one, so that its end is marked.
-fn is_chunked<B>(response: &Response<B>) -> bool {
-    let mut codings = response.headers().get_all(header::TRANSFER_ENCODING).iter();
-    let last = codings.next_back().and_then(|it| it.to_str().ok()?.rsplit(',').next());
-    last.is_some_and(|it| it.trim().eq_ignore_ascii_case("chunked"))
+/// The transfer codings of a body in the order in which they were applied.
+fn transfer_codings<B>(response: &Response<B>) -> impl Iterator<Item = &[u8]> {
+    let values = response.headers().get_all(header::TRANSFER_ENCODING).iter();
+    let codings = values.flat_map(|it| it.as_bytes().split(|it| *it == b','));
+    codings.map(<[u8]>::trim_ascii).filter(|it| !it.is_empty())
+}
+
+fn is_chunked(coding: &[u8]) -> bool {
+    coding.eq_ignore_ascii_case(b"chunked")
 }
 
 /// How long the connection of an answer may be used after it.
