--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,10 +15,11 @@
     fleet::board::Fact,
     gateway::{
         budget::Budget,
+        crash,
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
-        exchange::permit::Connections,
+        exchange::connection::Connections,
         freshness::{Documents, Freshness},
         member::Members,
         message::{News, Update},
@@ -99,8 +100,8 @@
     pub peers: Peers,
     /// The part of this daemon in the exchange.
     pub plan: ArcSwap<Plan>,
-    /// Connections to the daemons that issue permits.
-    pub issuers: Connections,
+    /// Connections for calls to single daemons.
+    pub connections: Connections,
     /// Wakes the exchange when something must be known to others at once.
     pub urgent: Notify,
     /// When another daemon last reported progress of a rollout.
@@ -111,6 +112,7 @@
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
     suspects: Mutex<Table>,
+    crashes: Mutex<crash::Table>,
     origins: Mutex<origin::Table>,
     issuer: Mutex<Issuer>,
     attempt_counter: AtomicU64,
@@ -140,7 +142,7 @@
             members: Members::default(),
             peers: Peers::default(),
             plan: ArcSwap::default(),
-            issuers: Connections::default(),
+            connections: Connections::default(),
             urgent: Notify::new(),
             rollout_news: Freshness::default(),
             leaving: CancellationToken::new(),
@@ -148,6 +150,7 @@
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
             suspects: Mutex::default(),
+            crashes: Mutex::default(),
             origins: Mutex::default(),
             issuer: Mutex::default(),
             attempt_counter: AtomicU64::new(0),
@@ -237,6 +240,47 @@
         self.suspects.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Parts of prompts that crash upstreams.
+    pub fn crashes(&self) -> MutexGuard<'_, crash::Table> {
+        self.crashes.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
+    /// Changes what is known of parts that crash upstreams, and logs which ones are barred from now
+    /// on, or no longer.
+    pub fn change_crashes<T>(&self, change: impl FnOnce(&mut crash::Table) -> T) -> T {
+        let mut crashes = self.crashes();
+        let result = change(&mut crashes);
+        let changes = crashes.take_changes();
+        drop(crashes);
+        for change in changes {
+            match change {
+                crash::Change::Barred { part, crashes, depth } => {
+                    counter!("tealturn_parts_barred_total").increment(1);
+                    let part = format!("{part:x}");
+                    info!(part, crashes, depth, "part of prompts barred: it crashes upstreams");
+                }
+                crash::Change::Lifted { part } => {
+                    info!(part = format!("{part:x}"), "part of prompts no longer barred");
+                }
+            }
+        }
+        result
+    }
+
+    /// Tells the other daemons of parts that were in prompts when an upstream crashed, or were
+    /// cleared of that.
+    pub fn publish_crashes(&self, facts: Vec<crash::Fact>) {
+        if facts.is_empty() {
+            return;
+        }
+        let mut updates = self.peers.updates();
+        for fact in facts {
+            updates.push(Origin::Own, Update { hops: 0, news: News::Crashed(fact) });
+        }
+        drop(updates);
+        self.urgent.notify_one();
+    }
+
     /// Tells the other daemons of requests that crashed upstreams, or were cleared of that.
     pub fn publish_suspects(&self, facts: Vec<Fact>) {
         if facts.is_empty() {
@@ -260,14 +304,28 @@
         self.origins.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Records that an upstream has begun to answer with a stream of a service; returns whether other
+    /// daemons need to know.
+    pub fn begin_stream(&self, service: &Service, entry: &origin::Entry) -> bool {
+        let (view, now) = (self.view.load(), self.now());
+        let mut origins = self.origins();
+        origins.begin(entry, now);
+        let untold = origins.take_unshared(entry.service, view.builds(service), now);
+        drop(origins);
+        let is_untold = untold.contains(entry);
+        self.send_origins(untold);
+        is_untold
+    }
+
     /// Tells the other daemons which builds began this daemon's streams of a service, if they need
     /// to know and weren't told.
     pub fn publish_origins(&self, service: &Service) {
         let (view, hash) = (self.view.load(), name_hash(service.as_str()));
-        let entries = self.origins().take_unshared(hash, view.builds(service), self.now());
-        if entries.is_empty() {
-            return;
-        }
+        let untold = self.origins().take_unshared(hash, view.builds(service), self.now());
+        self.send_origins(untold);
+    }
+
+    fn send_origins(&self, entries: Vec<origin::Entry>) {
         let mut updates = self.peers.updates();
         for entry in entries {
             updates.push(Origin::Own, Update { hops: 0, news: News::Began(entry) });
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -6,7 +6,13 @@
 use tracing::info;
 
 use crate::{
-    gateway::{context::Context, place::Choice, roster::Endpoint},
+    gateway::{
+        call::Prompt,
+        context::Context,
+        crash::{self, Process, Run},
+        place::Choice,
+        roster::Endpoint,
+    },
     kernel::id::Request,
     request::suspect::Fingerprint,
 };
@@ -14,6 +20,10 @@
 /// The timeout for reconnecting to an upstream after a connection was lost.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Probes that must fail until an upstream counts as crashed whose connection ended without an error;
+/// a single one may be due to packet loss.
+const END_PROBES: usize = 2;
+
 /// The resources that a call uses at an upstream, released on drop.
 pub struct Reservation {
     /// The selected upstream.
@@ -26,18 +36,21 @@
     /// Identifies this attempt in the table of requests that may have crashed an upstream.
     attempt_id: Request,
     succeeded: bool,
+    /// Whether the answer shows that no part of the prompt crashes upstreams.
+    clears_prompt: bool,
 }
 
 impl Reservation {
-    /// Starts accounting for a call at the selected upstream. `memory_tokens` is the engine memory
-    /// that the call uses. `fingerprint` identifies the request if it crashes the upstream.
+    /// Starts accounting for a call at the selected upstream. `fingerprint` and the parts of the
+    /// prompt identify the request if it crashes the upstream.
     pub fn new(
         context: &Arc<Context>,
         choice: Choice,
-        memory_tokens: u64,
+        prompt: Option<&Prompt>,
         fingerprint: Fingerprint,
     ) -> Reservation {
         let endpoint = &choice.endpoint;
+        let memory_tokens = prompt.map_or(0, Prompt::memory_tokens);
         let upstream_death =
             endpoint.health.start_call(choice.unread_tokens, memory_tokens, context.now());
         let attempt_id = context.next_attempt_id();
@@ -45,6 +58,9 @@
         let mut suspects = context.suspects();
         suspects.started(attempt_id, fingerprint, &endpoint.name, incarnation);
         drop(suspects);
+        if let Some(prompt) = prompt {
+            context.crashes().started(attempt_id, Run::new(Process::of(endpoint), prompt));
+        }
         let (unread_tokens, context) = (choice.unread_tokens, context.clone());
         Reservation {
             choice,
@@ -54,13 +70,42 @@
             context,
             attempt_id,
             succeeded: false,
+            clears_prompt: false,
         }
     }
 
-    /// Records that the complete answer was received and is not a server error.
-    pub fn succeed(&mut self) {
+    /// Records that the complete answer was received and is not a server error. `clears_prompt` tells
+    /// whether it is a successful one whose end can't be that of a crashed upstream.
+    pub fn succeed(&mut self, clears_prompt: bool) {
         self.choice.endpoint.health.record_success(self.context.now());
         self.succeeded = true;
+        self.clears_prompt = clears_prompt;
+    }
+
+    /// Whether an answer is whole whose body ended without an error. Without framing, this is also how
+    /// the answer of an upstream ends that crashes, and so closes its port. An upstream that leaves
+    /// may have closed its port, too.
+    pub async fn is_whole(&self, is_framed: bool) -> bool {
+        if is_framed || self.is_leaving() {
+            return true;
+        }
+        for _ in 0..END_PROBES {
+            if self.accepts_connections().await {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn is_leaving(&self) -> bool {
+        let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
+        let view = self.context.view.load();
+        health.is_leaving() || !view.service(&record.service).iter().any(|it| it.name == *name)
+    }
+
+    async fn accepts_connections(&self) -> bool {
+        let address = self.choice.endpoint.record.address;
+        self.context.client.opens(address, CRASH_PROBE_TIMEOUT).await
     }
 
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
@@ -69,15 +114,24 @@
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
         health.record_failure(now);
-        if self.context.client.opens(record.address, CRASH_PROBE_TIMEOUT).await {
+        if self.accepts_connections().await {
             return;
         }
         health.mark_dead(now);
         let suspects = self.context.suspects().crashed(name, record.incarnation, now);
+        let process = Process::of(&self.choice.endpoint);
+        let (prompts, facts) = self.context.change_crashes(|it| it.crashed(process, now));
         if !suspects.is_empty() {
-            info!(upstream = name.as_str(), suspects = suspects.len(), "upstream crashed");
+            info!(
+                upstream = name.as_str(),
+                suspects = suspects.len(),
+                prompts = prompts.len(),
+                parts = crash::list_parts(&prompts),
+                "upstream crashed"
+            );
         }
         self.context.publish_suspects(suspects);
+        self.context.publish_crashes(facts);
     }
 
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
@@ -94,5 +148,8 @@
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
+        let (id, is_whole) = (self.attempt_id, self.clears_prompt);
+        let cleared = self.context.change_crashes(|it| it.ended(id, is_whole, now));
+        self.context.publish_crashes(cleared);
     }
 }
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -12,8 +12,9 @@
 use crate::{
     gateway::{
         entry::end_to_end,
+        exchange,
         hold::Reservation,
-        relay::{MAX_REJECTIONS, Outcome, Relay},
+        relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
         stream::Splitter,
     },
     http::{client::Answer, server::Body},
@@ -34,9 +35,12 @@
     ) -> Response<Body> {
         let status = answer.response.status();
         let headers = stream_headers(answer.response.headers());
-        self.begin_stream(&reservation.choice.endpoint.record.build);
+        let origin = self.begin_stream(&reservation.choice.endpoint.record.build);
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
         tokio::spawn(async move {
+            if let Some(origin) = &origin {
+                exchange::origin::tell(&self.context, origin).await;
+            }
             self.forward(reservation, answer, sender).await;
             self.end_stream();
         });
@@ -68,7 +72,7 @@
             let upstream = reservation.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
-                    reservation.succeed();
+                    reservation.succeed(answer.is_framed());
                     self.context.client.release(*answer);
                     self.record_metrics();
                     return;
@@ -133,9 +137,11 @@
                     self.rejections += 1;
                     self.excluded.push(reservation.choice.endpoint.name.clone());
                 }
-                Outcome::Answer(..) | Outcome::Lost(_) | Outcome::TimedOut | Outcome::Expired => {
+                Outcome::Lost(_) => {
+                    reservation.connection_lost().await;
                     return None;
                 }
+                Outcome::Answer(..) | Outcome::TimedOut | Outcome::Expired => return None,
             }
         }
         None
@@ -149,6 +155,7 @@
         last_event: &mut Option<String>,
         sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) -> End {
+        let is_framed = answer.is_framed();
         loop {
             let time_left = self.call.deadline.since(self.context.now());
             let frame = tokio::select! {
@@ -165,6 +172,12 @@
                 None if splitter.is_partial() => {
                     return End::Broken("the stream ended within an event".to_owned());
                 }
+                None if !is_framed && !self.is_begun(splitter) => {
+                    return End::Broken("the stream ended before its first event".to_owned());
+                }
+                None if !reservation.is_whole(is_framed).await => {
+                    return End::Broken(CRASHED_AT_END.to_owned());
+                }
                 None => return End::Complete,
             };
             let Some(bytes) = frame.data_ref() else {
@@ -189,6 +202,11 @@
         }
     }
 
+    /// Whether the caller has an event of the stream. Otherwise it can't have ended.
+    fn is_begun(&self, splitter: &Splitter) -> bool {
+        self.call.head.last_event.is_some() || splitter.has_returned_events()
+    }
+
     /// Passes bytes on to a caller, once there is memory for as long as it takes the caller to read
     /// them; returns whether the caller is still connected.
     async fn pass_on(&self, bytes: Bytes, sender: &mpsc::Sender<io::Result<Frame<Bytes>>>) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,19 @@
     /// The memory of the buffer.
     hold: Hold,
     exceeds_limit: bool,
+    has_returned_events: bool,
+    search: Search,
+}
+
+/// The search for empty lines in bytes that grow. Each byte is searched once.
+#[derive(Debug, Default)]
+struct Search {
+    /// Bytes that were searched.
+    position: usize,
+    /// The start of the last line.
+    line_start: usize,
+    /// Whether CR alone ended the line before it.
+    follows_cr: bool,
 }
 
 /// One or more complete events.
@@ -28,7 +41,13 @@
 impl Splitter {
     /// A splitter without bytes that takes its memory from `hold`.
     pub fn new(hold: Hold) -> Splitter {
-        Splitter { buffer: BytesMut::new(), hold, exceeds_limit: false }
+        Splitter {
+            buffer: BytesMut::new(),
+            hold,
+            exceeds_limit: false,
+            has_returned_events: false,
+            search: Search::default(),
+        }
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
@@ -38,13 +57,20 @@
             return None;
         }
         self.buffer.extend_from_slice(bytes);
-        let end = end_of_events(&self.buffer)?;
+        let end = self.search.end_of_events(&self.buffer)?;
         let bytes = self.buffer.split_to(end).freeze();
+        self.search.skip(end);
         self.hold.resize(self.buffer.len());
+        self.has_returned_events = true;
         let last_id = last_id(&bytes);
         Some(Events { bytes, last_id })
     }
 
+    /// Whether any event was complete.
+    pub fn has_returned_events(&self) -> bool {
+        self.has_returned_events
+    }
+
     /// Whether an incomplete event is buffered.
     pub fn is_partial(&self) -> bool {
         !self.buffer.is_empty()
@@ -58,28 +84,44 @@
     /// Discards the incomplete event.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.search = Search::default();
     }
 }
 
-/// Returns the offset after the last empty line.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
-    let mut end = None;
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let text = &bytes[line_start..index];
-        if text.is_empty() || text == b"\r" {
-            end = Some(index + 1);
+impl Search {
+    /// Returns the offset after the last empty line found. Lines end with LF, CRLF or CR.
+    fn end_of_events(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        while let Some(byte) = bytes.get(self.position) {
+            let index = self.position;
+            let is_cr = match (byte, bytes.get(index + 1)) {
+                (b'\n', _) => Some(false),
+                // If all lines end with CRLF, the LF is still to come.
+                (b'\r', None) if !self.follows_cr => break,
+                (b'\r', next) => (next != Some(&b'\n')).then_some(true),
+                _ => None,
+            };
+            self.position += 1;
+            let Some(is_cr) = is_cr else { continue };
+            let line = &bytes[self.line_start..index];
+            if line.is_empty() || line == b"\r" {
+                end = Some(index + 1);
+            }
+            self.line_start = index + 1;
+            self.follows_cr = is_cr;
         }
-        line_start = index + 1;
+        end
+    }
+
+    /// Leaves out the first `length` bytes, which were searched.
+    fn skip(&mut self, length: usize) {
+        self.position -= length;
+        self.line_start -= length;
     }
-    end
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|it| *it == b'\n').rev();
+    let lines = events.split(|it| matches!(it, b'\n' | b'\r')).rev();
     for line in lines {
         let Some(id) = line.strip_prefix(b"id:") else {
             continue;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,10 @@
 mod budget;
 #[path = "gateway/cache.rs"]
 mod cache;
+#[path = "gateway/crash.rs"]
+mod crash;
+#[path = "gateway/crashing.rs"]
+mod crashing;
 #[path = "gateway/document.rs"]
 mod document;
 #[path = "gateway/freshness.rs"]
@@ -26,6 +30,8 @@
 mod permit;
 #[path = "gateway/place.rs"]
 mod place;
+#[path = "gateway/resumption.rs"]
+mod resumption;
 #[path = "gateway/rollout.rs"]
 mod rollout;
 #[path = "gateway/roster.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -26,6 +26,7 @@
         follow::{self, MEMBER_PREFIX},
         member::Member,
         message::{Link, Message},
+        origin,
         roster::{Endpoint, Record},
         settings::Settings,
         store::{self, Era, Page, Position, Row, Store, Topic, Write},
@@ -33,8 +34,9 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Build, Daemon, Incarnation, Model, Version, Zone},
+        id::{Build, Daemon, Incarnation, Model, Service, Version, Zone},
     },
+    route::pool::name_hash,
 };
 
 use crate::scene;
@@ -263,6 +265,33 @@
         version
     }
 
+    /// Daemons write and remove the rows of barred parts.
+    fn write_bars(&mut self) {
+        if !self.store_answers || !self.now.0.is_multiple_of(PLAN_INTERVAL.as_micros() as u64) {
+            return;
+        }
+        for index in 0..self.vms.len() {
+            let vm = &self.vms[index];
+            let Some(context) = vm.context.clone().filter(|_| !vm.is_cut) else { continue };
+            let wall = Duration::from_micros(context.clock.wall_micros());
+            let writes = context.crashes().writes(&vm.name, context.now(), wall);
+            writes.into_iter().for_each(|it| self.commit(it));
+        }
+    }
+
+    /// Applies a write unless the row has another version than expected.
+    fn commit(&mut self, write: Write) {
+        let rows = &mut self.rows[write.topic as usize];
+        let known = rows.iter().find(|it| it.key == write.key && !it.removed);
+        if write.expected.is_some_and(|it| it != known.map_or(0, |row| row.version)) {
+            return;
+        }
+        self.position.version += 1;
+        rows.retain(|it| it.key != write.key);
+        let (version, removed) = (self.position.version, write.value.is_none());
+        rows.push(Row { key: write.key, value: write.value, version, removed });
+    }
+
     /// Writes a document of this version.
     pub fn write_document(&mut self, version: u64) {
         self.write_value(Topic::Operator, "document", version.to_string().into_bytes());
@@ -332,6 +361,11 @@
         self.vms[index].is_cut = is_cut;
     }
 
+    /// Whether a daemon is cut off.
+    pub fn is_cut(&self, index: usize) -> bool {
+        self.vms[index].is_cut
+    }
+
     /// The states of the daemons that run and aren't cut off.
     pub fn contexts(&self) -> Vec<Arc<Context>> {
         self.vms.iter().filter(|it| !it.is_cut).filter_map(|it| it.context.clone()).collect()
@@ -357,6 +391,47 @@
         self.vms[self.index(name)].context.clone()
     }
 
+    /// A stream of the service begins at a daemon, at an upstream of this build.
+    pub fn begin_stream(&mut self, index: usize, attempt: u64, build: &Build) {
+        let context = self.context(index).clone();
+        let service = name_hash(scene::SERVICE);
+        let entry = origin::Entry { attempt, service, build: build.clone() };
+        if !context.begin_stream(&Service::from(scene::SERVICE), &entry) {
+            return;
+        }
+        for replica in
+            self.reached_replicas(index, attempt).into_iter().take(exchange::origin::REPLICAS)
+        {
+            replica.origins().keep(&entry, replica.now());
+        }
+    }
+
+    /// The daemons that calls about a stream's origin reach, in the order in which they are called.
+    fn reached_replicas(&mut self, from: usize, attempt: u64) -> Vec<Arc<Context>> {
+        let mut reached = Vec::new();
+        for name in exchange::origin::candidates(self.context(from), attempt) {
+            let vm = &self.vms[self.index(&name)];
+            let is_cut = vm.is_cut || self.vms[from].is_cut;
+            let replica = vm.context.clone().filter(|_| !is_cut);
+            if self.rng.random::<f64>() >= self.loss {
+                reached.extend(replica);
+            }
+        }
+        reached
+    }
+
+    /// The build that began a stream, as a daemon knows where a caller takes it up.
+    pub fn find_origin(&mut self, index: usize, attempt: u64) -> Option<Build> {
+        let context = self.context(index).clone();
+        let (view, service) = (context.view.load(), Service::from(scene::SERVICE));
+        let (registered, hash) = (view.builds(&service), name_hash(scene::SERVICE));
+        let found = context.origins().find(attempt, hash, registered, true, context.now());
+        found.or_else(|| {
+            let replicas = self.reached_replicas(index, attempt);
+            replicas.iter().find_map(|it| it.origins().known(attempt, it.now()))
+        })
+    }
+
     /// What each daemon has sent and received since the last call.
     pub fn take_traffic(&mut self) -> Vec<Traffic> {
         self.vms.iter_mut().map(|it| std::mem::take(&mut it.traffic)).collect()
@@ -389,6 +464,7 @@
         self.clock.store(self.now.0, Ordering::Relaxed);
         let mut order: Vec<_> = (0..self.vms.len()).collect();
         order.shuffle(&mut self.rng);
+        self.write_bars();
         for index in order {
             self.ask_store(index);
             self.plan(index);
--- a/tests/gateway/stream.rs
+++ b/tests/gateway/stream.rs
@@ -1,3 +1,5 @@
+use std::time::{Duration, Instant};
+
 use tealturn::{gateway::stream::Splitter, http::memory::Memory};
 
 #[test]
@@ -23,6 +25,25 @@
             partial: false,
         },
         Case { chunks: &["data: a\n\n"], complete: "data: a\n\n", last_id: None, partial: false },
+        Case { chunks: &["id: 1\r\ndata: a\r\n\r"], complete: "", last_id: None, partial: true },
+        Case {
+            chunks: &["id: 1\rdata: a\r", "\rid: 2\rdata: b\r\rdata:"],
+            complete: "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+            last_id: Some("2"),
+            partial: true,
+        },
+        Case {
+            chunks: &["id: 1\ndata: a\r", "\n", "\r", "\ndata: b\r\n\n"],
+            complete: "id: 1\ndata: a\r\n\r\ndata: b\r\n\n",
+            last_id: Some("1"),
+            partial: false,
+        },
+        Case {
+            chunks: &["data: a\r\r", "\ndata: b\r", "id: 2\n"],
+            complete: "data: a\r\r\n",
+            last_id: None,
+            partial: true,
+        },
     ] {
         let mut splitter = Splitter::new(Memory::new(0).hold());
         let (mut bytes, mut last_id) = (Vec::new(), None);
@@ -34,6 +55,8 @@
         assert_eq!(String::from_utf8_lossy(&bytes), case.complete);
         assert_eq!(last_id.as_deref(), case.last_id);
         assert_eq!(splitter.is_partial(), case.partial, "{:?}", case.chunks);
+        let is_begun = splitter.has_returned_events();
+        assert_eq!(is_begun, !case.complete.is_empty(), "{:?}", case.chunks);
     }
 }
 
@@ -58,3 +81,20 @@
     let events = splitter.push(b"\n\n").expect("a whole event");
     assert_eq!((events.bytes.len(), memory.used()), (5 * piece.len() + 2, 0));
 }
+
+/// Guards against events whose cost grows with the square of their size: one that came in small pieces
+/// kept a daemon from all other work for longer than callers wait for an event.
+#[test]
+fn an_event_in_small_pieces_costs_little() {
+    const EVENT_BYTES: usize = 1024 * 1024;
+    const SHORTEST_WAIT: Duration = Duration::from_secs(2);
+    for piece in ["x", "data: x\n", "data: x\r\n", "data: x\r"] {
+        let mut splitter = Splitter::new(Memory::new(EVENT_BYTES).hold());
+        let piece = piece.repeat(8);
+        let start = Instant::now();
+        for _ in 0..EVENT_BYTES / piece.len() {
+            assert!(splitter.push(piece.as_bytes()).is_none());
+        }
+        assert!(start.elapsed() < SHORTEST_WAIT, "{piece:?}: {:?}", start.elapsed());
+    }
+}
