Look for a crash only where an answer did not tell its end

The gateway took an answer without Content-Length and Transfer-Encoding for one that ends with its connection, and opened a connection to see whether the upstream was still there. Answers that have no body at all, as of status 204, were among them. It now asks the HTTP library whether the length is known.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Response, header};
+use hyper::{Response, body::Body as _, header};
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -368,7 +368,7 @@
         let (mut reservation, mut answer) = (reservation, answer);
         loop {
             let status = answer.response.status();
-            let tells_its_end = tells_its_end(answer.response.headers());
+            let tells_its_end = tells_its_end(&answer);
             let headers = end_to_end(answer.response.headers());
             let time_left = self.call.deadline.since(self.context.now());
             let finish = self.context.client.finish(*answer);
@@ -417,8 +417,10 @@
     }
 }
 
-/// Whether an answer with these headers tells where it ends. Any other ends with its connection, as
-/// it also does if the upstream crashes.
-fn tells_its_end(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+/// Whether an answer of which nothing was read tells where it ends. Any other ends with its
+/// connection, as it also does if the upstream crashes.
+fn tells_its_end(answer: &Answer) -> bool {
+    let response = &answer.response;
+    response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(header::TRANSFER_ENCODING)
 }
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -56,6 +56,7 @@
         let mut last_event = self.call.head.last_event.clone();
         let mut splitter = Splitter::new(self.context.client.memory().hold());
         loop {
+            let tells_its_end = tells_its_end(&answer);
             let end = self.forward_events(
                 &mut reservation,
                 &mut answer,
@@ -68,9 +69,8 @@
             let upstream = reservation.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
-                    let is_whole = tells_its_end(answer.response.headers());
-                    if is_whole || !reservation.connection_closed().await {
-                        reservation.succeed(is_whole);
+                    if tells_its_end || !reservation.connection_closed().await {
+                        reservation.succeed(tells_its_end);
                     }
                     self.context.client.release(*answer);
                     self.record_metrics();
