--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -90,7 +90,8 @@
     last_event: Option<String>,
     /// The build that began the stream, which alone may continue it.
     origin: Option<Build>,
-    /// When it began to wait for an upstream: when it was received, or when its stream broke off.
+    /// When it began to wait for an upstream: when it was received, when the origin of the stream that it
+    /// resumes was found, or when its stream broke off.
     waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
@@ -355,6 +356,9 @@
         if status.is_informational() {
             return Outcome::Lost("the upstream switched protocols unasked".to_owned());
         }
+        if answer.has_foreign_coding() {
+            return Outcome::Lost("the answer has a transfer coding other than chunks".to_owned());
+        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
