--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -94,22 +94,22 @@
         let mut end = None;
         while let Some(byte) = bytes.get(self.position) {
             let index = self.position;
-            let is_cr = match (byte, bytes.get(index + 1)) {
+            let ends_with_cr = match (byte, bytes.get(index + 1)) {
                 (b'\n', _) => Some(false),
-                // An LF may follow, which is no line of its own. After a line that ended with CR
-                // alone, none is expected, and an event need not wait for it.
+                // An LF that belongs to this line end may follow. It isn't awaited after an empty line
+                // in a stream whose lines end with CR alone, where the event would be held back.
                 (b'\r', None) if !(self.follows_cr && index == self.line_start) => break,
                 (b'\r', next) => (next != Some(&b'\n')).then_some(true),
                 _ => None,
             };
             self.position += 1;
-            let Some(is_cr) = is_cr else { continue };
+            let Some(ends_with_cr) = ends_with_cr else { continue };
             let line = &bytes[self.line_start..index];
             if line.is_empty() || line == b"\r" {
                 end = Some(index + 1);
             }
             self.line_start = index + 1;
-            self.follows_cr = is_cr;
+            self.follows_cr = ends_with_cr;
         }
         end
     }
