Heed that a call was not executed before how its answer is coded

Cause: since an answer with another transfer coding counted as lost before its head was asked whether the upstream had run the call. A call that may run once was then not sent to another upstream.

Change: coding and protocol are checked last. They concern the body, which such an answer needn't have.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -352,18 +352,18 @@
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
         health.record_activity(now);
-        if status.is_informational() {
-            return Outcome::Lost("the upstream switched protocols unasked".to_owned());
-        }
-        if answer.has_foreign_coding() {
-            return Outcome::Lost("the answer has a transfer coding other than chunks".to_owned());
-        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
         if head.not_executed {
             return Outcome::NotExecuted("the upstream rejected the call without executing it");
         }
+        if status.is_informational() {
+            return Outcome::Lost("the upstream switched protocols unasked".to_owned());
+        }
+        if answer.has_foreign_coding() {
+            return Outcome::Lost("the answer has a transfer coding other than chunks".to_owned());
+        }
         if status.is_success() && !head.signed {
             return Outcome::Lost("the answer is not signed".to_owned());
         }
