Compute a daemon's part in the exchange as soon as it knows the others

A daemon that starts serves calls once it has the rows of the other daemons, but computed its hubs up to 250 ms later. Until then it told no other daemon directly of the streams that began there, and asked none for the origin of a stream, so that such streams were lost if it was killed again.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -284,7 +284,11 @@
             let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
             apply_upstream_rows(context, &delta, was_lost);
         }
-        Topic::Fleet => context.members.apply_rows(&delta),
+        Topic::Fleet => {
+            context.members.apply_rows(&delta);
+            // A daemon that starts serves calls as soon as it knows the others.
+            exchange::update_plan(context);
+        }
         Topic::Leases => {}
     }
     if previous.is_some() && !delta.rows.is_empty() {
