--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -288,6 +288,8 @@
         Topic::Fleet => {
             context.members.apply_rows(&delta);
             bar::apply_rows(context, &delta);
+            // A daemon that starts serves calls as soon as it knows the others.
+            exchange::update_plan(context);
         }
         Topic::Leases => {}
     }
