Ask no silent daemon for an origin for longer than 100 ms, and close only the connection that failed

Review of, by reasoning: with several silent hubs a question for an origin took 250 ms for each three of them, and a call that timed out closed a connection that had replaced its own. A daemon is now given 100 ms, the whole question 250 ms; a failed call closes its own connection only. The line of a refused call names the stream that it resumes, so that resumptions refused for want of room can be found.

--- a/src/gateway/exchange/connection.rs
+++ b/src/gateway/exchange/connection.rs
@@ -20,9 +20,12 @@
 /// Number of open connections at which all are closed: there are as many as hubs at most.
 const MAX_CONNECTIONS: usize = 64;
 
-/// Open connections to other daemons, and those that are being opened.
+/// A connection that is open or being opened.
+type Connection = Arc<OnceCell<ExchangeClient>>;
+
+/// Connections to other daemons.
 #[derive(Default)]
-pub struct Connections(Mutex<Map<SocketAddr, Arc<OnceCell<ExchangeClient>>>>);
+pub struct Connections(Mutex<Map<SocketAddr, Connection>>);
 
 impl Connections {
     /// Makes a call to the daemon at `address`; `None` if it isn't answered within `timeout`.
@@ -35,31 +38,37 @@
     where
         F: Future<Output = Result<T, RpcError>>,
     {
+        let connection = self.connection(address).await;
+        let open = || async {
+            let transport = transport::connect(address, STREAM_PATH).await?;
+            let client = ExchangeClient::new(client::Config::default(), transport).spawn();
+            Ok::<_, crate::Error>(client)
+        };
         let answered = async {
-            let client = self.client(address).await?;
+            let client = connection.get_or_try_init(open).await.ok()?.clone();
             make(client, call::current()).await.ok()
         };
         let answer = time::timeout(timeout, answered).await.ok().flatten();
         if answer.is_none() {
-            // The connection may have gone silent.
-            self.0.lock().await.remove(&address);
+            self.close(address, &connection).await;
         }
         answer
     }
 
     /// The connection to a daemon. Calls that need it while it opens wait for the same one.
-    async fn client(&self, address: SocketAddr) -> Option<ExchangeClient> {
-        let connection = {
-            let mut connections = self.0.lock().await;
-            if connections.len() >= MAX_CONNECTIONS && !connections.contains_key(&address) {
-                connections.clear();
-            }
-            connections.entry(address).or_default().clone()
-        };
-        let open = async {
-            let transport = transport::connect(address, STREAM_PATH).await?;
-            Ok::<_, crate::Error>(ExchangeClient::new(client::Config::default(), transport).spawn())
-        };
-        connection.get_or_try_init(|| open).await.ok().cloned()
+    async fn connection(&self, address: SocketAddr) -> Connection {
+        let mut connections = self.0.lock().await;
+        if connections.len() >= MAX_CONNECTIONS && !connections.contains_key(&address) {
+            connections.clear();
+        }
+        connections.entry(address).or_default().clone()
+    }
+
+    /// Closes a connection that may have gone silent, unless another one has replaced it.
+    async fn close(&self, address: SocketAddr, connection: &Connection) {
+        let mut connections = self.0.lock().await;
+        if connections.get(&address).is_some_and(|it| Arc::ptr_eq(it, connection)) {
+            connections.remove(&address);
+        }
     }
 }
--- a/src/gateway/exchange/origin.rs
+++ b/src/gateway/exchange/origin.rs
@@ -24,10 +24,12 @@
 /// Number of daemons that are told of a stream directly.
 pub const REPLICAS: usize = 3;
 
-/// How long the first event of a stream waits until another daemon knows its origin, and how long that
-/// one may take to answer: time to open a connection.
+/// How long the first event of a stream waits until another daemon knows its origin.
 const TELL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long a daemon may take to answer until the next one is asked instead: time to open a connection.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The other daemons that may keep the origin of a stream, the preferred ones first.
 pub fn candidates(context: &Context, attempt: u64) -> Vec<String> {
     let plan = context.plan.load();
@@ -63,20 +65,22 @@
     let address = context.members.peer_address(&name)?;
     let entry = entry.clone();
     let make = |client: ExchangeClient, call| async move { client.keep_origin(call, entry).await };
-    context.connections.call(address, TELL_TIMEOUT, make).await
+    context.connections.call(address, ANSWER_TIMEOUT, make).await
 }
 
-/// Asks other daemons which build began a stream until one of them knows, those first that were probably told.
+/// Asks other daemons which build began a stream, those first that were probably told, until one of them
+/// knows or [`ORIGIN_WAIT`] is over.
 pub async fn ask(context: &Context, attempt: u64) -> Option<Build> {
     let mut found = None;
     let names = candidates(context, attempt);
     let count = names.len();
     let find = |name| find(context, name, attempt);
-    call_in_turn(names, count, find, |answer| {
+    let asked = call_in_turn(names, count, find, |answer| {
         found = answer;
         found.is_some()
-    })
-    .await;
+    });
+    // Late answers don't matter any more.
+    let _ = time::timeout(ORIGIN_WAIT, asked).await;
     found
 }
 
@@ -84,7 +88,7 @@
     let address = context.members.peer_address(&name)?;
     let make =
         |client: ExchangeClient, call| async move { client.find_origin(call, attempt).await };
-    context.connections.call(address, ORIGIN_WAIT, make).await
+    context.connections.call(address, ANSWER_TIMEOUT, make).await
 }
 
 /// Calls daemons, [`REPLICAS`] at a time, until `count` have answered or `is_done` says so of an answer.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -136,6 +136,7 @@
         info!(
             attempt = call.head.attempt,
             route = call.route.name,
+            resumes = call.head.resumes,
             ?refusal,
             sends = self.sends,
             runs = self.executions,
