Compute the cost of an engine in a module of its own

The log line of a sent call now also names the prompt tokens and those of them that the engine must prefill. Behaviour is unchanged.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -7,6 +7,7 @@
 //! Penalties are added to it, and the engine with the lowest cost is selected.
 
 mod candidate;
+pub mod cost;
 mod holder;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -19,6 +20,7 @@
         peer::Totals,
         place::{
             candidate::{Candidates, candidates, failure_rate, is_eligible},
+            cost::{Transfer, cost},
             holder::Holders,
         },
         rollout::Progress,
@@ -31,26 +33,6 @@
     route::pool::{mix, name_hash},
 };
 
-/// The cost of an additional copy of a prefix. It evicts other prefixes, which then have to be read
-/// again.
-const COPY_COST_MS_PER_TOKEN: f64 = 0.05;
-
-/// The cost of fetching a prefix from another engine.
-const ENGINE_FETCH_COST_MS: f64 = 4.0;
-
-/// The cost of fetching a prefix from the KV store, whose network link all engines share.
-const STORE_FETCH_COST_MS: f64 = 25.0;
-
-/// The cost of sending a prompt to another availability zone.
-const CROSS_ZONE_COST_MS: f64 = 2.0;
-
-/// The cost of each running request, which slows down the others.
-const RUNNING_CALL_COST_MS: f64 = 0.6;
-
-/// The cost of an engine that fails all its calls. It exceeds the latency objective of an answer
-/// and the cost of another copy of the longest prefixes.
-const FAILURE_COST_MS: f64 = 1_500.0;
-
 /// The number of calls in progress that equals the cost of an upstream of a plain service that
 /// fails all its calls. The upstreams of a plain service are not engines.
 const FAILURE_COST_CALLS: f64 = 8.0;
@@ -264,24 +246,22 @@
                 any_full = true;
                 continue;
             }
-            let queued_tokens =
-                peers.tokens + endpoint.health.pending_prompt_tokens() + unread_tokens;
-            let mut cost = queued_tokens as f64 / self.prefill_tokens_per_ms;
-            cost +=
-                f64::from(peers.calls + endpoint.health.calls_in_flight()) * RUNNING_CALL_COST_MS;
-            if !is_held && !candidate.is_home {
-                cost += COPY_COST_MS_PER_TOKEN * shared_tokens as f64;
-            }
-            cost += match source {
-                Some(Source::Engine(_)) => ENGINE_FETCH_COST_MS,
-                Some(Source::Store(_)) => STORE_FETCH_COST_MS,
-                None => 0.0,
-            };
-            if endpoint.record.zone != self.zone {
-                cost += CROSS_ZONE_COST_MS;
-            }
-            cost += candidate.version_cost_ms;
-            cost += failure_rate(endpoint, query, now) * FAILURE_COST_MS;
+            let cost = cost(&cost::Inputs {
+                prefill_tokens_per_ms: self.prefill_tokens_per_ms,
+                queued_tokens: peers.tokens + endpoint.health.pending_prompt_tokens(),
+                unread_tokens,
+                shared_tokens,
+                running_calls: peers.calls + endpoint.health.calls_in_flight(),
+                is_copy: !is_held && !candidate.is_home,
+                transfer: match source {
+                    Some(Source::Engine(_)) => Transfer::Engine,
+                    Some(Source::Store(_)) => Transfer::Store,
+                    None => Transfer::None,
+                },
+                is_remote: endpoint.record.zone != self.zone,
+                version_cost_ms: candidate.version_cost_ms,
+                failure_rate: failure_rate(endpoint, query, now),
+            });
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -241,6 +241,7 @@
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
         // holds or can fetch, and `save` whether it should save parts to the KV store.
+        // `unread_tokens` are those of `prompt_tokens` that the engine must prefill,
         // `superseded_ms` is how long newer weights than the upstream's have been configured, and
         // `limit` the requests a second that the upstream takes from all daemons.
         info!(
@@ -257,6 +258,8 @@
             held = choice.prefix_depth.0,
             found = choice.prefix_depth.1,
             save = choice.save_to_store,
+            prompt_tokens = call.head.prompt.as_ref().map(|it| it.tokens),
+            unread_tokens = choice.unread_tokens,
             cost_ms = choice.cost_ms,
             waited_ms = now.since(call.received).as_millis() as u64,
             "upstream selected, sending the call"
