Use all KV stores of a deployment, each for its share of the prompts

Only the first store of the document was used. Rendezvous hashing of the shared parts now selects one of all stores; isolated workspaces save only what they reuse; an engine asks the store also for parts of which nothing is known yet. Deployments with one store are served as before.

--- a/src/gateway/cache.rs
+++ b/src/gateway/cache.rs
@@ -1,4 +1,4 @@
-//! Estimates the contents of the engines' prefix caches, and of the KV store that keeps prompts
+//! Estimates the contents of the engines' prefix caches, and of the KV stores that keep prompts
 //! which engines have processed, from the calls sent to the engines.
 //!
 //! The caches evict the least recently used part. The estimate counts the tokens that entered each
@@ -8,7 +8,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{collections::Map, kernel::id::Incarnation};
+use crate::{
+    collections::{Map, Set},
+    kernel::id::Incarnation,
+};
+
+#[cfg(doc)]
+use crate::gateway::document::KvStore;
 
 /// The share of a cache's capacity that the estimate relies on. Reused parts also displace others,
 /// which the token count does not include.
@@ -17,12 +23,16 @@
 /// The number of parts tracked for one cache above which evicted parts are pruned.
 const PRUNE_ABOVE_PARTS: usize = 1_024;
 
+/// Number of shared parts after which the older half of [`Recent`] is forgotten: the long prompts of
+/// about 20 s in a deployment with hundreds of calls a second.
+const RECENT_PARTS: usize = 16_384;
+
 /// A prompt part that entered a cache or was used there.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
-    /// The cache: the hash of the engine's name, or [`STORE`].
+    /// The cache: the hash of the engine's name, or [`KvStore::cache`].
     pub cache: u64,
-    /// The incarnation of the engine, or the default one for the KV store.
+    /// The incarnation of the engine, or the default one for a KV store.
     pub incarnation: Incarnation,
     /// The key of the part under its owner and model version.
     pub part: u64,
@@ -33,9 +43,6 @@
     pub shared: bool,
 }
 
-/// The cache number of the KV store.
-pub const STORE: u64 = 0;
-
 /// The estimated contents of one cache.
 #[derive(Debug, Default)]
 struct Cache {
@@ -46,10 +53,31 @@
     parts: Map<u64, u64>,
 }
 
+/// Shared parts that were in prompts recently, whether or not a cache still holds them.
+#[derive(Debug, Default)]
+struct Recent {
+    newer: Set<u64>,
+    older: Set<u64>,
+}
+
+impl Recent {
+    fn insert(&mut self, part: u64) {
+        if self.newer.len() >= RECENT_PARTS {
+            self.older = std::mem::take(&mut self.newer);
+        }
+        self.newer.insert(part);
+    }
+
+    fn contains(&self, part: u64) -> bool {
+        self.newer.contains(&part) || self.older.contains(&part)
+    }
+}
+
 /// The estimated contents of all caches.
 #[derive(Debug, Default)]
 pub struct Estimate {
     caches: Map<u64, Cache>,
+    recent: Recent,
 }
 
 impl Estimate {
@@ -65,6 +93,7 @@
         if !entry.shared {
             return;
         }
+        self.recent.insert(entry.part);
         state.parts.insert(entry.part, state.tokens_entered);
         if state.parts.len() > PRUNE_ABOVE_PARTS {
             let tokens_entered = state.tokens_entered;
@@ -72,6 +101,11 @@
         }
     }
 
+    /// Whether the shared part was in a prompt recently.
+    pub fn is_recent(&self, part: u64) -> bool {
+        self.recent.contains(part)
+    }
+
     /// Whether a cache of `capacity` tokens is expected to hold a part for this `incarnation`.
     pub fn holds(&self, cache: u64, incarnation: Incarnation, part: u64, capacity: u64) -> bool {
         let state = self.caches.get(&cache).filter(|it| it.incarnation == incarnation);
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -7,6 +7,7 @@
 use crate::{
     collections::Map,
     kernel::id::{Service, Workspace},
+    route::pool::name_hash,
 };
 
 /// How a route's calls may be retried when there is no complete response.
@@ -70,6 +71,13 @@
     pub capacity_tokens: u64,
 }
 
+impl KvStore {
+    /// The number of its cache in estimates of what caches hold.
+    pub fn cache(&self) -> u64 {
+        name_hash(&self.address.to_string())
+    }
+}
+
 /// The operator's settings for a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -139,7 +147,7 @@
     hosts: Map<String, Vec<Arc<Route>>>,
     keys: Map<String, Arc<Tenant>>,
     services: Map<Service, Settings>,
-    kv_store: Option<KvStore>,
+    kv_stores: Vec<KvStore>,
     engine_tokens: u64,
     has_tenants: bool,
 }
@@ -172,7 +180,7 @@
         }
         let engine_capacities = parts.services.iter().filter_map(|it| it.capacity_tokens);
         let engine_tokens = engine_capacities.min().unwrap_or_default();
-        let kv_store = parts.services.iter().find_map(|it| it.kv_store);
+        let kv_stores = parts.services.iter().filter_map(|it| it.kv_store).collect();
         let services = parts.services.into_iter().map(|it| (it.name.clone(), it));
         Ok(Document {
             version: parts.version,
@@ -180,7 +188,7 @@
             hosts,
             keys,
             services: services.collect(),
-            kv_store,
+            kv_stores,
             engine_tokens,
             has_tenants,
         })
@@ -205,9 +213,9 @@
         self.keys.get(key)
     }
 
-    /// Returns the first KV store in the document.
-    pub fn kv_store(&self) -> Option<KvStore> {
-        self.kv_store
+    /// Returns all KV stores.
+    pub fn kv_stores(&self) -> &[KvStore] {
+        &self.kv_stores
     }
 
     /// KV cache capacity of an engine in tokens; the smallest one if services differ, 0 if
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -53,15 +53,15 @@
 /// Takes updates, and keeps them to be passed on.
 fn take_updates(context: &Context, message: &Message, now: Time) {
     let document = context.document.load();
-    let capacities = document.as_ref().map(|it| (it.engine_tokens(), it.kv_store()));
     let origin = Origin::Peer(message.link, name_hash(&message.from));
     take_crashes(context, message, now);
     for update in &message.updates {
         match &update.news {
             News::Crashed(_) => continue,
             News::Cached(entry) => {
-                if let Some((tokens, store)) = capacities {
-                    context.placer().record_entries(&[*entry], tokens, store);
+                if let Some(document) = document.as_ref() {
+                    let (tokens, stores) = (document.engine_tokens(), document.kv_stores());
+                    context.placer().record_entries(&[*entry], tokens, stores);
                 }
             }
             News::Suspect(fact) => {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,12 +9,13 @@
 mod candidate;
 pub mod cost;
 mod holder;
+mod store;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     gateway::{
-        cache::{self, Estimate, STORE},
+        cache::{self, Estimate},
         call::Prompt,
         document::KvStore,
         peer::Totals,
@@ -54,8 +55,8 @@
     pub old_version_grace: Duration,
     /// The limit on the memory that running calls use in each engine of the service, in tokens.
     pub running_limit_tokens: u64,
-    /// The KV store, if there is one.
-    pub kv_store: Option<KvStore>,
+    /// The KV stores.
+    pub kv_stores: &'a [KvStore],
     /// The memory capacity of an engine, in tokens; the smallest one if services differ.
     pub engine_capacity_tokens: u64,
     /// The load that other daemons place on the upstreams.
@@ -64,6 +65,13 @@
     pub random: u64,
 }
 
+impl Query<'_> {
+    /// Whether the prompt's workspace shares its cached prompts with no other.
+    fn is_isolated(&self) -> bool {
+        self.cache_owner != 0
+    }
+}
+
 /// The result of a placement decision.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -79,9 +87,9 @@
     pub source: Option<Source>,
     /// The estimated number of shared parts that it holds, and that it holds or can fetch.
     pub prefix_depth: (usize, usize),
-    /// Whether the engine should save the parts that it reads to the KV store. It should if it
-    /// can't fetch all shared parts that it does not hold.
-    pub save_to_store: bool,
+    /// The KV store where the engine should save the parts that it reads. It should if it can't
+    /// fetch all shared parts that it does not hold.
+    pub save_to: Option<KvStore>,
     /// The estimated time to the first event plus penalties, in milliseconds.
     pub cost_ms: f64,
     /// Why the upstream was selected.
@@ -93,8 +101,8 @@
 pub enum Source {
     /// Another engine.
     Engine(Arc<Endpoint>),
-    /// The KV store.
-    Store(SocketAddr),
+    /// A KV store.
+    Store(KvStore),
 }
 
 impl Source {
@@ -102,7 +110,7 @@
     pub fn address(&self) -> SocketAddr {
         match self {
             Source::Engine(endpoint) => endpoint.record.address,
-            Source::Store(address) => *address,
+            Source::Store(store) => store.address,
         }
     }
 }
@@ -194,7 +202,7 @@
             unread_tokens: 0,
             source: None,
             prefix_depth: (0, 0),
-            save_to_store: false,
+            save_to: None,
             cost_ms: 0.0,
             reason: "least_load",
         })
@@ -214,6 +222,7 @@
         let depth = |keys: &[u64], engine: &Endpoint| self.cached_depth(query, keys, engine);
         let holders = Holders::new(query, prompt, &candidates, depth);
         let shared_tokens = prefix_tokens(prompt, prompt.shared().len());
+        let store = store::assigned(query.kv_stores, prefix_hash(query, prompt));
         let mut best: Option<(f64, Choice)> = None;
         let mut any_full = false;
         let weighed = |is_weighed| {
@@ -235,7 +244,11 @@
                 false => holders.fetch_source(index, depth, &candidates),
             };
             let available_depth = source.as_ref().map_or(depth, |(_, it)| *it).max(depth);
-            let (source, available_depth) = self.prefer_store(query, keys, source, available_depth);
+            // Parts that nobody asks for again would displace others in the stores.
+            let is_single = query.kv_stores.len() <= 1;
+            let store = store.filter(|_| is_single || !query.is_isolated() || self.is_reused(keys));
+            let (source, available_depth) =
+                self.prefer_store(query, store, keys, source, available_depth);
             let cached = prefix_tokens(prompt, if is_held { depth } else { available_depth });
             let unread_tokens = prompt.tokens.saturating_sub(cached);
             let peers = query.peers.get(&endpoint.hash).copied().unwrap_or_default();
@@ -277,7 +290,7 @@
                 unread_tokens,
                 source,
                 prefix_depth: (depth, available_depth),
-                save_to_store: available_depth < keys.len(),
+                save_to: store.filter(|_| available_depth < keys.len()),
                 cost_ms: cost,
                 reason,
             };
@@ -291,26 +304,38 @@
         }
     }
 
-    /// Replaces the engine by the KV store if the store holds a longer prefix.
+    /// Replaces the engine by the KV store if that holds a longer prefix.
     fn prefer_store(
         &self,
         query: &Query<'_>,
+        store: Option<KvStore>,
         keys: &[u64],
         engine: Option<(&Arc<Endpoint>, usize)>,
         available_depth: usize,
     ) -> (Option<Source>, usize) {
-        if let Some(store) = query.kv_store {
-            let incarnation = Incarnation::default();
+        if let Some(store) = store {
+            let (cache, incarnation) = (store.cache(), Incarnation::default());
             let stored =
-                |it: &&u64| self.cache.holds(STORE, incarnation, **it, store.capacity_tokens);
+                |it: &&u64| self.cache.holds(cache, incarnation, **it, store.capacity_tokens);
             let stored = keys.iter().take_while(stored).count();
             if stored > available_depth {
-                return (Some(Source::Store(store.address)), stored);
+                return (Some(Source::Store(store)), stored);
+            }
+            // The store may hold more than is known: reports take a while, and a daemon that just
+            // started has none. A miss costs the engine about a millisecond.
+            let may_hold_more = available_depth < keys.len() && query.kv_stores.len() > 1;
+            if may_hold_more && (engine.is_none() || stored == available_depth) {
+                return (Some(Source::Store(store)), available_depth);
             }
         }
         (engine.map(|(it, _)| Source::Engine(it.clone())), available_depth)
     }
 
+    /// Whether a prompt of an isolated workspace begins with shared parts that it has used recently.
+    fn is_reused(&self, keys: &[u64]) -> bool {
+        keys.last().is_some_and(|it| self.cache.is_recent(*it))
+    }
+
     /// The number of leading shared parts that an engine holds.
     fn cached_depth(&self, query: &Query<'_>, keys: &[u64], engine: &Endpoint) -> usize {
         let peers = query.peers.get(&engine.hash).map_or(0, |it| it.memory);
@@ -321,15 +346,17 @@
         keys.iter().take_while(holds).count()
     }
 
-    /// Records that a prompt is about to be sent to an engine, and whether its parts are in the KV
+    /// Records that a prompt is about to be sent to an engine, and whether its parts are in a KV
     /// store or will be saved there. The last part is counted there only if the engine saves.
     /// Returns the entries to share with other daemons.
     pub fn record_send(&mut self, query: &Query<'_>, choice: &Choice) -> Vec<cache::Entry> {
         let (Some(prompt), Some(version)) = (query.prompt, choice.version) else {
             return Vec::new();
         };
-        let stored = choice.save_to_store || matches!(choice.source, Some(Source::Store(_)));
-        let store = query.kv_store.filter(|_| stored);
+        let store = match &choice.source {
+            Some(Source::Store(store)) => Some(*store),
+            _ => choice.save_to,
+        };
         let engine = &choice.endpoint;
         let mut entries = Vec::new();
         let shared_parts = prompt.shared().len();
@@ -342,15 +369,15 @@
                 shared: index < shared_parts,
             };
             entries.push(own);
-            if store.is_some() && (own.shared || choice.save_to_store) {
+            if let Some(store) = store.filter(|_| own.shared || choice.save_to.is_some()) {
                 entries.push(cache::Entry {
-                    cache: STORE,
+                    cache: store.cache(),
                     incarnation: Incarnation::default(),
                     ..own
                 });
             }
         }
-        self.record_entries(&entries, query.engine_capacity_tokens, query.kv_store);
+        self.record_entries(&entries, query.engine_capacity_tokens, query.kv_stores);
         entries
     }
 
@@ -359,13 +386,11 @@
         &mut self,
         entries: &[cache::Entry],
         engine_capacity: u64,
-        store: Option<KvStore>,
+        stores: &[KvStore],
     ) {
         for entry in entries {
-            let capacity = match entry.cache {
-                STORE => store.map_or(0, |it| it.capacity_tokens),
-                _ => engine_capacity,
-            };
+            let store = stores.iter().find(|it| it.cache() == entry.cache);
+            let capacity = store.map_or(engine_capacity, |it| it.capacity_tokens);
             self.cache.record(entry, capacity);
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,7 +19,6 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
-        document::KvStore,
         entry::end_to_end,
         hold::Reservation,
         limit::Statement,
@@ -253,10 +252,6 @@
         self.call.route.kind.is_repeatable() && self.executions + 1 < self.call.route.max_attempts
     }
 
-    fn kv_store(&self) -> Option<KvStore> {
-        self.context.document.load().as_ref().and_then(|it| it.kv_store())
-    }
-
     fn dispatch(&self, choice: &Choice, time_left: Duration) -> Dispatch {
         Dispatch {
             upstream: choice.endpoint.name.clone(),
@@ -265,7 +260,7 @@
             version: choice.version,
             cache_salt: choice.version.and_then(|it| self.call.cache_salt(it)),
             fetch_from: choice.source.as_ref().map(Source::address),
-            save_to: self.kv_store().filter(|_| choice.save_to_store).map(|it| it.address),
+            save_to: choice.save_to.map(|it| it.address),
             last_event: self.last_event.clone(),
         }
     }
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -11,6 +11,7 @@
         budget::Fleet,
         call::Prompt,
         dialect::Refusal,
+        document::Document,
         exchange::permit,
         hold::Reservation,
         message::{News, Update},
@@ -149,7 +150,12 @@
         Ok(())
     }
 
-    fn query<'a>(&'a self, peers: &'a Totals, now: Time) -> Query<'a> {
+    fn query<'a>(
+        &'a self,
+        document: Option<&'a Document>,
+        peers: &'a Totals,
+        now: Time,
+    ) -> Query<'a> {
         let (context, call) = (&self.context, &self.call);
         Query {
             prompt: call.head.prompt.as_ref(),
@@ -158,12 +164,8 @@
             build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
             running_limit_tokens: self.running_limit_tokens(call.service(), now),
-            kv_store: self.kv_store(),
-            engine_capacity_tokens: context
-                .document
-                .load()
-                .as_ref()
-                .map_or(0, |it| it.engine_tokens()),
+            kv_stores: document.map_or(&[], Document::kv_stores),
+            engine_capacity_tokens: document.map_or(0, Document::engine_tokens),
             peers,
             random: rand::random(),
         }
@@ -176,7 +178,8 @@
         let (now, service) = (context.now(), call.service());
         let progress = context.progress.load();
         let peers = context.peers.peer_load(now);
-        let query = self.query(&peers, now);
+        let document = context.document.load();
+        let query = self.query(document.as_deref(), &peers, now);
         let view = context.view.load();
         let upstreams = view.service(service);
         let choice = context.placer().choose(&query, upstreams, &progress, now);
@@ -213,7 +216,8 @@
         let (context, call) = (&self.context, &self.call);
         let (now, service) = (context.now(), call.service());
         let peers = context.peers.peer_load(now);
-        let query = self.query(&peers, now);
+        let document = context.document.load_full();
+        let query = self.query(document.as_deref(), &peers, now);
         if self.sends == 0 {
             context.budget().record_call(service, now);
         }
@@ -257,7 +261,7 @@
             source = choice.source.as_ref().map(|it| it.address().to_string()),
             held = choice.prefix_depth.0,
             found = choice.prefix_depth.1,
-            save = choice.save_to_store,
+            save = choice.save_to.is_some(),
             prompt_tokens = call.head.prompt.as_ref().map(|it| it.tokens),
             unread_tokens = choice.unread_tokens,
             cost_ms = choice.cost_ms,
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -38,15 +38,15 @@
         build: None,
         old_version_grace: Duration::from_secs(10),
         running_limit_tokens: RUNNING_LIMIT,
-        kv_store: None,
+        kv_stores: &[],
         engine_capacity_tokens: CAPACITY,
         peers,
         random: 0,
     }
 }
 
-fn query_with_store<'a>(prompt: &'a Prompt, peers: &'a Totals, store: KvStore) -> Query<'a> {
-    Query { kv_store: Some(store), ..query(prompt, peers) }
+fn query_with_store<'a>(prompt: &'a Prompt, peers: &'a Totals, stores: &'a [KvStore]) -> Query<'a> {
+    Query { kv_stores: stores, ..query(prompt, peers) }
 }
 
 fn send(placer: &mut Placer, query: &Query<'_>, engines: &[Arc<Endpoint>]) -> Choice {
@@ -116,21 +116,103 @@
     let engines = engines(&[1; 3]);
     let peers = Totals::default();
     let mut placer = placer();
-    let store = KvStore { address: ([10, 0, 0, 9], 9_000).into(), capacity_tokens: 2_000_000 };
+    let store = [KvStore { address: ([10, 0, 0, 9], 9_000).into(), capacity_tokens: 2_000_000 }];
     let first = prompt(7, 1);
-    let choice = send(&mut placer, &query_with_store(&first, &peers, store), &engines);
-    assert!(choice.save_to_store, "the KV store does not hold the prefix yet");
+    let choice = send(&mut placer, &query_with_store(&first, &peers, &store), &engines);
+    assert!(choice.save_to.is_some(), "the KV store does not hold the prefix yet");
     for other in 1_000..1_200 {
         let prompt = prompt(other, other);
-        send(&mut placer, &query_with_store(&prompt, &peers, store), &engines);
+        send(&mut placer, &query_with_store(&prompt, &peers, &store), &engines);
     }
     let again = prompt(7, 2);
-    let choice = send(&mut placer, &query_with_store(&again, &peers, store), &engines);
+    let choice = send(&mut placer, &query_with_store(&again, &peers, &store), &engines);
     assert!(matches!(choice.source, Some(Source::Store(_))), "{:?}", choice.source);
-    assert!(!choice.save_to_store);
+    assert!(choice.save_to.is_none());
     assert_eq!(choice.unread_tokens, 2_890);
 }
 
+fn kv_stores(count: u8) -> Vec<KvStore> {
+    let address = |it: u8| ([10, 0, 0, it], 9_000).into();
+    (1..=count).map(|it| KvStore { address: address(it), capacity_tokens: 2_000_000 }).collect()
+}
+
+/// Guards against all prompts being kept in one of several KV stores, whose capacity and link are then
+/// too small for them.
+#[test]
+fn daemons_agree_on_the_kv_store_of_a_prompt_and_use_all_stores() {
+    let engines = engines(&[1; 3]);
+    let (peers, stores) = (Totals::default(), kv_stores(3));
+    let mut prompts_by_store: BTreeMap<String, u32> = BTreeMap::new();
+    for subject in 100..400 {
+        let prompt = prompt(subject, 1);
+        let query = query_with_store(&prompt, &peers, &stores);
+        let chosen: Vec<_> =
+            (0..3).map(|_| send(&mut placer(), &query, &engines).save_to).collect();
+        let store = chosen[0].expect("a store for a prompt that none holds");
+        assert!(chosen.iter().all(|it| *it == Some(store)), "{subject}: {chosen:?}");
+        *prompts_by_store.entry(store.address.to_string()).or_default() += 1;
+    }
+    assert_eq!(prompts_by_store.len(), 3);
+    assert!(prompts_by_store.values().all(|it| *it >= 60), "{prompts_by_store:?}");
+}
+
+/// Guards against prompts that nobody asks for again displacing others in the KV stores: each subject
+/// of an isolated workspace is read by that workspace alone.
+#[test]
+fn prompts_of_an_isolated_workspace_are_saved_once_they_are_reused() {
+    struct Case {
+        stores: u8,
+        cache_owner: u64,
+        /// Whether the store is used for the first prompt, and for the second one.
+        uses_store: [bool; 2],
+    }
+    for case in [
+        Case { stores: 3, cache_owner: 0, uses_store: [true, true] },
+        Case { stores: 3, cache_owner: 7, uses_store: [false, true] },
+        // A single store is used for all prompts.
+        Case { stores: 1, cache_owner: 7, uses_store: [true, true] },
+    ] {
+        let engines = engines(&[1; 2]);
+        let (peers, stores) = (Totals::default(), kv_stores(case.stores));
+        let mut placer = placer();
+        for (index, uses_store) in case.uses_store.into_iter().enumerate() {
+            let prompt = prompt(7, index as u64);
+            let query = query_with_store(&prompt, &peers, &stores);
+            let query = Query { cache_owner: case.cache_owner, ..query };
+            // The engine that holds the prompt is unavailable the second time, so it is read again.
+            let engines = &engines[index..=index];
+            let choice = send(&mut placer, &query, engines);
+            let fetches = matches!(choice.source, Some(Source::Store(_)));
+            let uses = choice.save_to.is_some() || fetches;
+            assert_eq!(uses, uses_store, "{} {} {index}", case.stores, case.cache_owner);
+        }
+    }
+}
+
+/// Guards against engines reading prompts that a KV store holds: reports of what was saved take up to
+/// 0.85 s, and a daemon that has just started has none.
+#[test]
+fn an_engine_asks_the_kv_store_for_parts_that_are_not_known_to_be_anywhere() {
+    struct Case {
+        stores: u8,
+        asks_store: bool,
+    }
+    for case in [
+        Case { stores: 0, asks_store: false },
+        // With a single store only what is known to be there is fetched.
+        Case { stores: 1, asks_store: false },
+        Case { stores: 3, asks_store: true },
+    ] {
+        let engines = engines(&[1; 3]);
+        let (peers, stores) = (Totals::default(), kv_stores(case.stores));
+        let prompt = prompt(7, 1);
+        let choice = send(&mut placer(), &query_with_store(&prompt, &peers, &stores), &engines);
+        let asks_store = matches!(choice.source, Some(Source::Store(_)));
+        assert_eq!(asks_store, case.asks_store, "{} stores", case.stores);
+        assert_eq!(choice.unread_tokens, prompt.tokens, "nothing is known to be held");
+    }
+}
+
 #[test]
 fn running_calls_leave_room_for_cached_prompts() {
     let engines = engines(&[1; 2]);
--- a/tests/gateway/stale.rs
+++ b/tests/gateway/stale.rs
@@ -78,7 +78,7 @@
                 build: None,
                 old_version_grace: Duration::from_secs(12),
                 running_limit_tokens: 57_000,
-                kv_store: None,
+                kv_stores: &[],
                 engine_capacity_tokens: 114_380,
                 peers: &totals,
                 random: rng.random(),
