--- a/src/gateway/cache.rs
+++ b/src/gateway/cache.rs
@@ -13,9 +13,6 @@
     kernel::id::Incarnation,
 };
 
-#[cfg(doc)]
-use crate::gateway::document::KvStore;
-
 /// The share of a cache's capacity that the estimate relies on. Reused parts also displace others,
 /// which the token count does not include.
 const USABLE_CAPACITY_SHARE: f64 = 0.8;
@@ -30,7 +27,8 @@
 /// A prompt part that entered a cache or was used there.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
-    /// The cache: the hash of the engine's name, or [`KvStore::cache`].
+    /// The cache: the hash of the engine's name, or
+    /// [`KvStore::cache`](crate::gateway::document::KvStore::cache).
     pub cache: u64,
     /// The incarnation of the engine, or the default one for a KV store.
     pub incarnation: Incarnation,
