Send a resumption again to upstreams of its build that rejected it

Cause: an upstream that rejected a call unrun was excluded for the rest of the call. Few upstreams may have the build that began a stream, so a resumption was refused after as many sends as its build had upstreams, while a new stream may have three rejections.

Change: once each upstream of the build has been asked, those that rejected the stream may be asked again after their pause, except for the one that rejected it last. While a stream is resumed by the daemon itself, a rejection now pauses the upstream and a refused connection marks it dead, as for other calls. A resumption does not wait for upstreams whose own pause ends too late.

A build with a single upstream still gets one attempt, as a_stream_taken_up_at_another_daemon requires.

Result: a_stream_that_the_upstreams_of_its_build_reject failed before (503 after 2 sends) and passes; builds::, room:: and pause:: of the daemon tests pass.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -95,6 +95,8 @@
     waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
+    /// Those of them that rejected the call without executing it, and may be asked again.
+    rejecting: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
     executions: u32,
     /// Failed attempts that did not execute the call, including those without a connection.
@@ -115,6 +117,7 @@
         call,
         origin: None,
         excluded: Vec::new(),
+        rejecting: Vec::new(),
         executions: 0,
         rejections: 0,
         sends: 0,
@@ -173,10 +176,10 @@
 
     /// Sends the call to upstreams until one of them answers.
     async fn obtain_answer(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
-        loop {
+        while self.rejections < MAX_REJECTIONS {
             let reservation = self.acquire().await?;
             let result = self.send(&reservation).await;
-            let (context, now) = (self.context.clone(), self.context.now());
+            let now = self.context.now();
             let health = &reservation.choice.endpoint.health;
             let outcome = match &result {
                 Outcome::Answer(..) => "answer",
@@ -207,13 +210,12 @@
                     return Ok((reservation, answer));
                 }
                 Outcome::Unreachable(_) => {
-                    health.mark_dead(now);
-                    self.connect_failures += 1;
-                    self.rejections += 1;
+                    self.record_unreachable(&reservation.choice.endpoint);
+                    continue;
                 }
                 Outcome::NotExecuted(_) => {
-                    health.eject_for(REJECTION_PAUSE, now);
-                    self.rejections += 1;
+                    self.record_rejection(&reservation.choice.endpoint);
+                    continue;
                 }
                 Outcome::Lost(_) => {
                     reservation.connection_lost().await;
@@ -240,12 +242,24 @@
                     self.executions += 1;
                 }
             }
-            if self.rejections >= MAX_REJECTIONS {
-                return Err(self.no_upstream());
-            }
             self.excluded.push(reservation.choice.endpoint.name.clone());
-            drop((reservation, context));
         }
+        Err(self.no_upstream())
+    }
+
+    /// Records that no connection to an upstream could be opened.
+    fn record_unreachable(&mut self, endpoint: &Endpoint) {
+        endpoint.health.mark_dead(self.context.now());
+        self.connect_failures += 1;
+        self.rejections += 1;
+        self.excluded.push(endpoint.name.clone());
+    }
+
+    /// Records that an upstream did not execute the call.
+    fn record_rejection(&mut self, endpoint: &Endpoint) {
+        endpoint.health.eject_for(REJECTION_PAUSE, self.context.now());
+        self.rejections += 1;
+        self.exclude_rejecting(&endpoint.name);
     }
 
     /// Whether the call may be sent to another upstream after an attempt that may have executed it.
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -99,12 +99,8 @@
     /// Whether an upstream that is closed now may take the call soon. Other calls find another one,
     /// but few upstreams may have the build that began a stream.
     fn may_reopen(&self, upstreams: &[Arc<Endpoint>]) -> bool {
-        let Some(build) = &self.origin else {
-            return false;
-        };
-        let may_continue =
-            |it: &Endpoint| it.is_staying(build) && !self.excluded.contains(&it.name);
-        upstreams.iter().any(|it| may_continue(it))
+        let now = self.context.now();
+        self.open_upstreams(upstreams).any(|it| self.may_wait(it.health.paused_until(now)))
     }
 
     /// Refuses a call that may no longer be sent to any upstream.
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -132,11 +132,8 @@
                 Outcome::Answer(answer) if answer.response.status().is_success() => {
                     return Some((reservation, answer));
                 }
-                sent @ (Outcome::Unreachable(_) | Outcome::NotExecuted(_)) => {
-                    self.connect_failures += u32::from(matches!(sent, Outcome::Unreachable(_)));
-                    self.rejections += 1;
-                    self.excluded.push(reservation.choice.endpoint.name.clone());
-                }
+                Outcome::Unreachable(_) => self.record_unreachable(&reservation.choice.endpoint),
+                Outcome::NotExecuted(_) => self.record_rejection(&reservation.choice.endpoint),
                 Outcome::Lost(_) => {
                     reservation.connection_lost().await;
                     return None;
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -1,6 +1,6 @@
 //! Finds the build that must continue a stream.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use metrics::counter;
 use tokio::time;
@@ -12,9 +12,10 @@
         exchange,
         origin::{Entry, ORIGIN_WAIT},
         relay::{RETRY_AFTER, Relay},
+        roster::Endpoint,
         store::Topic,
     },
-    kernel::id::{Build, Service},
+    kernel::id::{Build, Service, Upstream},
     route::pool::name_hash,
 };
 
@@ -47,6 +48,33 @@
         Ok(())
     }
 
+    /// Excludes an upstream that rejected the call without executing it from the next attempt.
+    ///
+    /// Few upstreams may have the build that began a stream. Once each of them has been asked, those that
+    /// rejected the stream may be asked again, but for the last one, whose answer is the latest. A new
+    /// stream, which any build may begin, finds as many upstreams as it may have rejections.
+    pub(super) fn exclude_rejecting(&mut self, upstream: &Upstream) {
+        self.excluded.push(upstream.clone());
+        let view = self.context.view.load();
+        let upstreams = view.service(self.call.service());
+        if self.origin.is_some() && self.open_upstreams(upstreams).next().is_none() {
+            let again = std::mem::take(&mut self.rejecting);
+            self.excluded.retain(|it| !again.contains(it));
+        }
+        self.rejecting.push(upstream.clone());
+    }
+
+    /// Those of the upstreams that have the build of the stream and are not excluded. They may be
+    /// unavailable at present.
+    pub(super) fn open_upstreams<'a>(
+        &'a self,
+        upstreams: &'a [Arc<Endpoint>],
+    ) -> impl Iterator<Item = &'a Arc<Endpoint>> {
+        let may_continue =
+            |it: &&Arc<Endpoint>| self.origin.as_ref().is_some_and(|build| it.is_staying(build));
+        upstreams.iter().filter(may_continue).filter(|it| !self.excluded.contains(&it.name))
+    }
+
     /// Looks the origin up, asks the daemons that were told of it directly, and waits for news of it.
     async fn obtain_origin(&self) -> Option<Build> {
         let give_up_at = self.context.now() + ORIGIN_WAIT;
