End runs at once whose callers left or whose deadlines passed

Cause: while a stream that broke off was continued, the daemon did not notice that its caller had left: it went on waiting for an upstream, connecting to it and waiting for its answer. The connection to the first upstream stayed open meanwhile, also when that was only silent. A stream whose caller did not read kept its run past the deadline, because the caller was to be told first, and counted as a failure of the engine.

Change: resumptions and the announcement of a stream's origin end when the caller leaves. The connection to an upstream is closed before anything else is waited for. A caller that does not read is no failure of the upstream.

Result: a_run_ends_when_its_caller_leaves failed before for a resumption (the run ended 1.29 s after the caller left), a_stream_that_waits_for_an_upstream_is_not_continued (sent twice) and a_run_ends_at_its_deadline (not ended within 10 s); they pass. The cases of the head and the body of an answer did not fail before.

--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -39,7 +39,10 @@
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
         tokio::spawn(async move {
             if let Some(origin) = &origin {
-                exchange::origin::tell(&self.context, origin).await;
+                tokio::select! {
+                    () = exchange::origin::tell(&self.context, origin) => {}
+                    () = sender.closed() => {}
+                }
             }
             self.forward(reservation, answer, sender).await;
             self.end_stream();
@@ -77,22 +80,24 @@
                     self.record_metrics();
                     return;
                 }
-                End::CallerDisconnected => {
-                    info!(
-                        attempt = self.call.head.attempt,
-                        "caller disconnected before its stream was complete"
-                    );
-                    return;
-                }
-                End::Expired | End::Broken(_) => {}
-            }
-            match end {
-                End::Broken(_) => reservation.connection_lost().await,
-                _ => drop(reservation.choice.endpoint.health.record_failure(now)),
+                End::CallerDisconnected => return self.log_disconnection(),
+                End::Expired | End::CallerStalled | End::Broken(_) => {}
             }
+            // Closes the connection, which ends the run, before anything is waited for.
+            drop(answer);
             let reason = match end {
-                End::Broken(reason) => reason,
-                _ => "the deadline expired".to_owned(),
+                End::Broken(reason) => {
+                    reservation.connection_lost().await;
+                    reason
+                }
+                // The upstream is not at fault.
+                End::CallerStalled => {
+                    "the deadline expired while the caller did not read".to_owned()
+                }
+                _ => {
+                    reservation.choice.endpoint.health.record_failure(now);
+                    "the deadline expired".to_owned()
+                }
             };
             info!(
                 attempt = self.call.head.attempt,
@@ -107,7 +112,10 @@
             drop(reservation);
             splitter.discard_partial();
             let next = match may_resume {
-                true => self.resume(last_event.clone()).await,
+                true => tokio::select! {
+                    next = self.resume(last_event.clone()) => next,
+                    () = sender.closed() => return self.log_disconnection(),
+                },
                 false => None,
             };
             let Some((next_reservation, next_answer)) = next else {
@@ -121,6 +129,11 @@
         }
     }
 
+    fn log_disconnection(&self) {
+        let attempt = &self.call.head.attempt;
+        info!(attempt, "caller disconnected before its stream was complete");
+    }
+
     /// Resumes the stream after event `last` at another upstream. Tries a further one only after an
     /// attempt that did not execute the call.
     async fn resume(&mut self, last: Option<String>) -> Option<(Reservation, Box<Answer>)> {
@@ -194,7 +207,7 @@
             match time::timeout(time_left, self.pass_on(events.bytes, sender)).await {
                 Ok(true) => {}
                 Ok(false) => return End::CallerDisconnected,
-                Err(_) => return End::Expired,
+                Err(_) => return End::CallerStalled,
             }
         }
     }
@@ -222,6 +235,9 @@
 enum End {
     Complete,
     CallerDisconnected,
+    /// The deadline passed while the caller did not read.
+    CallerStalled,
+    /// The deadline passed while the upstream sent nothing.
     Expired,
     Broken(String),
 }
