Withhold refusals of at-most-once calls that may have run

Cause: an upstream's 429, 503 or 408 was passed on to the caller of an at-most-once call also if the upstream did not state that it had not run the call. Callers take these statuses as such a statement and repeat the call.

Change: such an answer becomes a 502. Answers that state that the call has not run, and 421, lead to another upstream as before. Other kinds of calls are unchanged.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -101,6 +101,10 @@
     /// Parses the head of an upstream's response.
     fn parse_response(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> Evidence;
 
+    /// Whether callers take an answer of this status as a statement that the call has not run and never
+    /// will.
+    fn denies_execution(&self, status: StatusCode) -> bool;
+
     /// Builds the response to a call that the gateway refuses.
     fn error_response(&self, refusal: Refusal) -> Response<Body>;
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -19,7 +19,7 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
-        document::KvStore,
+        document::{Kind, KvStore},
         entry::end_to_end,
         hold::Reservation,
         limit::Statement,
@@ -386,12 +386,42 @@
         Outcome::Answer(Box::new(answer))
     }
 
+    /// Whether the caller would take an answer of this status as a statement that its call, which must not
+    /// run twice, has not run. Answers of upstreams that do state this are not passed on.
+    fn denies_execution(&self, status: StatusCode) -> bool {
+        self.call.route.kind == Kind::AtMostOnce && self.context.dialect.denies_execution(status)
+    }
+
+    /// Refuses a call that an upstream turned away without stating that it has not run. The answer may
+    /// come late, after the call has run.
+    fn refuse_uncertain(
+        &mut self,
+        reservation: &Reservation,
+        status: StatusCode,
+    ) -> Response<Body> {
+        if status.is_server_error() {
+            reservation.choice.endpoint.health.record_failure(self.context.now());
+        }
+        info!(
+            attempt = self.call.head.attempt,
+            upstream = reservation.choice.endpoint.name.as_str(),
+            status = status.as_u16(),
+            "refusal not passed on: the upstream did not state that the call has not run"
+        );
+        counter!("tealturn_refusals_withheld_total").increment(1);
+        self.executions += 1;
+        self.refuse(Refusal::Lost)
+    }
+
     /// Passes an answer on to the caller.
     async fn deliver(mut self, reservation: Reservation, answer: Box<Answer>) -> Response<Body> {
         let success = answer.response.status().is_success();
         if success && self.call.route.kind.is_stream() {
             return self.deliver_stream(reservation, answer);
         }
+        if self.denies_execution(answer.response.status()) {
+            return self.refuse_uncertain(&reservation, answer.response.status());
+        }
         let (mut reservation, mut answer) = (reservation, answer);
         loop {
             let status = answer.response.status();
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -102,6 +102,9 @@
     fn parse_response(&self, _: &Call, _: StatusCode, _: &HeaderMap) -> Evidence {
         unreachable!()
     }
+    fn denies_execution(&self, _: StatusCode) -> bool {
+        unreachable!()
+    }
     fn error_response(&self, _: Refusal) -> Response<Body> {
         unreachable!()
     }
