Take no upstreams of services that the document does not have

Cause: an upstream that another writer registered under an unknown service was in the view of upstreams, and got orders to load weights if it named a model.

Change: the view is limited to the services that the document has settings for or names in routes, and published anew with each document, so that an upstream whose service is added later is taken then. A document without settings of services limits nothing.

Result: rows_of_another_writer failed before (two of 24 rows were taken, those of unknown services) and passes.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -90,7 +90,7 @@
     pub documents: Documents,
     /// When the document was last confirmed to be the latest.
     pub freshness: Freshness,
-    /// Registered upstreams that aren't draining, whatever their health.
+    /// Registered upstreams of the document's services that aren't draining, whatever their health.
     pub view: ArcSwap<View>,
     /// Configured weights and the rollout progress of the engines.
     pub progress: ArcSwap<Progress>,
@@ -202,17 +202,25 @@
     pub fn change_roster<T>(&self, change: impl FnOnce(&mut Roster) -> T) -> T {
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         let result = change(&mut roster);
-        self.view.store(Arc::new(roster.view()));
+        self.publish_view(&roster);
         result
     }
 
+    /// Publishes the upstreams of the document's services. Another writer may register upstreams of others,
+    /// which are not to get any calls or orders.
+    fn publish_view(&self, roster: &Roster) {
+        let document = self.document.load();
+        let is_known = |it: &Service| document.as_ref().is_none_or(|known| known.has_service(it));
+        self.view.store(Arc::new(roster.view().limited_to(is_known)));
+    }
+
     /// Removes upstreams whose registrations are gone, and publishes the view if there were any.
     pub fn expire_upstreams(&self) {
         let now = self.now();
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         if roster.has_unsettled() {
             roster.expire(now);
-            self.view.store(Arc::new(roster.view()));
+            self.publish_view(&roster);
         }
     }
 
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -205,6 +205,16 @@
         self.keys.get(key)
     }
 
+    /// Whether a service is in the document, with settings or as the backend of a route. All are if the
+    /// document has no settings of services.
+    pub fn has_service(&self, name: &Service) -> bool {
+        let mut backends =
+            self.hosts.values().flatten().flat_map(|it| &it.backends).map(|(service, _)| service);
+        self.services.is_empty()
+            || self.services.contains_key(name)
+            || backends.any(|it| it == name)
+    }
+
     /// Returns the first KV store in the document.
     pub fn kv_store(&self) -> Option<KvStore> {
         self.kv_store
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -375,6 +375,14 @@
             match context.schema.decode_upstream(row) {
                 Ok(record) if delta.restored => roster.restore(&name, record),
                 Ok(record) => {
+                    let document = context.document.load();
+                    if document.as_ref().is_some_and(|it| !it.has_service(&record.service)) {
+                        let (upstream, service) = (row.key.as_str(), record.service.as_str());
+                        warn!(
+                            upstream,
+                            service, "registration of a service that is not configured"
+                        );
+                    }
                     if record.draining {
                         info!(upstream = row.key, "upstream is draining");
                     }
@@ -407,6 +415,8 @@
     }
     info!(version = document.version, before = active_version, "activated a newer document");
     context.document.store(Some(document));
+    // It may have other services.
+    context.change_roster(|_| ());
 }
 
 /// Periodically removes upstreams whose registrations are gone from the store. Those that expired
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -100,6 +100,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The view without the services that `is_known` doesn't hold for.
+    pub fn limited_to(mut self, is_known: impl Fn(&Service) -> bool) -> View {
+        self.services.retain(|it, _| is_known(it));
+        self.builds.retain(|it, _| is_known(it));
+        self
+    }
+
     /// Builds of the upstreams of a service, the draining ones included.
     pub fn builds(&self, service: &Service) -> &[Build] {
         self.builds.get(service).map_or(&[], Vec::as_slice)
