Close the connections of callers that do not read

Cause: an answer whose caller did not read was held for as long as the caller kept its connection, and the run of a stream with it.

Change: a connection on which bytes have waited for 2 s without one being taken is reset, and the system holds 32 KiB for a connection in place of some megabytes, so that back-pressure reaches the upstream early. A caller that reads a little is not cut.

Result: the tests of stall:: that guard against this failed before (held after 3 s; 8.4 MB of a whole answer delivered to a caller that had not read for 3 s) and pass; a caller that reads 32 KiB every 0.5 s is not cut in 6 s.

--- a/src/http.rs
+++ b/src/http.rs
@@ -3,3 +3,4 @@
 pub mod client;
 pub mod memory;
 pub mod server;
+pub mod stall;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -10,6 +10,8 @@
 use tokio::{net::TcpListener, task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
 
+use crate::http::stall::Stream;
+
 /// The body of an answer, whole or streamed.
 pub type Body = BoxBody<Bytes, std::io::Error>;
 
@@ -64,10 +66,7 @@
             time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        // Small pieces of an answer must leave at once.
-        if stream.set_nodelay(true).is_err() {
-            continue;
-        }
+        let Ok(stream) = Stream::new(stream) else { continue };
         connections.spawn(connection(TokioIo::new(stream), handler.clone(), stop.clone()));
     }
     drop(listener);
@@ -94,7 +93,7 @@
 }
 
 fn connection(
-    io: TokioIo<tokio::net::TcpStream>,
+    io: TokioIo<Stream>,
     handler: Arc<dyn Handler>,
     stop: CancellationToken,
 ) -> impl Future<Output = ()> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -44,6 +44,8 @@
 mod simulation;
 #[path = "gateway/stale.rs"]
 mod stale;
+#[path = "gateway/stall.rs"]
+mod stall;
 #[path = "gateway/stream.rs"]
 mod stream;
 #[path = "gateway/topology.rs"]
