Answer requests that arrived before a planned stop

Cause: when a server stopped, connections that waited to be accepted were reset and those that had brought no request yet were closed, although their requests may have been on the way.

Change: connections that wait are accepted, and a connection without a request is kept for 100 ms after the stop.

Result: requests_that_arrived_before_a_stop failed before (all of 50 callers reset) and passes.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,6 +19,9 @@
 /// The wait after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// How long a connection without a request is kept after the stop, for a request that was on its way.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
+
 /// Headers that a request may have.
 const MAX_HEADERS: usize = 64;
 
@@ -69,6 +73,12 @@
         let Ok(stream) = Stream::new(stream) else { continue };
         connections.spawn(connection(TokioIo::new(stream), handler.clone(), stop.clone()));
     }
+    // Connections that wait to be accepted may have brought requests. Yielding lets the runtime notice them.
+    tokio::task::yield_now().await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        let Ok(stream) = Stream::new(stream) else { continue };
+        connections.spawn(connection(TokioIo::new(stream), handler.clone(), stop.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -113,7 +123,11 @@
         tokio::pin!(connection);
         tokio::select! {
             _ = connection.as_mut() => return,
-            () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+            () = stop.cancelled() => {}
+        }
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = time::sleep(LAST_REQUEST_WAIT) => connection.as_mut().graceful_shutdown(),
         }
         // A caller that breaks off is counted where its request is handled.
         let _ = connection.await;
--- a/tests/gateway/stall.rs
+++ b/tests/gateway/stall.rs
@@ -59,6 +59,9 @@
             let whole = PIECE.repeat(2 * MAX_UNREAD_BYTES / PIECE.len());
             return server::answer(StatusCode::OK, "text/plain", whole);
         }
+        if request.uri().path() == "/short" {
+            return server::answer(StatusCode::OK, "text/plain", PIECE);
+        }
         let flag = Flag(self.is_given_up.clone());
         let pieces = futures::stream::repeat(()).map(move |()| {
             let _flag = &flag;
@@ -133,3 +136,32 @@
     }
     assert!(!scene.handler.is_given_up.load(Ordering::Relaxed));
 }
+
+/// Guards against requests that are cut off by a planned stop although they arrived before it: their
+/// connections were not accepted yet, or had brought no request when the stop began.
+#[tokio::test]
+async fn requests_that_arrived_before_a_stop_are_answered() {
+    const CALLERS: usize = 50;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let stop = CancellationToken::new();
+    let callers = (0..CALLERS).map(|_| {
+        use std::io::Write;
+        let mut caller = std::net::TcpStream::connect(address).expect("a connection");
+        caller.write_all(b"GET /short HTTP/1.1\r\nhost: a\r\n\r\n").expect("sent");
+        caller.set_nonblocking(true).expect("set");
+        caller
+    });
+    let callers: Vec<_> = callers.collect();
+    stop.cancel();
+    let serving = tokio::spawn(server::serve(listener, Arc::new(Endless::default()), stop));
+    let answers = callers.into_iter().enumerate().map(|(number, caller)| async move {
+        let mut caller = TcpStream::from_std(caller).expect("a stream");
+        let mut got = Vec::new();
+        caller.read_to_end(&mut got).await.unwrap_or_else(|it| panic!("caller {number}: {it}"));
+        assert!(got.starts_with(b"HTTP/1.1 200"), "caller {number} got {} bytes", got.len());
+        assert!(got.len() > PIECE.len(), "caller {number} got {} bytes", got.len());
+    });
+    futures::future::join_all(answers).await;
+    time::timeout(MARGIN, serving).await.expect("an end").expect("no panic");
+}
