--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -34,7 +34,7 @@
         store::Store,
         topology::Plan,
     },
-    http::client::Client,
+    http::{client::Client, memory::Memory},
     kernel::{
         clock::{Clock, Time},
         id::{Incarnation, Model, Request, Service},
@@ -43,6 +43,9 @@
     route::pool::name_hash,
 };
 
+/// The memory of calls and their bodies, as a multiple of that of upstreams' answers.
+const CALL_MEMORY_PER_ANSWERS: usize = 2;
+
 /// Platform-specific components from which a gateway is built.
 pub struct Setup {
     /// The settings.
@@ -71,6 +74,8 @@
     pub clock: Arc<dyn Clock>,
     /// Connections to upstreams.
     pub client: Arc<Client>,
+    /// The memory of calls in progress and their bodies.
+    pub calls: Arc<Memory>,
     /// Protocol of callers and upstreams.
     pub dialect: Arc<dyn Dialect>,
     /// Encoding of rows in the store.
@@ -90,7 +95,7 @@
     pub documents: Documents,
     /// When the document was last confirmed to be the latest.
     pub freshness: Freshness,
-    /// Registered upstreams that aren't draining, whatever their health.
+    /// Registered upstreams of the document's services that aren't draining, whatever their health.
     pub view: ArcSwap<View>,
     /// Configured weights and the rollout progress of the engines.
     pub progress: ArcSwap<Progress>,
@@ -127,6 +132,7 @@
         Context {
             incarnation,
             clock: setup.clock,
+            calls: Memory::new(setup.client.memory().limit() * CALL_MEMORY_PER_ANSWERS),
             client: setup.client,
             dialect: setup.dialect,
             schema: setup.schema,
@@ -202,17 +208,25 @@
     pub fn change_roster<T>(&self, change: impl FnOnce(&mut Roster) -> T) -> T {
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         let result = change(&mut roster);
-        self.view.store(Arc::new(roster.view()));
+        self.publish_view(&roster);
         result
     }
 
+    /// Publishes the upstreams of the document's services. Another writer may register upstreams of others,
+    /// which are not to get any calls or orders.
+    fn publish_view(&self, roster: &Roster) {
+        let document = self.document.load();
+        let is_known = |it: &Service| document.as_ref().is_none_or(|known| known.has_service(it));
+        self.view.store(Arc::new(roster.view().limited_to(is_known)));
+    }
+
     /// Removes upstreams whose registrations are gone, and publishes the view if there were any.
     pub fn expire_upstreams(&self) {
         let now = self.now();
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         if roster.has_unsettled() {
             roster.expire(now);
-            self.view.store(Arc::new(roster.view()));
+            self.publish_view(&roster);
         }
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Response;
+use hyper::{Response, StatusCode};
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -19,6 +19,7 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
+        document::Kind,
         entry::end_to_end,
         hold::Reservation,
         limit::Statement,
@@ -94,6 +95,8 @@
     waiting_since: Time,
     /// Upstreams where an attempt failed.
     excluded: Vec<Upstream>,
+    /// Those of them that rejected the call without executing it, and may be asked again.
+    rejecting: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
     executions: u32,
     /// Failed attempts that did not execute the call, including those without a connection.
@@ -114,6 +117,7 @@
         call,
         origin: None,
         excluded: Vec::new(),
+        rejecting: Vec::new(),
         executions: 0,
         rejections: 0,
         sends: 0,
@@ -172,10 +176,10 @@
 
     /// Sends the call to upstreams until one of them answers.
     async fn obtain_answer(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
-        loop {
+        while self.rejections < MAX_REJECTIONS {
             let reservation = self.acquire().await?;
             let result = self.send(&reservation).await;
-            let (context, now) = (self.context.clone(), self.context.now());
+            let now = self.context.now();
             let health = &reservation.choice.endpoint.health;
             let outcome = match &result {
                 Outcome::Answer(..) => "answer",
@@ -206,13 +210,12 @@
                     return Ok((reservation, answer));
                 }
                 Outcome::Unreachable(_) => {
-                    health.mark_dead(now);
-                    self.connect_failures += 1;
-                    self.rejections += 1;
+                    self.record_unreachable(&reservation.choice.endpoint);
+                    continue;
                 }
                 Outcome::NotExecuted(_) => {
-                    health.eject_for(REJECTION_PAUSE, now);
-                    self.rejections += 1;
+                    self.record_rejection(&reservation.choice.endpoint);
+                    continue;
                 }
                 Outcome::Lost(_) => {
                     reservation.connection_lost().await;
@@ -239,12 +242,24 @@
                     self.executions += 1;
                 }
             }
-            if self.rejections >= MAX_REJECTIONS {
-                return Err(self.no_upstream());
-            }
             self.excluded.push(reservation.choice.endpoint.name.clone());
-            drop((reservation, context));
         }
+        Err(self.no_upstream())
+    }
+
+    /// Records that no connection to an upstream could be opened.
+    fn record_unreachable(&mut self, endpoint: &Endpoint) {
+        endpoint.health.mark_dead(self.context.now());
+        self.connect_failures += 1;
+        self.rejections += 1;
+        self.excluded.push(endpoint.name.clone());
+    }
+
+    /// Records that an upstream did not execute the call.
+    fn record_rejection(&mut self, endpoint: &Endpoint) {
+        endpoint.health.eject_for(REJECTION_PAUSE, self.context.now());
+        self.rejections += 1;
+        self.exclude_rejecting(&endpoint.name);
     }
 
     /// Whether the call may be sent to another upstream after an attempt that may have executed it.
@@ -367,12 +382,42 @@
         Outcome::Answer(Box::new(answer))
     }
 
+    /// Whether the caller would take an answer of this status as a statement that its call, which must not
+    /// run twice, has not run. Answers of upstreams that do state this are not passed on.
+    fn denies_execution(&self, status: StatusCode) -> bool {
+        self.call.route.kind == Kind::AtMostOnce && self.context.dialect.denies_execution(status)
+    }
+
+    /// Refuses a call that an upstream turned away without stating that it has not run. The answer may
+    /// come late, after the call has run.
+    fn refuse_uncertain(
+        &mut self,
+        reservation: &Reservation,
+        status: StatusCode,
+    ) -> Response<Body> {
+        if status.is_server_error() {
+            reservation.choice.endpoint.health.record_failure(self.context.now());
+        }
+        info!(
+            attempt = self.call.head.attempt,
+            upstream = reservation.choice.endpoint.name.as_str(),
+            status = status.as_u16(),
+            "refusal not passed on: the upstream did not state that the call has not run"
+        );
+        counter!("tealturn_refusals_withheld_total").increment(1);
+        self.executions += 1;
+        self.refuse(Refusal::Lost)
+    }
+
     /// Passes an answer on to the caller.
     async fn deliver(mut self, reservation: Reservation, answer: Box<Answer>) -> Response<Body> {
         let success = answer.response.status().is_success();
         if success && self.call.route.kind.is_stream() {
             return self.deliver_stream(reservation, answer);
         }
+        if self.denies_execution(answer.response.status()) {
+            return self.refuse_uncertain(&reservation, answer.response.status());
+        }
         let (mut reservation, mut answer) = (reservation, answer);
         loop {
             let status = answer.response.status();
