--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -213,6 +213,16 @@
         self.keys.get(key)
     }
 
+    /// Whether a service is in the document, with settings or as the backend of a route. All are if the
+    /// document has no settings of services.
+    pub fn has_service(&self, name: &Service) -> bool {
+        let mut backends =
+            self.hosts.values().flatten().flat_map(|it| &it.backends).map(|(service, _)| service);
+        self.services.is_empty()
+            || self.services.contains_key(name)
+            || backends.any(|it| it == name)
+    }
+
     /// Returns all KV stores.
     pub fn kv_stores(&self) -> &[KvStore] {
         &self.kv_stores
