Let the admission queue serve any waiting request, and tell when refused callers return

The gateway needs a queue in the same order, but tries calls that are not first when the first one has no room. It also needs the tokens ahead of a new request, and a time to return that is spread and no later than is useful to the caller. tealturnd uses none of this yet; its behaviour is unchanged.

--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -1,7 +1,7 @@
 //! The requests that wait: by priority, then in turn between workspaces, then by deadline.
 
 use std::{
-    cmp::Reverse,
+    cmp::{Ordering, Reverse},
     collections::{BTreeMap, BTreeSet},
 };
 
@@ -110,6 +110,59 @@
         self.take(workspace, entry.rank(), entry.tokens.max(1))
     }
 
+    /// The first waiting request that is accepted, in the order in which requests are served. A
+    /// request that is not accepted does not hold up those behind it.
+    pub fn first(&self, accepts: impl Fn(&Entry) -> bool) -> Option<Entry> {
+        let mut first: Option<(Turn, Entry)> = None;
+        for (workspace, line) in &self.lines {
+            let mut entries = line.entries.iter();
+            let Some((rank, entry)) = entries.find(|(_, it)| accepts(it)) else {
+                continue;
+            };
+            let turn = (rank.0, line.turn, workspace.clone());
+            if first.as_ref().is_none_or(|(it, _)| turn < *it) {
+                first = Some((turn, *entry));
+            }
+        }
+        first.map(|(_, entry)| entry)
+    }
+
+    /// Takes out a request whose workspace has had its turn then, wherever it waits.
+    pub fn serve(&mut self, request: Request) -> Option<Entry> {
+        let (workspace, rank) = self.places.get(&request)?.clone();
+        let line = self.lines.get(&workspace)?;
+        let entry = *line.entries.get(&rank)?;
+        self.clock = self.clock.max(line.turn);
+        self.take(&workspace, rank, entry.tokens.max(1))
+    }
+
+    /// Tokens of the waiting requests that are likely to be served before one of this workspace,
+    /// priority and size: of those that count, no more than a turn of every workspace for each of
+    /// its own. More urgent ones are counted in full.
+    pub fn tokens_ahead(
+        &self,
+        workspace: &Workspace,
+        priority: u8,
+        tokens: u64,
+        counts: impl Fn(&Entry) -> bool,
+    ) -> u64 {
+        let (mut urgent, mut equal, mut own) = (0, 0, 0);
+        for (other, line) in &self.lines {
+            for entry in line.entries.values().filter(|it| counts(it)) {
+                match entry.priority.cmp(&priority) {
+                    Ordering::Greater => urgent += entry.tokens,
+                    Ordering::Equal => equal += entry.tokens,
+                    Ordering::Less => {}
+                }
+                if other == workspace && entry.priority >= priority {
+                    own += entry.tokens;
+                }
+            }
+        }
+        let turns = (own + tokens) * self.lines.len().max(1) as u64;
+        urgent + turns.min(equal)
+    }
+
     /// Takes out a request, if it waits.
     pub fn remove(&mut self, request: Request) -> Option<Entry> {
         let (workspace, rank) = self.places.get(&request)?.clone();
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -29,6 +29,7 @@
         permit::Issuer,
         place::Placer,
         rollout::{Progress, Target},
+        room,
         roster::{Endpoint, Roster, View},
         settings::Settings,
         store::Store,
@@ -106,6 +107,8 @@
     pub urgent: Notify,
     /// When another daemon last reported progress of a rollout.
     pub rollout_news: Freshness,
+    /// Calls that wait for upstreams, for services whose routes differ in priority.
+    pub rooms: Arc<room::service::Services>,
     /// Cancelled when a planned shutdown begins.
     pub leaving: CancellationToken,
     roster: Mutex<Roster>,
@@ -145,6 +148,7 @@
             connections: Connections::default(),
             urgent: Notify::new(),
             rollout_news: Freshness::default(),
+            rooms: Arc::default(),
             leaving: CancellationToken::new(),
             roster: Mutex::default(),
             placer: Mutex::new(placer),
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 use crate::{
-    collections::Map,
+    collections::{Map, Set},
     kernel::id::{Service, Workspace},
 };
 
@@ -142,6 +142,7 @@
     kv_store: Option<KvStore>,
     engine_tokens: u64,
     has_tenants: bool,
+    prioritised: Set<Service>,
 }
 
 impl Document {
@@ -151,6 +152,7 @@
     ///
     /// The first [`Error`](enum@Error) found.
     pub fn new(parts: Parts) -> Result<Document, Error> {
+        let prioritised = prioritised(&parts.routes);
         let mut hosts: Map<String, Vec<Arc<Route>>> = Map::default();
         for route in parts.routes {
             if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
@@ -183,6 +185,7 @@
             kv_store,
             engine_tokens,
             has_tenants,
+            prioritised,
         })
     }
 
@@ -216,12 +219,32 @@
         self.engine_tokens
     }
 
+    /// Whether the routes to a service differ in priority, so that its calls wait in one queue.
+    pub fn is_prioritised(&self, service: &Service) -> bool {
+        self.prioritised.contains(service)
+    }
+
     /// Looks up the settings of a service.
     pub fn service(&self, name: &Service) -> Option<&Settings> {
         self.services.get(name)
     }
 }
 
+/// The services whose routes differ in priority.
+fn prioritised(routes: &[Route]) -> Set<Service> {
+    let mut priorities: Map<&Service, u8> = Map::default();
+    let mut prioritised = Set::default();
+    for route in routes {
+        for (service, weight) in &route.backends {
+            if *weight > 0 && *priorities.entry(service).or_insert(route.priority) != route.priority
+            {
+                prioritised.insert(service.clone());
+            }
+        }
+    }
+    prioritised
+}
+
 impl Route {
     /// Picks a service by weight; `random` must be a new random number for each call.
     pub fn service(&self, random: u64) -> &Service {
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -11,6 +11,7 @@
         context::Context,
         crash::{self, Process, Run},
         place::Choice,
+        room::Event,
         roster::Endpoint,
     },
     kernel::id::Request,
@@ -146,6 +147,7 @@
         self.mark_prompt_read();
         self.choice.endpoint.health.end_call(self.memory_tokens);
         let now = self.context.now();
+        self.context.rooms.report(&self.choice.endpoint.record.service, Event::Freed, now);
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
         let (id, is_whole) = (self.attempt_id, self.clears_prompt);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -24,6 +24,7 @@
             holder::Holders,
         },
         rollout::Progress,
+        room::engine::Room,
         roster::Endpoint,
     },
     kernel::{
@@ -58,6 +59,9 @@
     pub kv_store: Option<KvStore>,
     /// The memory capacity of an engine, in tokens; the smallest one if services differ.
     pub engine_capacity_tokens: u64,
+    /// What decides whether an upstream has room, besides the limit on running calls; `None` if the
+    /// routes to the service do not differ in priority.
+    pub room: Option<Room<'a>>,
     /// The load that other daemons place on the upstreams.
     pub peers: &'a Totals,
     /// A random number that breaks ties between equally loaded upstreams.
@@ -84,6 +88,8 @@
     pub save_to_store: bool,
     /// The estimated time to the first event plus penalties, in milliseconds.
     pub cost_ms: f64,
+    /// The estimated time to the first event, in milliseconds.
+    pub first_event_ms: f64,
     /// Why the upstream was selected.
     pub reason: &'static str,
 }
@@ -116,7 +122,7 @@
     /// earlier attempt of this call, has another build than the stream that it would continue, is
     /// loading weights, or serves unknown or too old ones.
     Closed,
-    /// All engines that could take the call have reached the memory limit for running calls.
+    /// All upstreams that could take the call have reached the limit on running calls.
     Full,
     /// All upstreams that could take the call named limits, and permits may be asked for again from
     /// this time on.
@@ -183,6 +189,13 @@
             let failing = (failure_rate(it, query, now) * FAILURE_COST_CALLS) as u64;
             (full, busy + u64::from(is_remote) + failing, mix(query.random ^ it.hash))
         });
+        let is_full = |it: &Arc<Endpoint>| {
+            let peers = query.peers.get(&it.hash).map_or(0, |it| it.calls);
+            u64::from(peers + it.health.calls_in_flight()) >= query.running_limit_tokens
+        };
+        if query.room.is_some() && chosen.is_some_and(is_full) {
+            return Err(Error::Full);
+        }
         let Some(chosen) = chosen else {
             let first = eligible.filter_map(|it| permit_at(&it)).min();
             return Err(first.map_or(Error::Closed, Error::Limited));
@@ -196,6 +209,7 @@
             prefix_depth: (0, 0),
             save_to_store: false,
             cost_ms: 0.0,
+            first_event_ms: 0.0,
             reason: "least_load",
         })
     }
@@ -242,13 +256,17 @@
             let running = peers.memory + endpoint.health.reserved_tokens();
             // An idle engine accepts a call of any size, because no engine would ever take one that
             // exceeds the limit otherwise.
-            if running > 0 && running + prompt.memory_tokens() > query.running_limit_tokens {
+            let (memory, limit) = (prompt.memory_tokens(), query.running_limit_tokens);
+            let has_room =
+                query.room.is_none_or(|it| it.fits(endpoint, peers.memory, memory, limit));
+            if !has_room || (running > 0 && running + memory > limit) {
                 any_full = true;
                 continue;
             }
+            let queued_tokens = peers.tokens + endpoint.health.pending_prompt_tokens();
             let cost = cost(&cost::Inputs {
                 prefill_tokens_per_ms: self.prefill_tokens_per_ms,
-                queued_tokens: peers.tokens + endpoint.health.pending_prompt_tokens(),
+                queued_tokens,
                 unread_tokens,
                 shared_tokens,
                 running_calls: peers.calls + endpoint.health.calls_in_flight(),
@@ -279,6 +297,7 @@
                 prefix_depth: (depth, available_depth),
                 save_to_store: available_depth < keys.len(),
                 cost_ms: cost,
+                first_event_ms: (queued_tokens + unread_tokens) as f64 / self.prefill_tokens_per_ms,
                 reason,
             };
             best = Some((cost, choice));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod pump;
 mod resumption;
+mod turn;
 
 use std::{sync::Arc, time::Duration};
 
@@ -212,7 +213,7 @@
                     self.rejections += 1;
                 }
                 Outcome::NotExecuted(_) => {
-                    health.eject_for(REJECTION_PAUSE, now);
+                    self.pause_after_rejection(&reservation, REJECTION_PAUSE);
                     self.rejections += 1;
                 }
                 Outcome::Lost(_) => {
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -17,7 +17,8 @@
         peer::{Origin, Totals},
         permit::Purpose,
         place::{self, Choice, Query},
-        relay::{RESPONSE_MARGIN, RETRY_AFTER, Relay},
+        relay::{RESPONSE_MARGIN, RETRY_AFTER, Relay, turn::Turn},
+        room::engine::{Engines, Room},
         roster::Endpoint,
         topology::FULL_MESH_DAEMONS,
     },
@@ -44,10 +45,10 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// The time that an engine needs to produce the first event for a long prompt.
-const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(200);
+pub(super) const FIRST_EVENT_LATENCY: Duration = Duration::from_millis(200);
 
 /// The result of selecting an upstream.
-enum Selection {
+pub(super) enum Selection {
     Chosen(Choice),
     /// All engines are full, or those that could continue the stream are unavailable.
     Full,
@@ -58,8 +59,11 @@
 impl Relay {
     /// Waits until an upstream has capacity and reserves it for the call.
     pub(super) async fn acquire(&mut self) -> Result<Reservation, Refusal> {
+        if self.is_queued() {
+            return self.acquire_in_turn().await;
+        }
         loop {
-            let opens_at = match self.select()? {
+            let opens_at = match self.select(None)? {
                 Selection::Chosen(choice) => match self.reserve(choice).await? {
                     Some(reservation) => return Ok(reservation),
                     None => continue,
@@ -108,11 +112,16 @@
     }
 
     /// Refuses a call that may no longer be sent to any upstream.
-    fn check(&self) -> Result<(), Refusal> {
+    pub(super) fn check(&self) -> Result<(), Refusal> {
         let (context, call) = (&self.context, &self.call);
         let now = context.now();
         let has_prompt = call.head.prompt.is_some();
-        let min_time = if has_prompt { FIRST_EVENT_LATENCY } else { RESPONSE_MARGIN };
+        let min_time = match (has_prompt, self.is_queued()) {
+            (false, _) => RESPONSE_MARGIN,
+            (true, false) => FIRST_EVENT_LATENCY,
+            // The time at the engine is known only once one is selected.
+            (true, true) => self.min_first_event() + RESPONSE_MARGIN,
+        };
         if now + min_time >= call.deadline {
             return Err(if self.executions > 0 { Refusal::TimedOut } else { self.no_upstream() });
         }
@@ -149,34 +158,50 @@
         Ok(())
     }
 
-    fn query<'a>(&'a self, peers: &'a Totals, now: Time) -> Query<'a> {
+    fn query<'a>(
+        &'a self,
+        peers: &'a Totals,
+        turn: Option<(Turn, &'a Engines)>,
+        now: Time,
+    ) -> Query<'a> {
         let (context, call) = (&self.context, &self.call);
+        let running_limit_tokens = match turn {
+            Some((turn, _)) => turn.limit,
+            None => self.running_limit_tokens(call.service(), self.can_meet_objective(now)),
+        };
         Query {
             prompt: call.head.prompt.as_ref(),
             cache_owner: self.cache_owner(),
             excluded: &self.excluded,
             build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
-            running_limit_tokens: self.running_limit_tokens(call.service(), now),
+            running_limit_tokens,
             kv_store: self.kv_store(),
             engine_capacity_tokens: context
                 .document
                 .load()
                 .as_ref()
                 .map_or(0, |it| it.engine_tokens()),
+            room: turn.map(|(turn, engines)| Room {
+                engines,
+                capacity_tokens: self.engine_tokens(call.service()).unwrap_or(u64::MAX),
+                spared: turn.spared,
+                now,
+            }),
             peers,
             random: rand::random(),
         }
     }
 
-    /// Selects an upstream for the call.
-    fn select(&self) -> Result<Selection, Refusal> {
+    /// Selects an upstream for the call, within its turn if the calls to its service are queued.
+    pub(super) fn select(&self, turn: Option<Turn>) -> Result<Selection, Refusal> {
         self.check()?;
         let (context, call) = (&self.context, &self.call);
         let (now, service) = (context.now(), call.service());
         let progress = context.progress.load();
         let peers = context.peers.peer_load(now);
-        let query = self.query(&peers, now);
+        let engines = turn.map(|it| (it, context.rooms.observe(&peers, self.fleet(now), now)));
+        let query = self.query(&peers, engines.as_ref().map(|(turn, it)| (*turn, &**it)), now);
         let view = context.view.load();
         let upstreams = view.service(service);
         let choice = context.placer().choose(&query, upstreams, &progress, now);
@@ -200,7 +225,7 @@
 
     /// Reserves the selected upstream. Returns `None` if another one must be selected, because it gave
     /// no permit or is no longer available.
-    async fn reserve(&mut self, choice: Choice) -> Result<Option<Reservation>, Refusal> {
+    pub(super) async fn reserve(&mut self, choice: Choice) -> Result<Option<Reservation>, Refusal> {
         if choice.endpoint.health.limit().rate.is_some() {
             if !permit::obtain(&self.context, &choice.endpoint, Purpose::Call).await {
                 return Ok(None);
@@ -213,7 +238,7 @@
         let (context, call) = (&self.context, &self.call);
         let (now, service) = (context.now(), call.service());
         let peers = context.peers.peer_load(now);
-        let query = self.query(&peers, now);
+        let query = self.query(&peers, None, now);
         if self.sends == 0 {
             context.budget().record_call(service, now);
         }
@@ -274,20 +299,23 @@
         isolated.map_or(0, |it| name_hash(it.workspace.as_str()))
     }
 
+    /// The memory of an engine of the service, in tokens; `None` if its upstreams are not engines.
+    fn engine_tokens(&self, service: &Service) -> Option<u64> {
+        let document = self.context.document.load();
+        document.as_ref().and_then(|it| it.service(service)).and_then(|it| it.capacity_tokens)
+    }
+
     /// The limit on the memory that running calls use in each engine of the service, in tokens. It
     /// is lower for late calls, to leave capacity to those that can still meet their objective, and
     /// higher for streams that only engines of one of several builds may continue.
-    pub(super) fn running_limit_tokens(&self, service: &Service, now: Time) -> u64 {
-        let document = self.context.document.load();
-        let spec = document.as_ref().and_then(|it| it.service(service));
-        let capacity = spec.and_then(|it| it.capacity_tokens);
+    pub(super) fn running_limit_tokens(&self, service: &Service, is_on_time: bool) -> u64 {
         let share = if self.origin.is_some() && self.context.view.load().builds(service).len() > 1 {
             CONTINUED_MEMORY_SHARE
-        } else if self.can_meet_objective(now) {
+        } else if is_on_time {
             RUNNING_MEMORY_SHARE
         } else {
             LATE_RUNNING_MEMORY_SHARE
         };
-        capacity.map_or(u64::MAX, |it| (it as f64 * share) as u64)
+        self.engine_tokens(service).map_or(u64::MAX, |it| (it as f64 * share) as u64)
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -34,6 +34,8 @@
 mod resumption;
 #[path = "gateway/rollout.rs"]
 mod rollout;
+#[path = "gateway/room.rs"]
+mod room;
 #[path = "gateway/roster.rs"]
 mod roster;
 #[path = "gateway/scene.rs"]
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -40,6 +40,7 @@
         running_limit_tokens: RUNNING_LIMIT,
         kv_store: None,
         engine_capacity_tokens: CAPACITY,
+        room: None,
         peers,
         random: 0,
     }
--- a/tests/gateway/stale.rs
+++ b/tests/gateway/stale.rs
@@ -80,6 +80,7 @@
                 running_limit_tokens: 57_000,
                 kv_store: None,
                 engine_capacity_tokens: 114_380,
+                room: None,
                 peers: &totals,
                 random: rng.random(),
             };
