Refuse waiting calls by the capacity that their upstreams will have

A call whose upstreams give no permits before its deadline waited for them until then, and one that an engine could not begin in time was told to return after a fixed 250 ms, as were all others refused with it. Both are refused at once with a time to return that follows from the expected wait and is spread. A call that returns after a refusal keeps its place before new ones when late calls are checked again.

--- a/src/gateway/relay/turn.rs
+++ b/src/gateway/relay/turn.rs
@@ -8,6 +8,7 @@
 use tracing::info;
 
 use crate::{
+    admission::retry::retry_after,
     gateway::{
         dialect::Refusal,
         hold::Reservation,
@@ -90,6 +91,9 @@
                         }
                         Selection::Chosen(choice) => return Ok((choice, place)),
                         Selection::Full => place.find_no_room(self.least_used()),
+                        Selection::Limited(until) if until >= self.call.deadline => {
+                            return Err(self.refuse_for(until.since(context.now())));
+                        }
                         Selection::Limited(_) => place.find_no_room(None),
                     }
                 }
@@ -129,11 +133,20 @@
             "call not sent: its first event would come after its deadline"
         );
         match self.executions {
-            0 => self.no_upstream(),
+            0 => self.refuse_for(Duration::from_secs_f64(choice.first_event_ms / 1_000.0)),
             _ => Refusal::TimedOut,
         }
     }
 
+    /// The refusal of a call for which there is capacity after `wait`.
+    fn refuse_for(&self, wait: Duration) -> Refusal {
+        let left = self.call.deadline.since(self.context.now());
+        match self.executions {
+            0 => Refusal::NotRun(retry_after(wait, left, rand::random())),
+            _ => Refusal::Lost,
+        }
+    }
+
     /// The least time in which an engine that holds the shared parts of the prompt sends the first
     /// event.
     pub(super) fn min_first_event(&self) -> Duration {
@@ -151,7 +164,7 @@
             fingerprint: self.fingerprint,
             workspace: workspace.unwrap_or_else(|| Workspace::from("")),
             priority: call.priority(),
-            was_sent: self.sends > 0,
+            returns: self.sends > 0,
             is_restricted: self.origin.is_some() || !self.excluded.is_empty(),
             tokens: prompt.map_or(1, |it| it.memory_tokens()),
             capacity: self.capacity(),
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -62,8 +62,9 @@
     pub workspace: Workspace,
     /// Its priority; 0 is the highest.
     pub priority: u8,
-    /// Whether it was already sent to an upstream that did not answer it.
-    pub was_sent: bool,
+    /// Whether it was already sent to an upstream that did not answer it. The queue sets it for the
+    /// repetition of a refused call.
+    pub returns: bool,
     /// Whether only some of the upstreams may take it.
     pub is_restricted: bool,
     /// The engine memory that it takes in tokens; 1 if the upstreams are not engines.
@@ -207,7 +208,8 @@
 
     /// Queues a call, or refuses it.
     fn enter(&mut self, ticket: Ticket, now: Time, random: f64) -> Option<Outcome> {
-        let returns = self.refused.take(ticket.fingerprint, now) || ticket.was_sent;
+        let returns = self.refused.take(ticket.fingerprint, now) || ticket.returns;
+        let ticket = Ticket { returns, ..ticket };
         let (priority, tokens) = (ticket.priority.min(MAX_PRIORITY), ticket.tokens);
         self.limits.record(priority, tokens, now);
         let rank = rank(priority, returns);
@@ -254,7 +256,7 @@
             let Some(ticket) = self.tickets.get(&request) else {
                 continue;
             };
-            let rank = rank(ticket.priority.min(MAX_PRIORITY), ticket.was_sent);
+            let rank = rank(ticket.priority.min(MAX_PRIORITY), ticket.returns);
             let (ahead_tokens, wait) = self.wait(ticket, rank, now);
             if now + wait <= ticket.start_by {
                 continue;
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -9,6 +9,7 @@
         peer::Totals,
         place::{self, Choice, Placer, Query, Source},
         rollout::{self, Progress, Target},
+        room::engine::{Engines, Room},
         roster::{Endpoint, Record, Roster},
     },
     kernel::{
@@ -322,6 +323,45 @@
     assert!(placer().choose(&query, &pages, &Progress::default(), START).is_ok());
 }
 
+/// Guards against calls that an upstream of a plain service rejects because it already queues as many
+/// as it can, and against refusals where calls are not queued by this daemon.
+#[test]
+fn plain_calls_wait_for_an_upstream_only_where_they_are_queued() {
+    struct Case {
+        name: &'static str,
+        /// Calls that other daemons have at each upstream, and the limit on them.
+        calls: [u32; 2],
+        is_queued: bool,
+        chosen: std::result::Result<usize, place::Error>,
+    }
+    let cases = [
+        Case { name: "one is full", calls: [30, 12], is_queued: true, chosen: Ok(1) },
+        Case {
+            name: "all are full",
+            calls: [30, 31],
+            is_queued: true,
+            chosen: Err(place::Error::Full),
+        },
+        Case { name: "all are full, no queue", calls: [130, 131], is_queued: false, chosen: Ok(0) },
+    ];
+    let (pages, prompt, known) = (engines(&[1; 2]), prompt(7, 1), Engines::default());
+    for case in cases {
+        let load = |it: usize| Load { calls: case.calls[it], ..Load::default() };
+        let peers: Totals = (0..2).map(|it| (pages[it].hash, load(it))).collect();
+        let room = Room { engines: &known, capacity_tokens: u64::MAX, spared: None, now: START };
+        let query = Query {
+            prompt: None,
+            running_limit_tokens: 30,
+            room: case.is_queued.then_some(room),
+            ..query(&prompt, &peers)
+        };
+        let choice = placer().choose(&query, &pages, &Progress::default(), START);
+        let index = |it: Choice| pages.iter().position(|page| page.name == it.endpoint.name);
+        let chosen = choice.map(|it| index(it).expect("one of the upstreams"));
+        assert_eq!(chosen, case.chosen, "{}", case.name);
+    }
+}
+
 /// Callers were told to come back long before an upstream takes calls again, or long after.
 #[test]
 fn the_end_of_the_first_pause_is_known_if_all_that_stay_are_paused() {
--- a/tests/gateway/room.rs
+++ b/tests/gateway/room.rs
@@ -42,7 +42,7 @@
         fingerprint: Fingerprint(id as u64),
         workspace: Workspace::from(workspace),
         priority,
-        was_sent: false,
+        returns: false,
         is_restricted: false,
         tokens,
         capacity: LIMIT,
@@ -78,7 +78,7 @@
 fn calls_are_offered_capacity_in_order() {
     let late = |it: Ticket| Ticket { on_time_until: START - ms(1), ..it };
     let due = |it: Ticket, millis| Ticket { start_by: START + ms(millis), ..it };
-    let sent = |it: Ticket| Ticket { was_sent: true, ..it };
+    let sent = |it: Ticket| Ticket { returns: true, ..it };
     struct Case {
         name: &'static str,
         waiting: Vec<Ticket>,
--- a/tests/gateway/room/fleet.rs
+++ b/tests/gateway/room/fleet.rs
@@ -412,7 +412,7 @@
             fingerprint: Fingerprint(caller.id as u64),
             workspace: Workspace::from(&*format!("w{}", caller.workspace)),
             priority: kind.priority,
-            was_sent: caller.was_sent,
+            returns: caller.was_sent,
             is_restricted: false,
             tokens: kind.memory(),
             capacity: Capacity { running: RUNNING_LIMIT, late: LATE_LIMIT },
