--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod pump;
 mod resumption;
+mod turn;
 
 use std::{sync::Arc, time::Duration};
 
@@ -214,7 +215,7 @@
                     continue;
                 }
                 Outcome::NotExecuted(_) => {
-                    self.record_rejection(&reservation.choice.endpoint);
+                    self.record_rejection(&reservation);
                     continue;
                 }
                 Outcome::Lost(_) => {
@@ -256,10 +257,10 @@
     }
 
     /// Records that an upstream did not execute the call.
-    fn record_rejection(&mut self, endpoint: &Endpoint) {
-        endpoint.health.eject_for(REJECTION_PAUSE, self.context.now());
+    fn record_rejection(&mut self, reservation: &Reservation) {
+        self.pause_after_rejection(reservation, REJECTION_PAUSE);
         self.rejections += 1;
-        self.exclude_rejecting(&endpoint.name);
+        self.exclude_rejecting(&reservation.choice.endpoint.name);
     }
 
     /// Whether the call may be sent to another upstream after an attempt that may have executed it.
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -146,7 +146,7 @@
                     return Some((reservation, answer));
                 }
                 Outcome::Unreachable(_) => self.record_unreachable(&reservation.choice.endpoint),
-                Outcome::NotExecuted(_) => self.record_rejection(&reservation.choice.endpoint),
+                Outcome::NotExecuted(_) => self.record_rejection(&reservation),
                 Outcome::Lost(_) => {
                     reservation.connection_lost().await;
                     return None;
