Make no copies outside the homes while a pool's queues are long

Cause: when all cached prefixes became useless at once, prompts were scattered over engines outside their homes while queues were long, and these copies were used, and so kept, afterwards.

Change: above a mean backlog of 0.2 s, prompts go only to homes of their longest level and to a holder. One holder is a candidate in place of three.

--- a/src/route/search.rs
+++ b/src/route/search.rs
@@ -64,7 +64,12 @@
 const MAX_CANDIDATES: usize = 8;
 
 /// Maximum number of candidates taken from the expected holders of the levels, longest level first.
-const MAX_HOLDER_CANDIDATES: usize = 3;
+/// With three, copies outside the homes that were made while queues were long kept being used.
+const MAX_HOLDER_CANDIDATES: usize = 1;
+
+/// Mean backlog of a pool, in seconds, above which prompts go only to homes of their longest level and
+/// to holders. Copies elsewhere would add to the backlog, and displace other prefixes.
+const MAX_COPY_BACKLOG_S: f64 = 0.2;
 
 /// The state of a policy that a search uses.
 #[derive(Clone, Copy)]
@@ -192,6 +197,9 @@
             let second = (first + 1 + (random >> 32) as usize % (homes - 1)) % homes;
             self.add_at_rank(candidates, longest, second, self.len, "home");
         }
+        if self.pool.mean_backlog_s() > MAX_COPY_BACKLOG_S {
+            return;
+        }
         for level in (1..self.len).rev() {
             let homes = self.levels[level].homes;
             if homes < self.levels[level - 1].homes {
