Issue permits from the token bucket of admission

Cause: permits kept a token bucket of their own, and quotas of workspaces would need a third one. Change: admission::bucket fills at any rate up to any size, and permits use it. Behaviour is unchanged.

--- a/src/admission/bucket.rs
+++ b/src/admission/bucket.rs
@@ -16,16 +16,36 @@
 }
 
 impl Bucket {
+    /// A bucket with this balance at `filled`.
+    pub fn new(balance: f64, filled: Time) -> Bucket {
+        Bucket { balance, filled: Some(filled) }
+    }
+
     /// Fills it at `rate` tokens a second up to now, and tells whether a request may run.
     pub fn fill(&mut self, rate: f64, now: Time) -> bool {
-        let full = rate * BURST_S;
+        self.refill(rate, rate * BURST_S, now);
+        self.balance > 0.0
+    }
+
+    /// Fills it at `rate` tokens a second up to now, with `full` tokens at most. A bucket that was never
+    /// filled becomes full.
+    pub fn refill(&mut self, rate: f64, full: f64, now: Time) {
         let earned = match self.filled {
             Some(filled) => rate * now.since(filled).as_secs_f64(),
             None => full,
         };
         self.balance = (self.balance + earned).min(full);
         self.filled = Some(now);
-        self.balance > 0.0
+    }
+
+    /// Tokens in the bucket; negative if it is in debt.
+    pub fn balance(&self) -> f64 {
+        self.balance
+    }
+
+    /// Removes what exceeds `full` tokens.
+    pub fn limit(&mut self, full: f64) {
+        self.balance = self.balance.min(full);
     }
 
     /// Charges a request.
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    admission::bucket,
     collections::Map,
     gateway::{context::Context, roster::Endpoint, topology::Plan},
     kernel::{clock::Time, id::Incarnation},
@@ -78,10 +79,10 @@
 }
 
 /// Permits issued for one upstream process.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Bucket {
-    /// Permits in stock; negative after load orders.
-    stock: f64,
+    /// Permits in stock; in debt after load orders.
+    stock: bucket::Bucket,
     /// Daemons that were denied a permit lately.
     denied: f64,
     /// When both were computed.
@@ -100,11 +101,11 @@
     pub fn decide(&mut self, ask: &Ask, rate: f64, random: f64, now: Time) -> Verdict {
         self.buckets.retain(|_, it| now.since(it.at) < BUCKET_LIFETIME);
         let rate = rate.max(MIN_RATE);
-        let new = Bucket { stock: 0.0, denied: 0.0, at: now };
+        let new = Bucket { stock: bucket::Bucket::new(0.0, now), denied: 0.0, at: now };
         let bucket = self.buckets.entry((ask.upstream, ask.incarnation)).or_insert(new);
         let passed = now.since(bucket.at).as_secs_f64();
         let most = (rate * STOCK.as_secs_f64()).max(MIN_STOCK);
-        bucket.stock = (bucket.stock + rate * passed).min(most);
+        bucket.stock.refill(rate, most, now);
         bucket.denied *= (-passed / DENIAL_DECAY_S).exp();
         bucket.at = now;
         let needed = match ask.purpose {
@@ -112,13 +113,13 @@
             Purpose::Report => 2.0 - MAX_DEBT,
             Purpose::Order => 1.0 - MAX_DEBT,
         };
-        if bucket.stock >= needed {
-            bucket.stock -= 1.0;
+        if bucket.stock.balance() >= needed {
+            bucket.stock.charge(1);
             return Verdict::Granted;
         }
         bucket.denied += 1.0;
         let spread = (bucket.denied / rate).min(MAX_SPREAD_S) * random;
-        let pause = (needed - bucket.stock) / rate + spread;
+        let pause = (needed - bucket.stock.balance()) / rate + spread;
         Verdict::Denied(Duration::from_secs_f64(pause.min(MAX_PAUSE_S)))
     }
 }
