Keep the quotas of workspaces over all daemons

Change: the document and the settings have quotas and their bounds. One hub issues the quota of a workspace; hubs tell each other what they granted.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! The platform is the environment of the daemons and upstreams; the `tealturn-platform` crate
 //! connects the gateway to it. The platform calls a workspace a tenant.
 //!
-//! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`limit`], [`permit`], [`crash`], [`freshness`] and [`rollout`] make
+//! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`limit`], [`permit`], [`quota`], [`crash`], [`freshness`] and [`rollout`] make
 //! decisions and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
@@ -35,6 +35,7 @@
 pub mod peer;
 pub mod permit;
 pub mod place;
+pub mod quota;
 pub mod relay;
 pub mod rollout;
 pub mod roster;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -49,6 +49,17 @@
     }
 }
 
+/// What a request states of its tokens, prompt and longest answer together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TokenCount {
+    /// Nothing.
+    Absent,
+    /// Something other than two numbers.
+    Malformed,
+    /// The sum.
+    Stated(u64),
+}
+
 /// The parsed head of a caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Head {
@@ -63,6 +74,8 @@
     pub timeout: Option<Duration>,
     /// The prompt, if the call is for a model.
     pub prompt: Option<Prompt>,
+    /// The tokens that count towards a quota, whether or not the call is for a model.
+    pub tokens: TokenCount,
     /// The identifier of the last event that the caller received, when it resumes a stream.
     pub last_event: Option<String>,
     /// The attempt that brought the first event of the stream that the caller resumes.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -28,6 +28,7 @@
         peer::{Origin, Peers},
         permit::Issuer,
         place::Placer,
+        quota,
         rollout::{Progress, Target},
         roster::{Endpoint, Roster, View},
         settings::Settings,
@@ -115,6 +116,7 @@
     crashes: Mutex<crash::Table>,
     origins: Mutex<origin::Table>,
     issuer: Mutex<Issuer>,
+    quotas: Mutex<quota::Issuer>,
     attempt_counter: AtomicU64,
 }
 
@@ -124,6 +126,7 @@
         let incarnation = Incarnation(setup.clock.wall_micros());
         let placer = Placer::new(setup.settings.prefill_tokens_per_ms, setup.settings.zone.clone());
         let budget = Budget::new(setup.settings.budget);
+        let quotas = quota::Issuer::new(setup.clock.now());
         Context {
             incarnation,
             clock: setup.clock,
@@ -153,6 +156,7 @@
             crashes: Mutex::default(),
             origins: Mutex::default(),
             issuer: Mutex::default(),
+            quotas: Mutex::new(quotas),
             attempt_counter: AtomicU64::new(0),
             settings: setup.settings,
         }
@@ -299,6 +303,11 @@
         self.issuer.lock().unwrap_or_else(|it| it.into_inner())
     }
 
+    /// Accounts of the quotas of workspaces.
+    pub fn quotas(&self) -> MutexGuard<'_, quota::Issuer> {
+        self.quotas.lock().unwrap_or_else(|it| it.into_inner())
+    }
+
     /// Which builds began the recent streams.
     pub fn origins(&self) -> MutexGuard<'_, origin::Table> {
         self.origins.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -38,6 +38,9 @@
     /// The call was not executed and never will be; the caller may retry after this delay. The
     /// variant's name is written to the log.
     NotRun(Duration),
+    /// The quota of the workspace does not admit the call, which was not executed and never will be; the
+    /// caller may retry after this delay.
+    OverQuota(Duration),
     /// The call may have been executed, but its response was lost.
     Lost,
     /// The call may have been executed, but timed out.
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     collections::Map,
+    gateway::quota::Quota,
     kernel::id::{Service, Workspace},
+    route::pool::name_hash,
 };
 
 /// How a route's calls may be retried when there is no complete response.
@@ -93,7 +95,7 @@
 }
 
 /// A workspace that authenticates with a key.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Name of the workspace.
     pub workspace: Workspace,
@@ -101,6 +103,8 @@
     pub priority: Option<u8>,
     /// Whether cached prompts are not shared with other workspaces.
     pub isolated: bool,
+    /// What it may use; `None` for any amount.
+    pub quota: Option<Quota>,
 }
 
 /// Decoded contents of a document, before validation.
@@ -138,6 +142,7 @@
     pub limits: Limits,
     hosts: Map<String, Vec<Arc<Route>>>,
     keys: Map<String, Arc<Tenant>>,
+    quotas: Map<u64, Quota>,
     services: Map<Service, Settings>,
     kv_store: Option<KvStore>,
     engine_tokens: u64,
@@ -165,8 +170,9 @@
             routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
         }
         let has_tenants = !parts.tenants.is_empty();
-        let mut keys = Map::default();
+        let (mut keys, mut quotas) = (Map::default(), Map::default());
         for (tenant, tenant_keys) in parts.tenants {
+            quotas.extend(tenant.quota.map(|it| (name_hash(tenant.workspace.as_str()), it)));
             let tenant = Arc::new(tenant);
             keys.extend(tenant_keys.into_iter().map(|key| (key, tenant.clone())));
         }
@@ -179,6 +185,7 @@
             limits: parts.limits,
             hosts,
             keys,
+            quotas,
             services: services.collect(),
             kv_store,
             engine_tokens,
@@ -205,6 +212,11 @@
         self.keys.get(key)
     }
 
+    /// The quota of the workspace whose name has this hash.
+    pub fn quota(&self, workspace: u64) -> Option<Quota> {
+        self.quotas.get(&workspace).copied()
+    }
+
     /// Returns the first KV store in the document.
     pub fn kv_store(&self) -> Option<KvStore> {
         self.kv_store
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
 pub mod connection;
 pub mod origin;
 pub mod permit;
+pub mod quota;
 mod take;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -31,6 +32,7 @@
         message::{Link, Message},
         origin::Entry,
         permit::{Ask, Verdict},
+        quota as issuing,
         topology::{self, Candidate, FULL_MESH_DAEMONS, Plan},
     },
     kernel::id::Build,
@@ -74,6 +76,12 @@
     /// Decides whether the caller may send a request to an upstream that named a limit.
     async fn permit(ask: Ask) -> Verdict;
 
+    /// Decides whether the caller may send a request of a workspace with a quota.
+    async fn quota(ask: issuing::Ask) -> issuing::Verdict;
+
+    /// Takes back what was granted to the caller for a request that did not run.
+    async fn return_quota(grant: issuing::Grant);
+
     /// Keeps which build began a stream of the caller.
     async fn keep_origin(entry: Entry);
 
@@ -95,6 +103,14 @@
         crate::gateway::permit::decide(&self.0, &ask)
     }
 
+    async fn quota(self, _: call::Context, ask: issuing::Ask) -> issuing::Verdict {
+        issuing::decide(&self.0, &ask)
+    }
+
+    async fn return_quota(self, _: call::Context, grant: issuing::Grant) {
+        issuing::take_back(&self.0, &grant);
+    }
+
     async fn keep_origin(self, _: call::Context, entry: Entry) {
         self.0.origins().keep(&entry, self.0.now());
     }
@@ -145,6 +161,7 @@
         let (hub, watcher, daemons) = (plan.is_hub, plan.is_watcher, plan.daemons);
         info!(hub, watcher, daemons, "part in the exchange changed");
     }
+    issuing::refresh(context, &plan, &previous);
     if **previous != plan {
         context.plan.store(Arc::new(plan));
     }
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -73,6 +73,10 @@
         sightings: sightings(context, &known, now),
         limits: limits(context, &known, now),
         builds: builds(context, now),
+        balances: match link {
+            Link::Peer => context.quotas().balances(now),
+            Link::Hub | Link::Spoke => Vec::new(),
+        },
     }
 }
 
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -11,6 +11,7 @@
         limit::Limit,
         message::{Message, News, Update},
         peer::Origin,
+        quota,
         rollout::Target,
         store::{Era, Topic},
     },
@@ -33,6 +34,9 @@
         let at = recent.age.resolve(now);
         context.origins().learn_build(recent.service, &recent.build, at);
     }
+    if !message.balances.is_empty() {
+        quota::learn(context, message);
+    }
     for rollout in &message.rollouts {
         let (model, fence) = (&rollout.model, rollout.fence);
         if context.change_progress(|it| it.update_statuses(model, fence, &rollout.statuses)) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -14,7 +14,7 @@
     gateway::{
         cache, crash,
         gauge::Outcomes,
-        origin, rollout,
+        origin, quota, rollout,
         store::{Position, Row},
     },
     kernel::{
@@ -292,4 +292,6 @@
     pub limits: Vec<Limit>,
     /// Builds of the services that have had more than one lately.
     pub builds: Vec<Release>,
+    /// Quotas of workspaces from which the sender has granted amounts recently, told from hub to hub.
+    pub balances: Vec<quota::Balance>,
 }
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -320,6 +320,12 @@
         self.lock().states.values().any(|it| now.since(it.heard_at) < PEER_TIMEOUT)
     }
 
+    /// The number of other daemons that were heard of within `age`, directly or through peers.
+    pub fn count_heard(&self, own: u64, age: Duration, now: Time) -> usize {
+        let inner = self.lock();
+        inner.heard.iter().filter(|(it, at)| **it != own && now.since(**at) < age).count()
+    }
+
     /// Updates of this daemon and its peers.
     pub fn updates(&self) -> MutexGuard<'_, Updates> {
         self.updates.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,6 +21,7 @@
         dialect::Refusal,
         document::KvStore,
         entry::end_to_end,
+        exchange::quota::{self, Charge},
         hold::Reservation,
         limit::Statement,
         place::{self, Choice, Source},
@@ -103,6 +104,8 @@
     sends: u32,
     /// Attempts for which no connection could be opened.
     connect_failures: u32,
+    /// What the workspace was charged for the current attempt.
+    charge: Option<Charge>,
 }
 
 /// Relays a call and returns the response for the caller.
@@ -119,6 +122,7 @@
         rejections: 0,
         sends: 0,
         connect_failures: 0,
+        charge: None,
     };
     let answered = match active.find_origin().await {
         Ok(()) => active.obtain_answer().await,
@@ -174,8 +178,9 @@
     /// Sends the call to upstreams until one of them answers.
     async fn obtain_answer(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
         loop {
+            self.charge().await?;
             let reservation = self.acquire().await?;
-            let result = self.send(&reservation).await;
+            let result = self.send_charged(&reservation).await;
             let (context, now) = (self.context.clone(), self.context.now());
             let health = &reservation.choice.endpoint.health;
             let outcome = match &result {
@@ -248,6 +253,25 @@
         }
     }
 
+    /// Charges the quota of the workspace for the next attempt, unless an attempt that did not run has left
+    /// its charge.
+    async fn charge(&mut self) -> Result<(), Refusal> {
+        if self.charge.as_ref().is_none_or(Charge::is_executed) {
+            self.charge = quota::charge(&self.context, &self.call, self.executions > 0).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends the call. An attempt that is given up before its answer counts as executed.
+    async fn send_charged(&mut self, reservation: &Reservation) -> Outcome {
+        self.charge.iter_mut().for_each(Charge::executed);
+        let outcome = self.send(reservation).await;
+        if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotExecuted(_)) {
+            self.charge.iter_mut().for_each(Charge::rejected);
+        }
+        outcome
+    }
+
     /// Whether the call may be sent to another upstream after an attempt that may have executed it.
     fn may_retry(&self) -> bool {
         self.call.route.kind.is_repeatable() && self.executions + 1 < self.call.route.max_attempts
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -127,8 +127,9 @@
         self.last_event = last;
         self.waiting_since = self.context.now();
         while self.rejections < MAX_REJECTIONS {
+            self.charge().await.ok()?;
             let reservation = self.acquire().await.ok()?;
-            match self.send(&reservation).await {
+            match self.send_charged(&reservation).await {
                 Outcome::Answer(answer) if answer.response.status().is_success() => {
                     return Some((reservation, answer));
                 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    gateway::budget,
+    gateway::{budget, quota},
     kernel::id::{Daemon, Zone},
 };
 
@@ -26,6 +26,8 @@
     pub revocation: Duration,
     /// Limits on retries.
     pub budget: budget::Limits,
+    /// How far the usage of workspaces may exceed their quotas.
+    pub quota: Option<quota::Tolerance>,
     /// Minimum time between load orders from two successive holders of the lease that permits them.
     pub order_gap: Duration,
     /// Time after this daemon learns of newly configured weights, from which new calls must start
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -30,6 +30,12 @@
 mod permit;
 #[path = "gateway/place.rs"]
 mod place;
+#[path = "gateway/quota.rs"]
+mod quota;
+#[path = "gateway/quota_random.rs"]
+mod quota_random;
+#[path = "gateway/quota_scene.rs"]
+mod quota_scene;
 #[path = "gateway/resumption.rs"]
 mod resumption;
 #[path = "gateway/rollout.rs"]
--- a/tests/gateway/document.rs
+++ b/tests/gateway/document.rs
@@ -21,7 +21,12 @@
 }
 
 fn parts(routes: Vec<Route>) -> document::Parts {
-    let tenant = Tenant { workspace: Workspace::from("clinic"), priority: Some(0), isolated: true };
+    let tenant = Tenant {
+        workspace: Workspace::from("clinic"),
+        priority: Some(0),
+        isolated: true,
+        quota: None,
+    };
     document::Parts {
         version: 7,
         routes,
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -32,6 +32,7 @@
         rows: Vec::new(),
         document: None,
         targets: Vec::new(),
+        balances: Vec::new(),
         rollouts_digest: 0,
         rollouts: Vec::new(),
         builds: Vec::new(),
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -21,12 +21,13 @@
         call::{Call, Dispatch, Head},
         context::{Context, Setup},
         dialect::{self, Answer, Directive, Evidence, Order, Refusal, Reply, Report},
-        document::{self, Document, Limits},
+        document::{self, Document, Limits, Tenant},
         exchange,
         follow::{self, MEMBER_PREFIX},
         member::Member,
         message::{Link, Message},
         origin,
+        quota::{Quota, Tolerance, Unit},
         roster::{Endpoint, Record},
         settings::Settings,
         store::{self, Era, Page, Position, Row, Store, Topic, Write},
@@ -34,7 +35,7 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Build, Daemon, Incarnation, Model, Service, Version, Zone},
+        id::{Build, Daemon, Incarnation, Model, Service, Version, Workspace, Zone},
     },
     route::pool::name_hash,
 };
@@ -54,6 +55,10 @@
 
 pub const ZONES: usize = 5;
 
+/// How far usage may exceed quotas; those that count requests have no fixed amount.
+pub const TOLERANCE: Tolerance =
+    Tolerance { window: Duration::from_secs(8), excess: 0.1, slack: 72_000.0 };
+
 /// Key of the row that names the latest version of the weights, as the only one.
 const WEIGHTS_KEY: &str = "weights";
 
@@ -118,8 +123,8 @@
 }
 
 /// A row `version-N` of the operator sets a target, and the row [`WEIGHTS_KEY`] the one that its value
-/// names; any other is a document whose version is its value, or that of the row if it has none. An
-/// upstream is an engine, and `engine-7.v2` has the build `v2`.
+/// names; any other is a document whose version is its value, or that of the row if it has none. The value
+/// may also name a quota, see [`Fleet::write_quotas`]. An upstream is an engine, and `engine-7.v2` has the build `v2`.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -133,13 +138,16 @@
             let version = version.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
             return Ok(Directive::Weights(Model::from(scene::MODEL), Version(version)));
         }
-        let named = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+        let text = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+        let mut words = text.unwrap_or_default().split(' ');
+        let named = words.next();
+        let tenants = words.map(|it| (tenant(it), Vec::new())).collect();
         let parts = document::Parts {
             version: named.and_then(|it| it.parse().ok()).unwrap_or(row.version),
             routes: Vec::new(),
             services: Vec::new(),
             limits: Limits { body_bytes: 1, header_bytes: 1, idle: Duration::from_secs(1) },
-            tenants: Vec::new(),
+            tenants,
         };
         let document = Document::new(parts).map_err(|error| dialect::Error(error.to_string()))?;
         Ok(Directive::Document(Arc::new(document)))
@@ -153,6 +161,23 @@
     }
 }
 
+/// Reads a workspace from `NAME:RATE:BURST:UNIT`.
+fn tenant(text: &str) -> Tenant {
+    let fields: Vec<_> = text.split(':').collect();
+    let number = |index: usize| fields[index].parse::<f64>().expect("a number");
+    let unit = match fields[3] {
+        "tokens" => Unit::Tokens { unstated: 0 },
+        _ => Unit::Requests,
+    };
+    let (rate, burst) = (number(1), number(2));
+    Tenant {
+        workspace: Workspace::from(fields[0]),
+        priority: None,
+        isolated: false,
+        quota: (rate > 0.0).then_some(Quota { rate, burst, unit }),
+    }
+}
+
 /// What a daemon has sent and received.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Traffic {
@@ -177,6 +202,10 @@
     traffic: Traffic,
     /// Messages to and from it are lost.
     is_cut: bool,
+    /// Messages between daemons of different parts are lost.
+    part: u8,
+    /// It neither sends nor answers, and sees no time pass.
+    is_frozen: bool,
 }
 
 /// What the store held at a moment.
@@ -220,6 +249,8 @@
             asked_at: Time::default(),
             traffic: Traffic::default(),
             is_cut: false,
+            part: 0,
+            is_frozen: false,
         });
         let vms: Vec<_> = vms.collect();
         let mut fleet = Fleet {
@@ -361,6 +392,29 @@
         self.vms[index].is_cut = is_cut;
     }
 
+    /// Separates a daemon from those of other parts.
+    pub fn separate(&mut self, index: usize, part: u8) {
+        self.vms[index].part = part;
+    }
+
+    /// Suspends a daemon, or resumes it.
+    pub fn freeze(&mut self, index: usize, is_frozen: bool) {
+        self.vms[index].is_frozen = is_frozen;
+    }
+
+    /// Whether a message from one daemon reaches another and is answered.
+    pub fn connects(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (&self.vms[from], &self.vms[to]);
+        let runs = |it: &Vm| it.context.is_some() && !it.is_cut && !it.is_frozen;
+        runs(from) && runs(to) && from.part == to.part
+    }
+
+    /// Writes a document with workspaces that have quotas, each as `NAME:RATE:BURST:UNIT`.
+    pub fn write_quotas(&mut self, quotas: &str) {
+        let value = format!("{} {quotas}", self.position.version + 1).into_bytes();
+        self.write_value(Topic::Operator, "document", value);
+    }
+
     /// Whether a daemon is cut off.
     pub fn is_cut(&self, index: usize) -> bool {
         self.vms[index].is_cut
@@ -466,6 +520,9 @@
         order.shuffle(&mut self.rng);
         self.write_bars();
         for index in order {
+            if self.vms[index].is_frozen {
+                continue;
+            }
             self.ask_store(index);
             self.plan(index);
             self.send_due(index);
@@ -560,7 +617,9 @@
         let Ok(to) = self.vms.binary_search_by(|it| it.name.as_str().cmp(to)) else {
             return false;
         };
-        let is_cut = self.vms[from].is_cut || self.vms[to].is_cut;
+        let (sender, receiver) = (&self.vms[from], &self.vms[to]);
+        let is_cut =
+            sender.is_cut || receiver.is_cut || receiver.is_frozen || sender.part != receiver.part;
         if is_cut || self.rng.random::<f64>() < self.loss {
             return false;
         }
@@ -595,6 +654,7 @@
         is_first_start: false,
         revocation: Duration::from_secs(5),
         budget: budget::Limits { ratio: 0.2, extra: 430.0, window: Duration::from_secs(10) },
+        quota: Some(TOLERANCE),
         order_gap: Duration::from_secs(3),
         weights_deadline: Duration::from_secs(12),
         steady_after: Duration::from_secs(5),
