--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     collections::{Map, Set},
+    gateway::quota::Quota,
     kernel::id::{Service, Workspace},
     route::pool::name_hash,
 };
@@ -101,7 +102,7 @@
 }
 
 /// A workspace that authenticates with a key.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Name of the workspace.
     pub workspace: Workspace,
@@ -109,6 +110,8 @@
     pub priority: Option<u8>,
     /// Whether cached prompts are not shared with other workspaces.
     pub isolated: bool,
+    /// What it may use; `None` for any amount.
+    pub quota: Option<Quota>,
 }
 
 /// Decoded contents of a document, before validation.
@@ -146,6 +149,7 @@
     pub limits: Limits,
     hosts: Map<String, Vec<Arc<Route>>>,
     keys: Map<String, Arc<Tenant>>,
+    quotas: Map<u64, Quota>,
     services: Map<Service, Settings>,
     kv_stores: Vec<KvStore>,
     engine_tokens: u64,
@@ -175,8 +179,9 @@
             routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
         }
         let has_tenants = !parts.tenants.is_empty();
-        let mut keys = Map::default();
+        let (mut keys, mut quotas) = (Map::default(), Map::default());
         for (tenant, tenant_keys) in parts.tenants {
+            quotas.extend(tenant.quota.map(|it| (name_hash(tenant.workspace.as_str()), it)));
             let tenant = Arc::new(tenant);
             keys.extend(tenant_keys.into_iter().map(|key| (key, tenant.clone())));
         }
@@ -189,6 +194,7 @@
             limits: parts.limits,
             hosts,
             keys,
+            quotas,
             services: services.collect(),
             kv_stores,
             engine_tokens,
@@ -216,6 +222,11 @@
         self.keys.get(key)
     }
 
+    /// The quota of the workspace whose name has this hash.
+    pub fn quota(&self, workspace: u64) -> Option<Quota> {
+        self.quotas.get(&workspace).copied()
+    }
+
     /// Whether a service is in the document, with settings or as the backend of a route. All are if the
     /// document has no settings of services.
     pub fn has_service(&self, name: &Service) -> bool {
