--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -38,6 +38,12 @@
 /// How long a daemon that has started must have seen a majority before it issues whole quotas.
 const START_SETTLE_TIME: Duration = Duration::from_millis(1_000);
 
+/// Time after its start in which a daemon that hasn't heard of most others assumes that they are starting,
+/// too. Otherwise hardly any quota is issued for 2.5 s after all daemons were killed (1,400 calls refused in
+/// 4 s of billing, scale-2). The accounts of a new process begin with a part of the tolerance only, so that
+/// a part of the fleet that is in fact separated exceeds a quota by little in this time.
+const START_TRUST: Duration = Duration::from_millis(1_500);
+
 /// The same for one that lost a majority. Hubs to which calls failed are left out of views for 3 s, so that for
 /// as long two issuers may each seem to be the only one.
 const SETTLE_TIME: Duration = Duration::from_millis(3_500);
--- a/src/gateway/quota/issuer.rs
+++ b/src/gateway/quota/issuer.rs
@@ -7,7 +7,7 @@
     collections::{Map, Set},
     gateway::{
         quota::{
-            Ask, Denial, Grant, SETTLE_TIME, START_SETTLE_TIME, TAKEOVER_DELAY, Terms,
+            Ask, Denial, Grant, SETTLE_TIME, START_SETTLE_TIME, START_TRUST, TAKEOVER_DELAY, Terms,
             account::{Account, Authority, Balance},
         },
         topology::Plan,
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 pub struct Issuer {
     accounts: Map<u64, Account>,
+    /// When the process started.
+    started_at: Time,
     /// What was granted while another daemon may have been issuing the same quota.
     allowances: Map<u64, Bucket>,
     /// Since when this daemon is told what others grant.
@@ -51,6 +53,7 @@
     pub fn new(now: Time) -> Issuer {
         Issuer {
             accounts: Map::default(),
+            started_at: now,
             allowances: Map::default(),
             since: now,
             spoke_at: None,
@@ -154,6 +157,11 @@
 
     /// Takes note of how twice the daemons seen compares to all, and returns the least of late.
     pub fn settle(&mut self, part: Ordering, now: Time) -> Ordering {
+        // All daemons may have been killed together and hear of each other only now.
+        let is_starting = !self.is_settled && now.since(self.started_at) < START_TRUST;
+        if is_starting && part != Ordering::Greater {
+            return Ordering::Greater;
+        }
         match part {
             Ordering::Less => self.minority_at = Some(now),
             Ordering::Equal => self.half_at = Some(now),
