Place calls by the speed of engines, and long prompts beside short ones

Placement used one prefill rate for all engines, and knew nothing of what a long prompt does to short calls.

gateway::pace estimates how much slower an engine is than the average from first events, intervals between events and stated work times (fourth number of X-Tealturn-Server-Load). Daemons tell each other of engines that differ. The estimate divides the prefill rate in place::cost and in the waits of place::candidate. place::mix adds what calls of a service with different objectives and lengths do to each other, and lets short ones prefer some engines, by their share of the work.

tests/gateway/mix.rs plays both mixes on a model of engines; a scenario's floor is asserted to be missed without the feature in the same run. Engines of equal speed all have a slowdown of 1.00. With a smallest difference of 0.12 instead of 0.25, 8 of 30 equal engines seemed to differ, and the test of that failed.

The literals of Load, Notice and Query in tests have the new fields; no assertion was changed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,7 +5,7 @@
 //! The platform is the environment of the daemons and upstreams; the `tealturn-platform` crate
 //! connects the gateway to it. The platform calls a workspace a tenant.
 //!
-//! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`limit`], [`permit`], [`crash`], [`freshness`] and [`rollout`] make
+//! [`document`], [`roster`], [`place`], [`origin`], [`pace`], [`budget`], [`limit`], [`permit`], [`crash`], [`freshness`] and [`rollout`] make
 //! decisions and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
@@ -32,6 +32,7 @@
 pub mod mirror;
 pub mod operate;
 pub mod origin;
+pub mod pace;
 pub mod peer;
 pub mod permit;
 pub mod place;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,10 +24,10 @@
         member::Members,
         message::{News, Update},
         mirror::Mirror,
-        origin,
+        origin, pace,
         peer::{Origin, Peers},
         permit::Issuer,
-        place::Placer,
+        place::{Placer, mix},
         rollout::{Progress, Target},
         roster::{Endpoint, Roster, View},
         settings::Settings,
@@ -98,6 +98,10 @@
     pub members: Members,
     /// Last known state of the other daemons.
     pub peers: Peers,
+    /// Averages of what shows the speed of engines.
+    pub pace: pace::Baseline,
+    /// Lengths of prompts.
+    pub lengths: mix::Seen,
     /// The part of this daemon in the exchange.
     pub plan: ArcSwap<Plan>,
     /// Connections for calls to single daemons.
@@ -141,6 +145,8 @@
             progress: ArcSwap::default(),
             members: Members::default(),
             peers: Peers::default(),
+            pace: pace::Baseline::default(),
+            lengths: mix::Seen::default(),
             plan: ArcSwap::default(),
             connections: Connections::default(),
             urgent: Notify::new(),
@@ -222,6 +228,10 @@
         if notice.leaving && health.record_leaving() {
             info!(upstream = name, "upstream announced that it leaves");
         }
+        if let Some(work_time) = notice.work_time {
+            let report = pace::Observation::Report(work_time);
+            health.record_pace(&report, &self.pace, self.now());
+        }
         if health.record_limit(notice.limit, sent_at, self.now()) {
             let rate = health.limit().rate;
             counter!("tealturn_limits_named_total").increment(u64::from(rate.is_some()));
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -51,6 +51,8 @@
     pub leaving: bool,
     /// The limit on the requests that it takes.
     pub limit: Statement,
+    /// How long work takes there now, relative to the usual time.
+    pub work_time: Option<f64>,
 }
 
 /// What the head of an upstream's response shows about the attempt.
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -5,7 +5,7 @@
 use thiserror::Error;
 
 use crate::{
-    collections::Map,
+    collections::{Map, Set},
     kernel::id::{Service, Workspace},
 };
 
@@ -142,6 +142,8 @@
     kv_store: Option<KvStore>,
     engine_tokens: u64,
     has_tenants: bool,
+    /// Services whose routes differ in latency objective or priority.
+    mixed_services: Set<Service>,
 }
 
 impl Document {
@@ -151,6 +153,7 @@
     ///
     /// The first [`Error`](enum@Error) found.
     pub fn new(parts: Parts) -> Result<Document, Error> {
+        let mixed_services = mixed_services(&parts.routes);
         let mut hosts: Map<String, Vec<Arc<Route>>> = Map::default();
         for route in parts.routes {
             if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
@@ -183,9 +186,15 @@
             kv_store,
             engine_tokens,
             has_tenants,
+            mixed_services,
         })
     }
 
+    /// Whether routes of a service differ in latency objective or priority.
+    pub fn has_different_objectives(&self, service: &Service) -> bool {
+        self.mixed_services.contains(service)
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = match self.hosts.get(host) {
@@ -222,6 +231,21 @@
     }
 }
 
+/// The services whose routes differ in latency objective or priority.
+fn mixed_services(routes: &[Route]) -> Set<Service> {
+    let mut first: Map<&Service, (Duration, u8)> = Map::default();
+    let mut mixed = Set::default();
+    for route in routes {
+        let objective = (route.latency_objective, route.priority);
+        for (service, _) in route.backends.iter().filter(|(_, weight)| *weight > 0) {
+            if *first.entry(service).or_insert(objective) != objective {
+                mixed.insert(service.clone());
+            }
+        }
+    }
+    mixed
+}
+
 impl Route {
     /// Picks a service by weight; `random` must be a new random number for each call.
     pub fn service(&self, random: u64) -> &Service {
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -9,6 +9,7 @@
             Age, Head, Limit, Link, Load, Message, News, Offset, Release, Rollout, Rows, Sighting,
             Target, Targets, Update, Usage,
         },
+        pace::Sample,
         peer::{Known, live_digest},
         store::Topic,
     },
@@ -123,9 +124,12 @@
         // because the failure rate is computed from the outcomes at all daemons.
         let is_failing = outcomes.failures >= MIN_REPORTED_FAILURES
             || fleet.get(&engine).is_some_and(|it| it.outcomes.failures >= MIN_REPORTED_FAILURES);
-        if calls > 0 || is_failing {
+        // An idle engine is listed if its speed differs, so that all daemons place calls by it.
+        let pace = Some(health.pace_sample(now)).filter(Sample::is_reportable);
+        if calls > 0 || is_failing || pace.is_some() {
             let (tokens, memory) = (health.pending_prompt_tokens(), health.reserved_tokens());
-            let own = Load { engine, calls, tokens, memory, outcomes };
+            let short_calls = health.short_calls();
+            let own = Load { engine, calls, tokens, memory, short_calls, outcomes, pace };
             totals.entry(engine).or_default().add(&own);
         }
     }
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -12,7 +12,10 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    gateway::limit::{Limit, Statement},
+    gateway::{
+        limit::{Limit, Statement},
+        pace::{Baseline, Estimate, Observation, Pace, Sample},
+    },
     kernel::clock::Time,
 };
 
@@ -61,6 +64,8 @@
     /// Engine memory that this daemon's calls in flight may need, in tokens: for each call, its
     /// whole prompt and its maximum output.
     reserved_tokens: AtomicU64,
+    /// Calls from this daemon in progress with short prompts, where a service has short and long ones.
+    short_calls: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -91,6 +96,7 @@
     outcomes: Outcomes,
     /// The time up to which `outcomes` is decayed.
     outcomes_at: Time,
+    pace: Estimate,
 }
 
 /// Finished calls and how many of them failed, weighted by age.
@@ -178,6 +184,36 @@
         self.reserved_tokens.fetch_sub(memory, Ordering::Relaxed);
     }
 
+    /// Calls from this daemon in progress with short prompts.
+    pub fn short_calls(&self) -> u32 {
+        self.short_calls.load(Ordering::Relaxed)
+    }
+
+    /// Records that a call with a short prompt is sent, beside [`Self::start_call`].
+    pub fn start_short_call(&self) {
+        self.short_calls.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Records the end of a call with a short prompt.
+    pub fn end_short_call(&self) {
+        self.short_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Records something that shows how fast the upstream works.
+    pub fn record_pace(&self, observation: &Observation, baseline: &Baseline, now: Time) {
+        self.state().pace.record(observation, baseline, now);
+    }
+
+    /// The speed of the upstream, with the observations of other daemons.
+    pub fn pace(&self, peers: Option<&Sample>, now: Time) -> Pace {
+        self.state().pace.pace(peers, now)
+    }
+
+    /// What this daemon observed of its speed.
+    pub fn pace_sample(&self, now: Time) -> Sample {
+        self.state().pace.sample(now)
+    }
+
     /// Records that the upstream sent something.
     pub fn record_activity(&self, now: Time) {
         let mut state = self.state();
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use metrics::counter;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -10,10 +11,11 @@
         call::Prompt,
         context::Context,
         crash::{self, Process, Run},
+        pace::Observation,
         place::Choice,
         roster::Endpoint,
     },
-    kernel::id::Request,
+    kernel::{clock::Time, id::Request},
     request::suspect::Fingerprint,
 };
 
@@ -30,6 +32,15 @@
     pub choice: Choice,
     unread_tokens: u64,
     memory_tokens: u64,
+    /// When the call was sent, and the prompt tokens of others that were queued there.
+    sent_at: Time,
+    queued_tokens: u64,
+    /// Whether its prompt is short and the service has long ones, too.
+    is_short: bool,
+    /// Calls with long prompts that were in progress there.
+    long_calls: u32,
+    /// When the last event arrived that did not have to wait for the caller.
+    last_event_at: Option<Time>,
     /// Cancelled when the upstream is found dead: it accepts no connections.
     pub upstream_death: CancellationToken,
     context: Arc<Context>,
@@ -50,9 +61,14 @@
         fingerprint: Fingerprint,
     ) -> Reservation {
         let endpoint = &choice.endpoint;
+        let now = context.now();
+        let peers = context.peers.peer_load(now);
+        let peers = peers.get(&endpoint.hash).copied().unwrap_or_default();
+        let queued_tokens = peers.tokens + endpoint.health.pending_prompt_tokens();
+        let calls = peers.calls + endpoint.health.calls_in_flight();
+        let long_calls = calls.saturating_sub(peers.short_calls + endpoint.health.short_calls());
         let memory_tokens = prompt.map_or(0, Prompt::memory_tokens);
-        let upstream_death =
-            endpoint.health.start_call(choice.unread_tokens, memory_tokens, context.now());
+        let upstream_death = endpoint.health.start_call(choice.unread_tokens, memory_tokens, now);
         let attempt_id = context.next_attempt_id();
         let incarnation = endpoint.record.incarnation;
         let mut suspects = context.suspects();
@@ -66,6 +82,11 @@
             choice,
             unread_tokens,
             memory_tokens,
+            sent_at: now,
+            queued_tokens,
+            is_short: false,
+            long_calls,
+            last_event_at: None,
             upstream_death,
             context,
             attempt_id,
@@ -134,6 +155,66 @@
         self.context.publish_crashes(facts);
     }
 
+    /// Records that the call has a short prompt and that its service has long ones, too.
+    pub fn mark_short(&mut self) {
+        if !std::mem::replace(&mut self.is_short, true) {
+            self.choice.endpoint.health.start_short_call();
+        }
+    }
+
+    /// Records that events of the stream arrived, which shows how fast the engine works.
+    pub fn record_event(&mut self, is_first: bool) {
+        if self.choice.version.is_none() {
+            return;
+        }
+        let now = self.context.now();
+        let health = &self.choice.endpoint.health;
+        let observation = match self.last_event_at.replace(now) {
+            None if is_first => {
+                let elapsed = now.since(self.sent_at);
+                let prefill = self.prefill_time(self.queued_tokens + self.choice.unread_tokens);
+                self.count_wait(elapsed);
+                Some(Observation::FirstEvent { elapsed, prefill })
+            }
+            None => None,
+            Some(last) => {
+                let peers = self.context.peers.peer_load(now);
+                let peers = peers.get(&self.choice.endpoint.hash).copied().unwrap_or_default();
+                Some(Observation::Interval {
+                    elapsed: now.since(last),
+                    calls: peers.calls + health.calls_in_flight(),
+                    is_prefilling: peers.tokens + health.pending_prompt_tokens() > 0,
+                })
+            }
+        };
+        if let Some(observation) = observation {
+            health.record_pace(&observation, &self.context.pace, now);
+        }
+    }
+
+    /// Records that events had to wait for the caller. The time to the next one does not show the speed
+    /// of the engine.
+    pub fn skip_interval(&mut self) {
+        self.last_event_at = None;
+    }
+
+    /// The time that the average engine needs to prefill these tokens.
+    fn prefill_time(&self, tokens: u64) -> Duration {
+        let rate = self.context.settings.prefill_tokens_per_ms;
+        Duration::from_secs_f64(tokens as f64 / rate / 1_000.0)
+    }
+
+    /// Counts the time for which a short prompt waited behind long ones: at most that for which the
+    /// engine prefilled what was queued.
+    fn count_wait(&self, elapsed: Duration) {
+        if !self.is_short || self.long_calls == 0 {
+            return;
+        }
+        let slowdown = self.choice.pace.slowdown;
+        let waited = elapsed.min(self.prefill_time(self.queued_tokens).mul_f64(slowdown));
+        counter!("tealturn_short_prompts_waited_ms_total").increment(waited.as_millis() as u64);
+    }
+
     /// Records that the first bytes of a stream arrived, which means that the engine has read the
     /// prompt.
     pub fn mark_prompt_read(&mut self) {
@@ -145,6 +226,9 @@
     fn drop(&mut self) {
         self.mark_prompt_read();
         self.choice.endpoint.health.end_call(self.memory_tokens);
+        if self.is_short {
+            self.choice.endpoint.health.end_short_call();
+        }
         let now = self.context.now();
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -14,7 +14,7 @@
     gateway::{
         cache, crash,
         gauge::Outcomes,
-        origin, rollout,
+        origin, pace, rollout,
         store::{Position, Row},
     },
     kernel::{
@@ -56,8 +56,12 @@
     pub tokens: u64,
     /// Engine memory reserved for the calls, in tokens.
     pub memory: u64,
+    /// Calls in progress with short prompts, where a service has short and long ones.
+    pub short_calls: u32,
     /// Outcomes of recent calls.
     pub outcomes: Outcomes,
+    /// Observations of its speed by the daemons to which it differs noticeably from the average.
+    pub pace: Option<pace::Sample>,
 }
 
 impl Load {
@@ -66,7 +70,11 @@
         self.calls += other.calls;
         self.tokens += other.tokens;
         self.memory += other.memory;
+        self.short_calls += other.short_calls;
         self.outcomes = self.outcomes.combined_with(&other.outcomes);
+        if let Some(pace) = &other.pace {
+            self.pace = Some(self.pace.unwrap_or_default().combined_with(pace));
+        }
     }
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,6 +9,7 @@
 mod candidate;
 pub mod cost;
 mod holder;
+pub mod mix;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -17,9 +18,10 @@
         cache::{self, Estimate, STORE},
         call::Prompt,
         document::KvStore,
+        pace::Pace,
         peer::Totals,
         place::{
-            candidate::{Candidates, candidates, failure_rate, is_eligible},
+            candidate::{Candidates, candidates, failure_rate, is_eligible, pace},
             cost::{Transfer, cost},
             holder::Holders,
         },
@@ -60,6 +62,8 @@
     pub engine_capacity_tokens: u64,
     /// The load that other daemons place on the upstreams.
     pub peers: &'a Totals,
+    /// The call among others, if prompts of the service differ.
+    pub mix: Option<mix::Call>,
     /// A random number that breaks ties between equally loaded upstreams.
     pub random: u64,
 }
@@ -84,6 +88,10 @@
     pub save_to_store: bool,
     /// The estimated time to the first event plus penalties, in milliseconds.
     pub cost_ms: f64,
+    /// The part of it that follows from long prompts beside short ones.
+    pub mix_cost_ms: f64,
+    /// The estimated speed of the engine.
+    pub pace: Pace,
     /// Why the upstream was selected.
     pub reason: &'static str,
 }
@@ -196,6 +204,8 @@
             prefix_depth: (0, 0),
             save_to_store: false,
             cost_ms: 0.0,
+            mix_cost_ms: 0.0,
+            pace: Pace::default(),
             reason: "least_load",
         })
     }
@@ -246,22 +256,37 @@
                 any_full = true;
                 continue;
             }
-            let cost = cost(&cost::Inputs {
-                prefill_tokens_per_ms: self.prefill_tokens_per_ms,
-                queued_tokens: peers.tokens + endpoint.health.pending_prompt_tokens(),
-                unread_tokens,
-                shared_tokens,
-                running_calls: peers.calls + endpoint.health.calls_in_flight(),
-                is_copy: !is_held && !candidate.is_home,
-                transfer: match source {
-                    Some(Source::Engine(_)) => Transfer::Engine,
-                    Some(Source::Store(_)) => Transfer::Store,
-                    None => Transfer::None,
-                },
-                is_remote: endpoint.record.zone != self.zone,
-                version_cost_ms: candidate.version_cost_ms,
-                failure_rate: failure_rate(endpoint, query, now),
+            let pace = pace(query, endpoint, now);
+            let queued_tokens = peers.tokens + endpoint.health.pending_prompt_tokens();
+            let mix_cost_ms = query.mix.map_or(0.0, |call| {
+                mix::cost(&mix::Inputs {
+                    call,
+                    pace,
+                    average_tokens_per_ms: rate,
+                    queued_tokens,
+                    unread_tokens,
+                    is_engine_for_short: candidate.is_for_short,
+                    short_calls: peers.short_calls + endpoint.health.short_calls(),
+                })
             });
+            let cost = mix_cost_ms
+                + cost(&cost::Inputs {
+                    prefill_tokens_per_ms: pace.prefill_tokens_per_ms(rate),
+                    additional_decoding_ms: pace.additional_step_ms(prompt.max_output),
+                    queued_tokens,
+                    unread_tokens,
+                    shared_tokens,
+                    running_calls: peers.calls + endpoint.health.calls_in_flight(),
+                    is_copy: !is_held && !candidate.is_home,
+                    transfer: match source {
+                        Some(Source::Engine(_)) => Transfer::Engine,
+                        Some(Source::Store(_)) => Transfer::Store,
+                        None => Transfer::None,
+                    },
+                    is_remote: endpoint.record.zone != self.zone,
+                    version_cost_ms: candidate.version_cost_ms,
+                    failure_rate: failure_rate(endpoint, query, now),
+                });
             if best.as_ref().is_some_and(|(least, _)| *least <= cost) {
                 continue;
             }
@@ -279,6 +304,8 @@
                 prefix_depth: (depth, available_depth),
                 save_to_store: available_depth < keys.len(),
                 cost_ms: cost,
+                mix_cost_ms,
+                pace,
                 reason,
             };
             best = Some((cost, choice));
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -6,6 +6,7 @@
     collections::Map,
     gateway::{
         call::Prompt,
+        pace::Pace,
         place::{Query, prefix_hash},
         rollout::Progress,
         roster::Endpoint,
@@ -62,6 +63,8 @@
     /// Whether it has the highest rank among the engines with the same weights, those below
     /// [`MAX_HOME_FAILURE_RATE`] first.
     pub(super) is_home: bool,
+    /// Whether calls with short prompts prefer it to others.
+    pub(super) is_for_short: bool,
     /// Whether it is weighed unless none of the weighed ones has room.
     pub(super) is_weighed: bool,
     /// When its weights were superseded, if they were.
@@ -77,7 +80,8 @@
     pub(super) permit_at: Option<Time>,
 }
 
-/// Returns the engines that may take a call. Each reads `prefill_tokens_per_ms` tokens.
+/// Returns the engines that may take a call. The average one reads
+/// `prefill_tokens_per_ms` tokens.
 pub(super) fn candidates<'a>(
     query: &Query<'_>,
     prompt: &Prompt,
@@ -90,7 +94,9 @@
     let mut candidates: Vec<Candidate<'a>> = Vec::with_capacity(all.len());
     let mut permit_at: Option<Time> = None;
     let mut homes: Map<Version, (bool, u64, usize)> = Map::default();
-    for endpoint in all {
+    let speeds = || all.iter().map(|it| (it.hash, pace(query, it, now)));
+    let for_short = query.mix.map_or_else(Vec::new, |it| it.engines_for_short(speeds()));
+    for (index, endpoint) in all.iter().enumerate() {
         if !is_eligible(endpoint, query, now) || progress.is_loading(endpoint, &prompt.model) {
             continue;
         }
@@ -101,7 +107,8 @@
         let age = superseded_since.map(|it| now.since(it));
         let may_be_late = |age: Duration| {
             let delay = MAX_START_DELAY
-                + queue_wait(query, endpoint, prefill_tokens_per_ms).mul_f64(QUEUE_UNCERTAINTY);
+                + queue_wait(query, endpoint, prefill_tokens_per_ms, now)
+                    .mul_f64(QUEUE_UNCERTAINTY);
             age + delay >= query.old_version_grace
         };
         if age.is_some_and(may_be_late) {
@@ -117,6 +124,8 @@
             Some(_) => SUPERSEDED_COST_MS,
         };
         let rank = home_rank(prefix, endpoint);
+        let is_for_short = for_short.get(index).copied().unwrap_or_default();
+        let rank = query.mix.map_or(rank, |it| it.rank(rank, is_for_short));
         let home = homes.entry(version).or_default();
         let is_healthy = failure_rate(endpoint, query, now) < MAX_HOME_FAILURE_RATE;
         *home = (*home).max((is_healthy, rank, candidates.len()));
@@ -125,6 +134,7 @@
             version,
             rank,
             is_home: false,
+            is_for_short,
             is_weighed: true,
             superseded_since,
             version_cost_ms,
@@ -162,10 +172,17 @@
 }
 
 /// The time that an engine needs to read the prompts queued there.
-fn queue_wait(query: &Query<'_>, endpoint: &Endpoint, prefill_tokens_per_ms: f64) -> Duration {
+fn queue_wait(query: &Query<'_>, endpoint: &Endpoint, average_rate: f64, now: Time) -> Duration {
     let peers = query.peers.get(&endpoint.hash).map_or(0, |it| it.tokens);
     let queued = peers + endpoint.health.pending_prompt_tokens();
-    Duration::from_secs_f64(queued as f64 / prefill_tokens_per_ms / 1_000.0)
+    let rate = pace(query, endpoint, now).prefill_tokens_per_ms(average_rate);
+    Duration::from_secs_f64(queued as f64 / rate / 1_000.0)
+}
+
+/// The speed of an engine, as far as all daemons have observed it.
+pub(super) fn pace(query: &Query<'_>, endpoint: &Endpoint, now: Time) -> Pace {
+    let peers = query.peers.get(&endpoint.hash).and_then(|it| it.pace);
+    endpoint.health.pace(peers.as_ref(), now)
 }
 
 /// The rendezvous rank of an engine for a prefix. The engine with the highest rank is its home.
--- a/src/gateway/place/cost.rs
+++ b/src/gateway/place/cost.rs
@@ -31,11 +31,17 @@
     Store,
 }
 
+/// The share of the time for which a slower engine takes longer for the output tokens that counts as
+/// cost. The objective is for the first event, but a longer run occupies memory for longer.
+const DECODING_SHARE: f64 = 0.25;
+
 /// What the cost of an engine depends on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Inputs {
     /// Prompt tokens that the engine prefills in a millisecond.
     pub prefill_tokens_per_ms: f64,
+    /// How much longer it takes for the output tokens than the average engine, in milliseconds.
+    pub additional_decoding_ms: f64,
     /// Prompt tokens of other calls that are still to be prefilled there.
     pub queued_tokens: u64,
     /// Prompt tokens of this call that the engine must prefill.
@@ -60,6 +66,7 @@
 pub fn cost(inputs: &Inputs) -> f64 {
     let queued_tokens = inputs.queued_tokens + inputs.unread_tokens;
     let mut cost = queued_tokens as f64 / inputs.prefill_tokens_per_ms;
+    cost += inputs.additional_decoding_ms * DECODING_SHARE;
     cost += f64::from(inputs.running_calls) * RUNNING_CALL_COST_MS;
     if inputs.is_copy {
         cost += COPY_COST_MS_PER_TOKEN * inputs.shared_tokens as f64;
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -16,7 +16,7 @@
         message::{News, Update},
         peer::{Origin, Totals},
         permit::Purpose,
-        place::{self, Choice, Query},
+        place::{self, Choice, Query, mix},
         relay::{RESPONSE_MARGIN, RETRY_AFTER, Relay},
         roster::Endpoint,
         topology::FULL_MESH_DAEMONS,
@@ -165,6 +165,7 @@
                 .as_ref()
                 .map_or(0, |it| it.engine_tokens()),
             peers,
+            mix: self.mix(now),
             random: rand::random(),
         }
     }
@@ -215,6 +216,9 @@
         let peers = context.peers.peer_load(now);
         let query = self.query(&peers, now);
         if self.sends == 0 {
+            if let Some(prompt) = query.prompt.filter(|_| self.has_different_objectives()) {
+                context.lengths.record(service, prompt, call.route.latency_objective, now);
+            }
             context.budget().record_call(service, now);
         }
         // An attempt that failed to connect reached no upstream, so the next one is not a retry.
@@ -238,9 +242,12 @@
             updates.push(Origin::Own, Update { hops: 0, news: News::Cached(entry) });
         }
         drop(updates);
+        let is_short = query.mix.is_some_and(|it| it.is_short);
         self.sends += 1;
         // `held` is the number of shared parts that the engine holds, `found` the number that it
         // holds or can fetch, and `save` whether it should save parts to the KV store.
+        // `slowdown` is the time that the engine needs relative to the average one, if it differs, and
+        // `mix_cost_ms` the part of the cost that follows from long prompts beside short ones.
         // `unread_tokens` are those of `prompt_tokens` that the engine must prefill,
         // `superseded_ms` is how long newer weights than the upstream's have been configured, and
         // `limit` the requests a second that the upstream takes from all daemons.
@@ -261,11 +268,34 @@
             prompt_tokens = call.head.prompt.as_ref().map(|it| it.tokens),
             unread_tokens = choice.unread_tokens,
             cost_ms = choice.cost_ms,
+            mix_cost_ms = (choice.mix_cost_ms != 0.0).then_some(choice.mix_cost_ms),
+            slowdown = (choice.pace.slowdown != 1.0).then_some(choice.pace.slowdown),
             waited_ms = now.since(call.received).as_millis() as u64,
             "upstream selected, sending the call"
         );
         let prompt = call.head.prompt.as_ref();
-        Ok(Some(Reservation::new(context, choice, prompt, self.fingerprint)))
+        let mut reservation = Reservation::new(context, choice, prompt, self.fingerprint);
+        if is_short {
+            reservation.mark_short();
+        }
+        Ok(Some(reservation))
+    }
+
+    /// Whether routes of the service differ in latency objective or priority.
+    fn has_different_objectives(&self) -> bool {
+        let document = self.context.document.load();
+        document.as_ref().is_some_and(|it| it.has_different_objectives(self.call.service()))
+    }
+
+    /// The call among others of its service, if their prompts differ.
+    fn mix(&self, now: Time) -> Option<mix::Call> {
+        let prompt = self.call.head.prompt.as_ref()?;
+        if !self.has_different_objectives() {
+            return None;
+        }
+        let elapsed = now.since(self.waiting_since);
+        let objective = self.call.route.latency_objective.saturating_sub(elapsed);
+        self.context.lengths.call(self.call.service(), prompt, objective)
     }
 
     /// The number of the workspace if it is isolated, or 0 for the shared prompt cache.
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -156,6 +156,7 @@
         sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) -> End {
         let is_framed = answer.is_framed();
+        let mut is_first = true;
         loop {
             let time_left = self.call.deadline.since(self.context.now());
             let frame = tokio::select! {
@@ -194,6 +195,10 @@
             if events.last_id.is_some() {
                 *last_event = events.last_id;
             }
+            reservation.record_event(std::mem::take(&mut is_first));
+            if sender.capacity() == 0 {
+                reservation.skip_interval();
+            }
             match time::timeout(time_left, self.pass_on(events.bytes, sender)).await {
                 Ok(true) => {}
                 Ok(false) => return End::CallerDisconnected,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,8 +22,12 @@
 mod message;
 #[path = "gateway/mirror.rs"]
 mod mirror;
+#[path = "gateway/mix.rs"]
+mod mix;
 #[path = "gateway/origin.rs"]
 mod origin;
+#[path = "gateway/pace.rs"]
+mod pace;
 #[path = "gateway/peer.rs"]
 mod peer;
 #[path = "gateway/permit.rs"]
--- a/tests/gateway/document.rs
+++ b/tests/gateway/document.rs
@@ -69,6 +69,44 @@
     assert!(document.tenant("key-3").is_none());
 }
 
+/// Guards against a preference between calls where a service's calls have equal objectives.
+#[test]
+fn only_services_with_different_routes_have_different_objectives() {
+    let tight = Duration::from_millis(50);
+    struct Case {
+        second: Route,
+        differs: [bool; 2],
+    }
+    let new = || vec![(Service::from("new"), 1)];
+    for (number, case) in [
+        Case { second: route("b", "/b/"), differs: [false, false] },
+        Case {
+            second: Route { latency_objective: tight, ..route("b", "/b/") },
+            differs: [true, true],
+        },
+        Case { second: Route { priority: 2, ..route("b", "/b/") }, differs: [true, true] },
+        Case {
+            second: Route { priority: 2, backends: new(), ..route("b", "/b/") },
+            differs: [false, true],
+        },
+        Case {
+            second: Route {
+                priority: 2,
+                backends: vec![(Service::from("old"), 0), (Service::from("new"), 1)],
+                ..route("b", "/b/")
+            },
+            differs: [false, true],
+        },
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let document = Document::new(parts(vec![route("a", "/a/"), case.second])).expect("valid");
+        let found = ["old", "new"].map(|it| document.has_different_objectives(&Service::from(it)));
+        assert_eq!(found, case.differs, "case {number}");
+    }
+}
+
 #[test]
 fn documents_with_invalid_routes_are_rejected() {
     let no_slash = Document::new(parts(vec![route("bad", "/wiki")])).map(|_| ());
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -42,7 +42,7 @@
 
 fn load(calls: u32) -> Vec<Load> {
     let outcomes = Outcomes { calls: 4.0, failures: 1.0 };
-    vec![Load { engine: 5, calls, tokens: 100, memory: 1_000, outcomes }]
+    vec![Load { engine: 5, calls, tokens: 100, memory: 1_000, outcomes, ..Load::default() }]
 }
 
 #[test]
@@ -74,6 +74,7 @@
             tokens: 200,
             memory: 2_000,
             outcomes: Outcomes { calls: 8.0, failures: 2.0 },
+            ..Load::default()
         }
     );
     let later = start + Duration::from_secs(2);
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -41,6 +41,7 @@
         kv_store: None,
         engine_capacity_tokens: CAPACITY,
         peers,
+        mix: None,
         random: 0,
     }
 }
--- a/tests/gateway/stale.rs
+++ b/tests/gateway/stale.rs
@@ -81,6 +81,7 @@
                 kv_store: None,
                 engine_capacity_tokens: 114_380,
                 peers: &totals,
+                mix: None,
                 random: rng.random(),
             };
             let choice = placer.choose(&query, &pool, &Progress::default(), now);
