--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -11,6 +11,7 @@
         member,
         message::{MAX_HOPS, News, Update},
         origin::{Entry, LIFETIME},
+        pace::Observation,
         peer::Origin,
         store::Topic,
     },
@@ -89,6 +90,46 @@
     engine.health.calls_in_flight() + others.get(&engine.hash).map_or(0, |it| it.calls)
 }
 
+/// In a large fleet a daemon sends an engine few calls. Guards against a slow engine that each daemon
+/// must find by itself, also one that has no calls in progress.
+#[test]
+fn a_slow_engine_is_known_to_all_daemons() {
+    for daemons in SIZES {
+        let mut fleet = settled(daemons, 1);
+        for (index, context) in fleet.contexts().iter().enumerate() {
+            let view = context.view.load();
+            let engine = |name| view.all().find(|it| it.name.as_str() == name).expect("known");
+            let (slow, other) = (engine("engine-7"), engine("engine-8"));
+            let event = |millis| Observation::FirstEvent {
+                elapsed: Duration::from_millis(millis),
+                prefill: Duration::from_millis(80),
+            };
+            for _ in 0..30 {
+                other.health.record_pace(&event(100), &context.pace, context.now());
+            }
+            if index < 20 {
+                slow.health.record_pace(&event(200), &context.pace, context.now());
+            }
+            if daemons < 20 {
+                (0..5).for_each(|_| {
+                    slow.health.record_pace(&event(200), &context.pace, context.now())
+                });
+            }
+        }
+        fleet.run(Duration::from_secs(2));
+        for context in fleet.contexts() {
+            let (view, now) = (context.view.load(), context.now());
+            let peers = context.peers.peer_load(now);
+            for engine in view.all() {
+                let others = peers.get(&engine.hash).and_then(|it| it.pace);
+                let slowdown = engine.health.pace(others.as_ref(), now).slowdown;
+                let is_slow = engine.name.as_str() == "engine-7";
+                assert_eq!(slowdown > 1.3, is_slow, "{daemons}, {}: {slowdown}", engine.name);
+            }
+        }
+    }
+}
+
 #[test]
 fn the_cost_of_a_daemon_does_not_grow_with_the_fleet() {
     const WINDOW: Duration = Duration::from_secs(5);
