Log which upstreams are kept although their registrations are missing

The logs of a daemon told when a registration was removed, but not that the upstream is kept nevertheless, when it is dropped or that it registered again. No decision changes.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,7 +31,7 @@
         quota,
         rollout::{Progress, Target},
         room,
-        roster::{Endpoint, Roster, View},
+        roster::{self, Endpoint, Roster, View},
         settings::Settings,
         store::Store,
         topology::Plan,
@@ -216,10 +216,33 @@
     pub fn change_roster<T>(&self, change: impl FnOnce(&mut Roster) -> T) -> T {
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         let result = change(&mut roster);
+        self.log_registrations(roster.take_changes());
         self.publish_view(&roster);
         result
     }
 
+    /// Logs what happened to upstreams whose registrations are or were missing.
+    fn log_registrations(&self, changes: Vec<roster::Change>) {
+        let now = self.now();
+        for change in changes {
+            match change {
+                roster::Change::Kept(upstream) => {
+                    let upstream = upstream.as_str();
+                    info!(upstream, "upstream kept although its registration is missing");
+                }
+                roster::Change::Dropped(upstream, missing) => {
+                    counter!("tealturn_upstreams_dropped_total").increment(1);
+                    let (upstream, missing_ms) = (upstream.as_str(), missing.as_millis() as u64);
+                    info!(upstream, missing_ms, "upstream dropped: its registration is missing");
+                }
+                roster::Change::Returned(upstream, since) => {
+                    let missing_ms = now.since(since).as_millis() as u64;
+                    info!(upstream = upstream.as_str(), missing_ms, "upstream registered again");
+                }
+            }
+        }
+    }
+
     /// Publishes the upstreams of the document's services. Another writer may register upstreams of others,
     /// which are not to get any calls or orders.
     fn publish_view(&self, roster: &Roster) {
@@ -234,6 +257,7 @@
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
         if roster.has_unsettled() {
             roster.expire(now);
+            self.log_registrations(roster.take_changes());
             self.publish_view(&roster);
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -369,11 +369,11 @@
             }
             if row.removed {
                 info!(upstream = row.key, "upstream's registration was removed");
-                roster.remove(&name);
+                roster.remove(&name, now);
                 continue;
             }
             match context.schema.decode_upstream(row) {
-                Ok(record) if delta.restored => roster.restore(&name, record),
+                Ok(record) if delta.restored => roster.restore(&name, record, now),
                 Ok(record) => {
                     let document = context.document.load();
                     if document.as_ref().is_some_and(|it| !it.has_service(&record.service)) {
@@ -391,7 +391,7 @@
                 Err(error) => {
                     let upstream = row.key.as_str();
                     warn!(upstream, %error, "invalid registration; removing the upstream");
-                    roster.remove(&name);
+                    roster.remove(&name, now);
                 }
             }
         }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -123,11 +123,24 @@
     }
 }
 
+/// What happened to an upstream whose entry is missing from the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// It may still take calls: its entry may have lapsed while the store was unavailable.
+    Kept(Upstream),
+    /// It is no longer used. Its entry had been missing for this long.
+    Dropped(Upstream, Duration),
+    /// It registered again. Its entry had been missing since this time.
+    Returned(Upstream, Time),
+}
+
 #[derive(Debug)]
 struct Entry {
     endpoint: Arc<Endpoint>,
-    /// Whether the entry is gone from the store.
-    missing: bool,
+    /// Since when the entry is gone from the store.
+    missing_since: Option<Time>,
+    /// Whether [`Change::Kept`] was reported.
+    is_told: bool,
     /// Whether the upstream had left, and is in the store again only because that lost the change.
     departed: bool,
 }
@@ -148,6 +161,7 @@
     /// When the store last became available again.
     store_recovered_at: Option<Time>,
     is_store_unavailable: bool,
+    changes: Vec<Change>,
 }
 
 impl Roster {
@@ -165,17 +179,26 @@
 
     /// Adds or replaces the entry of an upstream. Its health is kept if the process is the same.
     pub fn insert(&mut self, name: &Upstream, record: Record) {
-        let previous = self.departures.remove(name).map(|it| it.endpoint);
-        self.put(name, record, previous, false);
+        let departure = self.departures.remove(name);
+        let missing_since = self.entries.get(name).and_then(|it| it.missing_since);
+        if let Some(since) = missing_since.or(departure.as_ref().map(|it| it.at)) {
+            self.changes.push(Change::Returned(name.clone(), since));
+        }
+        self.put(name, record, departure.map(|it| it.endpoint), false);
+    }
+
+    /// The changes since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
     }
 
     /// Adds or replaces the entry of an upstream from an older copy of the store, if nothing later
     /// is known of it.
-    pub fn restore(&mut self, name: &Upstream, mut record: Record) {
+    pub fn restore(&mut self, name: &Upstream, mut record: Record, now: Time) {
         if let Some(entry) = self.entries.get_mut(name) {
             let known = &entry.endpoint.record;
             if known.incarnation > record.incarnation {
-                entry.missing = true;
+                entry.missing_since.get_or_insert(now);
                 return;
             }
             let same_process = known.incarnation == record.incarnation;
@@ -207,7 +230,10 @@
         let health = same_process.map_or_else(Arc::default, |it| it.health.clone());
         let hash = name_hash(name.as_str());
         let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, health });
-        self.entries.insert(name.clone(), Entry { endpoint, missing: false, departed });
+        self.entries.insert(
+            name.clone(),
+            Entry { endpoint, missing_since: None, is_told: false, departed },
+        );
     }
 
     /// The registration of an upstream.
@@ -216,15 +242,15 @@
     }
 
     /// Marks the entry as missing from the store; [`Self::expire`] removes it.
-    pub fn remove(&mut self, name: &Upstream) {
+    pub fn remove(&mut self, name: &Upstream, now: Time) {
         if let Some(entry) = self.entries.get_mut(name) {
-            entry.missing = true;
+            entry.missing_since.get_or_insert(now);
         }
     }
 
     /// Whether any entry is missing from the store, or in it only because that lost its removal.
     pub fn has_unsettled(&self) -> bool {
-        self.entries.values().any(|it| it.missing || it.departed)
+        self.entries.values().any(|it| it.missing_since.is_some() || it.departed)
     }
 
     /// Removes missing entries and takes those that are in the store again for good, unless the
@@ -233,10 +259,17 @@
     pub fn expire(&mut self, now: Time) -> Option<Time> {
         let kept_until = self.store_recovered_at.map(|it| it + REREGISTRATION_GRACE);
         if self.is_store_unavailable || kept_until.is_some_and(|it| now < it) {
+            for (name, entry) in &mut self.entries {
+                if entry.missing_since.is_some() && !std::mem::replace(&mut entry.is_told, true) {
+                    self.changes.push(Change::Kept(name.clone()));
+                }
+            }
             return kept_until.filter(|_| self.has_unsettled());
         }
         self.departures.retain(|_, it| now.since(it.at) < REMOVED_MEMORY);
-        for (name, entry) in self.entries.extract_if(|_, it| it.missing) {
+        for (name, entry) in self.entries.extract_if(|_, it| it.missing_since.is_some()) {
+            let missing_for = entry.missing_since.map_or(Duration::ZERO, |it| now.since(it));
+            self.changes.push(Change::Dropped(name.clone(), missing_for));
             self.departures.insert(name, Departure { endpoint: entry.endpoint, at: now });
         }
         for entry in self.entries.values_mut() {
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -24,7 +24,7 @@
     let mut roster = Roster::default();
     roster.insert(&name(0), record(0, 1));
     roster.insert(&name(1), record(1, 1));
-    roster.remove(&name(0));
+    roster.remove(&name(0), START);
     roster.expire(START);
     assert_eq!(names(&roster), ["engine-1"]);
 }
@@ -37,8 +37,8 @@
     roster.store_lost();
     roster.expire(START);
     roster.store_answered(START);
-    roster.remove(&name(0));
-    roster.remove(&name(1));
+    roster.remove(&name(0), START);
+    roster.remove(&name(1), START);
     roster.expire(START);
     assert_eq!(names(&roster), ["engine-0", "engine-1"]);
     roster.insert(&name(1), record(1, 1));
@@ -97,8 +97,8 @@
             };
             assert!(is_new);
         }
-        roster.remove(&name(0));
-        roster.remove(&name(1));
+        roster.remove(&name(0), START);
+        roster.remove(&name(1), START);
         roster.expire(START);
         assert!(names(&roster).is_empty());
         let now = START + case.absent;
@@ -183,12 +183,12 @@
         let mut roster = Roster::default();
         roster.insert(&name(0), case.last);
         if case.is_removed {
-            roster.remove(&name(0));
+            roster.remove(&name(0), START);
             roster.expire(START);
         }
         roster.store_lost();
         roster.store_answered(START);
-        roster.restore(&name(0), case.restored);
+        roster.restore(&name(0), case.restored, START);
         roster.expire(START);
         let at_once = !names(&roster).is_empty();
         roster.expire(START + REREGISTRATION_GRACE);
@@ -219,7 +219,7 @@
     ] {
         let mut roster = Roster::default();
         roster.insert(&name(0), record(0, 3));
-        roster.restore(&name(0), case.restored);
+        roster.restore(&name(0), case.restored, START);
         let view = roster.view();
         let version = view.all().next().and_then(|it| it.version(&Model::from(MODEL)));
         assert_eq!(version, Some(Version(case.version)), "{}", case.what);
