--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -46,6 +46,44 @@
     assert_eq!(names(&roster), ["engine-1"], "the other upstream did not register again");
 }
 
+/// Guards against calls to an upstream that has left, because the daemon can't reach the store for longer or
+/// again and again.
+#[test]
+fn a_missing_entry_is_not_kept_longer_by_further_failures() {
+    /// A leaving upstream must get no calls from then on.
+    const DRAIN: Duration = Duration::from_millis(2_000);
+    struct Case {
+        what: &'static str,
+        /// After its entry was removed, in milliseconds.
+        failures: &'static [u64],
+        answers: &'static [u64],
+    }
+    for case in [
+        Case { what: "no further failure", failures: &[], answers: &[0] },
+        Case { what: "one further failure", failures: &[1_900], answers: &[0, 1_950] },
+        Case { what: "fails now and then", failures: &[500, 1_500], answers: &[0, 1_000, 1_900] },
+        Case { what: "unavailable to this daemon", failures: &[500, 1_500], answers: &[] },
+    ] {
+        let mut roster = Roster::default();
+        for number in 0..4 {
+            roster.insert(&name(number), record(number, 1));
+        }
+        roster.store_lost();
+        roster.remove(&name(0), START);
+        roster.expire(START);
+        for millis in 0..DRAIN.as_millis() as u64 {
+            if case.failures.contains(&millis) {
+                roster.store_lost();
+            }
+            if case.answers.contains(&millis) {
+                roster.store_answered(START + Duration::from_millis(millis));
+            }
+        }
+        roster.expire(START + DRAIN);
+        assert_eq!(names(&roster).len(), 3, "{}", case.what);
+    }
+}
+
 #[test]
 fn a_draining_upstream_gets_no_calls_during_a_store_outage() {
     let mut roster = Roster::default();
