Notice within 2 s that the store answers again

Cause: a long poll that arrives while the store is silent is never answered, and daemons gave it up after 6.5 s; the next one, sent into the same silence, took as long. All daemons poll alike, so that none could tell the others. Why this works: polls wait 2 s in place of 5, and a poll after a failure doesn't wait at all, so that daemons hear from the store 2 s after its return, or 3.5 s if it was down for less than a poll. Both are within the 3 s after which it counts as stable and the 2 s in which an upstream leaves.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -52,9 +52,9 @@
 /// as the last complete long poll when the next one, which also takes its whole time, brings a change.
 const MAX_OPERATOR_GAP: Duration = Duration::from_millis(4_500);
 
-/// Long-poll timeout for other topics. [`http::client`](crate::http::client) closes a connection
-/// earlier if the other side no longer acknowledges TCP segments.
-const POLL_TIMEOUT: Duration = Duration::from_millis(5_000);
+/// Long-poll timeout for other topics. A poll that reached the store during an outage is never answered, and
+/// a daemon hears of nothing until it times out.
+const POLL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Age of the operator's rows from which a daemon that is no watcher asks the store itself, as a share
 /// of `Settings::revocation`: late enough that watchers' long polls and the exchange don't reach it,
@@ -79,8 +79,9 @@
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Gap between two confirmations of the upstreams' rows from which the store counts as having been
-/// unavailable, if the rows come from other daemons.
-const OUTAGE_GAP: Duration = Duration::from_millis(8_000);
+/// unavailable, if the rows come from other daemons. Without an outage it is that of a long poll and a batch
+/// delay, and what the exchange takes.
+const OUTAGE_GAP: Duration = Duration::from_millis(5_000);
 
 /// Delay after changes of upstreams or daemons, per daemon in the fleet: together, up to 67 daemons
 /// make at most 67 calls a second for a topic, however often rows change. In a larger fleet,
@@ -174,6 +175,8 @@
             Some(head) => {
                 let timeout = match self.topic {
                     _ if !is_watcher => Duration::ZERO,
+                    // Whether the store is back must be known soon.
+                    _ if self.failures > 0 => Duration::ZERO,
                     Topic::Operator => operator_poll_timeout(self.context.settings.revocation),
                     _ => POLL_TIMEOUT,
                 };
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -26,7 +26,7 @@
 /// that is in touch, no confirmation gets older.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(3_000);
 
-/// The same for the upstreams' rows, whose long polls take up to 5 s.
+/// The same for the upstreams' rows, which watchers confirm less often.
 const MAX_ROWS_AGE: Duration = Duration::from_millis(8_000);
 
 impl Relay {
