Keep no upstream for longer because the store fails again

Cause: a missing registration was kept until 2 s after the store's recovery as this daemon saw it. A daemon that the store turns away, or that notices late, kept it for as long, and each failed call began the 2 s anew. Why this works: the end is set when the registration is found missing: 2 s after the sending of the last unanswered call, 1.8 s from now at most. Only while most registrations of a service are missing, which upstreams that leave don't cause, the old rule holds.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -226,9 +226,9 @@
         let now = self.now();
         for change in changes {
             match change {
-                roster::Change::Kept(upstream) => {
-                    let upstream = upstream.as_str();
-                    info!(upstream, "upstream kept although its registration is missing");
+                roster::Change::Kept(upstream, until) => {
+                    let (upstream, ms) = (upstream.as_str(), until.since(now).as_millis() as u64);
+                    info!(upstream, ms, "upstream kept although its registration is missing");
                 }
                 roster::Change::Dropped(upstream, missing) => {
                     counter!("tealturn_upstreams_dropped_total").increment(1);
@@ -252,14 +252,17 @@
     }
 
     /// Removes upstreams whose registrations are gone, and publishes the view if there were any.
-    pub fn expire_upstreams(&self) {
+    /// Returns when to call it again, if a time is known.
+    pub fn expire_upstreams(&self) -> Option<Time> {
         let now = self.now();
         let mut roster = self.roster.lock().unwrap_or_else(|it| it.into_inner());
-        if roster.has_unsettled() {
-            roster.expire(now);
-            self.log_registrations(roster.take_changes());
-            self.publish_view(&roster);
+        if !roster.has_unsettled() {
+            return None;
         }
+        let next = roster.expire(now);
+        self.log_registrations(roster.take_changes());
+        self.publish_view(&roster);
+        next
     }
 
     /// Records what an upstream says of itself in an answer to a request that was sent at `sent_at`.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -203,7 +203,8 @@
                 let latest_era = self.context.eras.latest();
                 if latest_era > Some(page.era) {
                     let failure = format!("the answer is of era {}, not {latest_era:?}", page.era);
-                    return self.back_off(&store::Error::Malformed(failure), is_watcher).await;
+                    let failure = store::Error::Malformed(failure);
+                    return self.back_off(&failure, requested_at, is_watcher).await;
                 }
                 let changed = !page.rows.is_empty();
                 if self.topic == Topic::Upstreams {
@@ -219,7 +220,7 @@
                 info!(topic = ?self.topic, "changes are no longer available; listing the topic again");
                 self.must_list = true;
             }
-            Err(failure) => self.back_off(&failure, is_watcher).await,
+            Err(failure) => self.back_off(&failure, requested_at, is_watcher).await,
         }
     }
 
@@ -241,12 +242,12 @@
         Ok(page)
     }
 
-    async fn back_off(&mut self, failure: &store::Error, is_watcher: bool) {
+    async fn back_off(&mut self, failure: &store::Error, requested_at: Time, is_watcher: bool) {
         if self.failures == 0 {
             warn!(topic = ?self.topic, %failure, "call to the store failed; retrying");
         }
         if self.topic == Topic::Upstreams {
-            self.context.change_roster(|it| it.store_lost());
+            self.context.change_roster(|it| it.store_lost(requested_at));
         }
         let max_delay = match is_watcher {
             true => RETRY_DELAY_MAX,
@@ -286,7 +287,7 @@
         Topic::Upstreams => {
             let gap = previous.map(|it| confirmed_at.since(it.confirmed_at));
             let was_lost = delta.restored || gap.is_some_and(|it| it >= OUTAGE_GAP);
-            apply_upstream_rows(context, &delta, was_lost);
+            apply_upstream_rows(context, &delta, was_lost.then_some(confirmed_at));
         }
         Topic::Fleet => {
             context.members.apply_rows(&delta);
@@ -357,11 +358,12 @@
     context.learn_target(model, target);
 }
 
-fn apply_upstream_rows(context: &Context, delta: &Delta, store_was_lost: bool) {
+/// `recovered_at` is set if these are the first rows after an outage of the store.
+fn apply_upstream_rows(context: &Context, delta: &Delta, recovered_at: Option<Time>) {
     let now = context.now();
     context.change_roster(|roster| {
-        if store_was_lost {
-            roster.store_lost();
+        if let Some(recovered_at) = recovered_at {
+            roster.store_lost(recovered_at);
             roster.store_answered(now);
         }
         for row in &delta.rows {
@@ -428,12 +430,17 @@
 pub async fn expire_upstreams(context: Arc<Context>, stop: CancellationToken) {
     /// Short compared with the lifetime of registrations.
     const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+    /// The resolution of timers.
+    const MIN_EXPIRY_INTERVAL: Duration = Duration::from_millis(1);
+    let mut pause = EXPIRY_INTERVAL;
     loop {
         tokio::select! {
             () = stop.cancelled() => return,
-            () = time::sleep(EXPIRY_INTERVAL) => {}
+            () = time::sleep(pause) => {}
         }
-        context.expire_upstreams();
+        let next = context.expire_upstreams();
+        let next = next.map_or(EXPIRY_INTERVAL, |it| it.since(context.now()));
+        pause = next.clamp(MIN_EXPIRY_INTERVAL, EXPIRY_INTERVAL);
     }
 }
 
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -1,8 +1,12 @@
 //! Upstreams registered in the store.
 //!
 //! An entry that disappears from the store while it is available is removed at once. Entries also
-//! lapse in the store while it is unavailable; the roster keeps those until
-//! [`REREGISTRATION_GRACE`] after the store's recovery, because live upstreams write them again.
+//! lapse in the store while it is unavailable; the roster keeps those for a while, because live
+//! upstreams write them again within [`REREGISTRATION_GRACE`] after the store's recovery. But an
+//! upstream may also leave by removing its entry, and must get no calls soon after, whether or not
+//! this daemon reaches the store. So an entry is kept until a time that is set when it is found
+//! missing. Only if most entries of a service are missing, which can't be upstreams that leave, they
+//! are all kept until the end of the grace period, however often that starts anew.
 //!
 //! A store that came back from an older copy may show upstreams as ready that have left since. What
 //! was seen of a leaving holds until the upstream writes its entry again.
@@ -23,6 +27,11 @@
 /// takes about two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_000);
 
+/// The longest time for which an entry is kept that is missing: shorter than the time after which an
+/// upstream that leaves must get no calls (2 s on the platform), because the last ones are still on
+/// their way.
+pub const MAX_ABSENCE: Duration = Duration::from_millis(1_800);
+
 /// How long an upstream is remembered after its entry was removed. It may register again, for
 /// instance if it reached the store too late to keep its entry, or come back with an older copy of
 /// the store.
@@ -126,8 +135,9 @@
 /// What happened to an upstream whose entry is missing from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// It may still take calls: its entry may have lapsed while the store was unavailable.
-    Kept(Upstream),
+    /// It takes calls until this time unless it registers again: its entry may have lapsed while the
+    /// store was unavailable.
+    Kept(Upstream, Time),
     /// It is no longer used. Its entry had been missing for this long.
     Dropped(Upstream, Duration),
     /// It registered again. Its entry had been missing since this time.
@@ -137,14 +147,20 @@
 #[derive(Debug)]
 struct Entry {
     endpoint: Arc<Endpoint>,
-    /// Since when the entry is gone from the store.
-    missing_since: Option<Time>,
-    /// Whether [`Change::Kept`] was reported.
-    is_told: bool,
+    /// Set while the entry is gone from the store.
+    absence: Option<Absence>,
     /// Whether the upstream had left, and is in the store again only because that lost the change.
     departed: bool,
 }
 
+/// The absence of an entry from the store.
+#[derive(Clone, Copy, Debug)]
+struct Absence {
+    since: Time,
+    /// When it counts as that of an upstream that has left.
+    kept_until: Time,
+}
+
 /// An upstream whose entry was removed.
 #[derive(Clone, Debug)]
 struct Departure {
@@ -158,6 +174,8 @@
 pub struct Roster {
     entries: Map<Upstream, Entry>,
     departures: Map<Upstream, Departure>,
+    /// When the last call was sent that the store didn't answer.
+    unanswered_at: Option<Time>,
     /// When the store last became available again.
     store_recovered_at: Option<Time>,
     is_store_unavailable: bool,
@@ -165,8 +183,9 @@
 }
 
 impl Roster {
-    /// Records that the store can't be reached.
-    pub fn store_lost(&mut self) {
+    /// Records that the store didn't answer a call that was sent at `sent_at`.
+    pub fn store_lost(&mut self, sent_at: Time) {
+        self.unanswered_at = self.unanswered_at.max(Some(sent_at));
         self.is_store_unavailable = true;
     }
 
@@ -180,7 +199,8 @@
     /// Adds or replaces the entry of an upstream. Its health is kept if the process is the same.
     pub fn insert(&mut self, name: &Upstream, record: Record) {
         let departure = self.departures.remove(name);
-        let missing_since = self.entries.get(name).and_then(|it| it.missing_since);
+        let absence = self.entries.get(name).and_then(|it| it.absence);
+        let missing_since = absence.map(|it| it.since);
         if let Some(since) = missing_since.or(departure.as_ref().map(|it| it.at)) {
             self.changes.push(Change::Returned(name.clone(), since));
         }
@@ -195,11 +215,10 @@
     /// Adds or replaces the entry of an upstream from an older copy of the store, if nothing later
     /// is known of it.
     pub fn restore(&mut self, name: &Upstream, mut record: Record, now: Time) {
-        if let Some(entry) = self.entries.get_mut(name) {
+        if let Some(entry) = self.entries.get(name) {
             let known = &entry.endpoint.record;
             if known.incarnation > record.incarnation {
-                entry.missing_since.get_or_insert(now);
-                return;
+                return self.remove(name, now);
             }
             let same_process = known.incarnation == record.incarnation;
             record.draining |= same_process && known.draining;
@@ -230,10 +249,7 @@
         let health = same_process.map_or_else(Arc::default, |it| it.health.clone());
         let hash = name_hash(name.as_str());
         let endpoint = Arc::new(Endpoint { name: name.clone(), hash, record, health });
-        self.entries.insert(
-            name.clone(),
-            Entry { endpoint, missing_since: None, is_told: false, departed },
-        );
+        self.entries.insert(name.clone(), Entry { endpoint, absence: None, departed });
     }
 
     /// The registration of an upstream.
@@ -243,39 +259,62 @@
 
     /// Marks the entry as missing from the store; [`Self::expire`] removes it.
     pub fn remove(&mut self, name: &Upstream, now: Time) {
-        if let Some(entry) = self.entries.get_mut(name) {
-            entry.missing_since.get_or_insert(now);
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        if entry.absence.is_some() {
+            return;
+        }
+        // The store was back after the last call that it didn't answer, at the earliest.
+        let grace_end = self.unanswered_at.map_or(now, |it| it + REREGISTRATION_GRACE);
+        let kept_until = grace_end.min(now + MAX_ABSENCE);
+        entry.absence = Some(Absence { since: now, kept_until });
+        if kept_until > now {
+            self.changes.push(Change::Kept(name.clone(), kept_until));
         }
     }
 
     /// Whether any entry is missing from the store, or in it only because that lost its removal.
     pub fn has_unsettled(&self) -> bool {
-        self.entries.values().any(|it| it.missing_since.is_some() || it.departed)
+        self.entries.values().any(|it| it.absence.is_some() || it.departed)
     }
 
-    /// Removes missing entries and takes those that are in the store again for good, unless the
-    /// store is unavailable or recovered too recently. If any are left, returns when the grace
-    /// period after the last recovery ends, if there was one.
+    /// Removes missing entries and takes those that are in the store again for good, unless they are
+    /// kept. If any are left, returns when to call it again, if a time is known.
     pub fn expire(&mut self, now: Time) -> Option<Time> {
-        let kept_until = self.store_recovered_at.map(|it| it + REREGISTRATION_GRACE);
-        if self.is_store_unavailable || kept_until.is_some_and(|it| now < it) {
-            for (name, entry) in &mut self.entries {
-                if entry.missing_since.is_some() && !std::mem::replace(&mut entry.is_told, true) {
-                    self.changes.push(Change::Kept(name.clone()));
-                }
-            }
-            return kept_until.filter(|_| self.has_unsettled());
-        }
+        let grace_end = self.store_recovered_at.map(|it| it + REREGISTRATION_GRACE);
+        let is_grace = self.is_store_unavailable || grace_end.is_some_and(|it| now < it);
+        let lapsed = if is_grace { self.lapsed_services() } else { Vec::new() };
         self.departures.retain(|_, it| now.since(it.at) < REMOVED_MEMORY);
-        for (name, entry) in self.entries.extract_if(|_, it| it.missing_since.is_some()) {
-            let missing_for = entry.missing_since.map_or(Duration::ZERO, |it| now.since(it));
+        let is_over = |entry: &Entry| {
+            let is_kept = entry.absence.is_some_and(|it| now < it.kept_until);
+            entry.absence.is_some() && !is_kept && !lapsed.contains(&entry.endpoint.record.service)
+        };
+        for (name, entry) in self.entries.extract_if(|_, it| is_over(it)) {
+            let missing_for = entry.absence.map_or(Duration::ZERO, |it| now.since(it.since));
             self.changes.push(Change::Dropped(name.clone(), missing_for));
             self.departures.insert(name, Departure { endpoint: entry.endpoint, at: now });
         }
-        for entry in self.entries.values_mut() {
-            entry.departed = false;
+        if !is_grace {
+            for entry in self.entries.values_mut() {
+                entry.departed = false;
+            }
+        }
+        let ends = self.entries.values().filter_map(|it| it.absence).map(|it| it.kept_until);
+        let ends = ends.filter(|it| now < *it);
+        ends.chain(grace_end.filter(|it| now < *it && self.has_unsettled())).min()
+    }
+
+    /// The services of which most entries are missing.
+    fn lapsed_services(&self) -> Vec<Service> {
+        let mut counts: Map<&Service, (usize, usize)> = Map::default();
+        for entry in self.entries.values() {
+            let (all, missing) = counts.entry(&entry.endpoint.record.service).or_default();
+            *all += 1;
+            *missing += usize::from(entry.absence.is_some());
         }
-        None
+        let lapsed = counts.into_iter().filter(|(_, (all, missing))| missing * 2 > *all);
+        lapsed.map(|(service, _)| service.clone()).collect()
     }
 
     /// Snapshot of the registered upstreams that aren't draining.
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -34,7 +34,7 @@
     let mut roster = Roster::default();
     roster.insert(&name(0), record(0, 1));
     roster.insert(&name(1), record(1, 1));
-    roster.store_lost();
+    roster.store_lost(START);
     roster.expire(START);
     roster.store_answered(START);
     roster.remove(&name(0), START);
@@ -68,12 +68,12 @@
         for number in 0..4 {
             roster.insert(&name(number), record(number, 1));
         }
-        roster.store_lost();
+        roster.store_lost(START);
         roster.remove(&name(0), START);
         roster.expire(START);
         for millis in 0..DRAIN.as_millis() as u64 {
             if case.failures.contains(&millis) {
-                roster.store_lost();
+                roster.store_lost(START);
             }
             if case.answers.contains(&millis) {
                 roster.store_answered(START + Duration::from_millis(millis));
@@ -84,11 +84,53 @@
     }
 }
 
+/// Guards against calls to an upstream that has left, because the daemon noticed late that the store was back,
+/// and against a service without upstreams after the store has lost most of its entries.
+#[test]
+fn how_long_missing_entries_are_kept_depends_on_the_outage_and_their_number() {
+    struct Case {
+        what: &'static str,
+        /// When the last call was sent that the store didn't answer, in milliseconds before the removal.
+        unanswered: u64,
+        missing: u16,
+        /// How long they are kept, in milliseconds; while more of them are missing, for the whole grace period.
+        kept: u64,
+    }
+    for case in [
+        Case { what: "the outage is just over", unanswered: 100, missing: 1, kept: 1_800 },
+        Case { what: "it may be over for a while", unanswered: 1_500, missing: 1, kept: 500 },
+        Case { what: "it is over for long", unanswered: 2_000, missing: 1, kept: 0 },
+        Case { what: "half of the entries", unanswered: 1_500, missing: 2, kept: 500 },
+        Case { what: "most entries", unanswered: 1_500, missing: 3, kept: 2_000 },
+        Case { what: "all entries", unanswered: 3_500, missing: 4, kept: 2_000 },
+    ] {
+        let mut roster = Roster::default();
+        for number in 0..4 {
+            roster.insert(&name(number), record(number, 1));
+        }
+        roster.store_lost(START - Duration::from_millis(case.unanswered));
+        roster.store_answered(START);
+        for number in 0..case.missing {
+            roster.remove(&name(number), START);
+        }
+        let mut kept = 0;
+        loop {
+            roster.expire(START + Duration::from_millis(kept));
+            if names(&roster).len() < 4 {
+                break;
+            }
+            kept += 1;
+        }
+        assert_eq!(kept, case.kept, "{}", case.what);
+        assert_eq!(names(&roster).len(), 4 - usize::from(case.missing), "{}", case.what);
+    }
+}
+
 #[test]
 fn a_draining_upstream_gets_no_calls_during_a_store_outage() {
     let mut roster = Roster::default();
     roster.insert(&name(0), record(0, 1));
-    roster.store_lost();
+    roster.store_lost(START);
     roster.insert(&name(0), Record { draining: true, ..record(0, 1) });
     assert!(names(&roster).is_empty());
 }
@@ -224,7 +266,7 @@
             roster.remove(&name(0), START);
             roster.expire(START);
         }
-        roster.store_lost();
+        roster.store_lost(START);
         roster.store_answered(START);
         roster.restore(&name(0), case.restored, START);
         roster.expire(START);
