--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -67,8 +68,26 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// Opens TCP connections.
+#[async_trait]
+pub trait Connector: Send + Sync {
+    /// Opens a connection.
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream>;
+}
+
+/// Opens connections directly.
+struct Direct;
+
+#[async_trait]
+impl Connector for Direct {
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        TcpStream::connect(address).await
+    }
+}
+
 /// Connections to other processes.
 pub struct Client {
+    connector: Arc<dyn Connector>,
     idle: Mutex<Map<SocketAddr, Vec<Connection>>>,
     memory: Arc<Memory>,
     max_answer_bytes: usize,
@@ -77,6 +96,7 @@
 impl Default for Client {
     fn default() -> Client {
         Client {
+            connector: Arc::new(Direct),
             idle: Mutex::default(),
             memory: Memory::new(DEFAULT_MEMORY_BYTES),
             max_answer_bytes: DEFAULT_MEMORY_BYTES,
@@ -122,13 +142,18 @@
         Client::default()
     }
 
+    /// A client that opens its connections by `connector`.
+    pub fn with_connector(connector: Arc<dyn Connector>) -> Client {
+        Client { connector, ..Client::default() }
+    }
+
     /// A client without connections whose answers take `bytes` of memory at most, all together. One of
     /// them may take an eighth of that.
     pub fn bounded(bytes: usize) -> Client {
         Client {
-            idle: Mutex::default(),
             memory: Memory::new(bytes),
             max_answer_bytes: bytes / ANSWERS_PER_MEMORY,
+            ..Client::default()
         }
     }
 
@@ -146,7 +171,7 @@
     pub async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer> {
         let mut connection = match self.take(address) {
             Some(connection) => connection,
-            None => connect(address).await?,
+            None => self.connect(address).await?,
         };
         let lost = |error: hyper::Error| Error::NoResponse { address, reason: error.to_string() };
         let response = match connection.sender.try_send_request(request).await {
@@ -154,7 +179,7 @@
             Err(mut error) => match error.take_message() {
                 // The idle connection was closed before the request was written to it.
                 Some(request) => {
-                    connection = connect(address).await?;
+                    connection = self.connect(address).await?;
                     connection.sender.send_request(request).await.map_err(lost)?
                 }
                 None => return Err(lost(error.into_error())),
@@ -173,7 +198,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer> {
-        let mut connection = connect(address).await?;
+        let mut connection = self.connect(address).await?;
         let sent = connection.sender.send_request(request).await;
         let response =
             sent.map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
@@ -192,7 +217,7 @@
         request: Request<Full<Bytes>>,
         may_send: impl FnOnce() -> bool,
     ) -> Result<Option<Answer>> {
-        let mut connection = connect(address).await?;
+        let mut connection = self.connect(address).await?;
         if !may_send() {
             return Ok(None);
         }
@@ -287,9 +312,13 @@
         self.keep(answer.address, answer.connection, kept);
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<Connection> {
+        connect(&*self.connector, address).await
+    }
+
     /// Whether a connection to `address` opens within `timeout`. It is closed at once.
     pub async fn opens(&self, address: SocketAddr, timeout: Duration) -> bool {
-        matches!(time::timeout(timeout, TcpStream::connect(address)).await, Ok(Ok(_)))
+        matches!(time::timeout(timeout, self.connector.connect(address)).await, Ok(Ok(_)))
     }
 
     /// Closes the idle connections to an address, for instance after one went silent.
@@ -370,9 +399,9 @@
         .map_err(|error| Error::Malformed { kind: "request", reason: error.to_string() })
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection> {
+async fn connect(connector: &dyn Connector, address: SocketAddr) -> Result<Connection> {
     let refused = |source| Error::Connect { address, source };
-    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = time::timeout(CONNECT_TIMEOUT, connector.connect(address))
         .await
         .map_err(|elapsed| refused(elapsed.into()))?
         .map_err(refused)?;
