Pass calls on to another daemon while this one reaches no upstream

What callers saw: daemons that had lost their links to all upstreams refused every call at once for as long as that lasted, 0 of 107 first attempts against 431 of 433 at the others. Cause: a daemon knew no way to the upstreams but its own, and stayed in the lists of addresses. Besides, it reported upstreams dead again with each failed probe, so that the other daemons held them for suspect: in the test the others served 113 of 120 calls. Evidence: each refusal in its log names no upstream, while other daemons report signs of life. Further failed probes over a lost path count for nothing. A stream goes on when its upstream is found dead but still sends.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! connects the gateway to it. The platform calls a workspace a tenant.
 //!
 //! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`limit`], [`permit`], [`quota`], [`crash`],
-//! [`freshness`], [`room`] and [`rollout`] make
+//! [`freshness`], [`reach`], [`room`] and [`rollout`] make
 //! decisions and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
@@ -37,6 +37,7 @@
 pub mod permit;
 pub mod place;
 pub mod quota;
+pub mod reach;
 pub mod relay;
 pub mod rollout;
 pub mod room;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -80,6 +80,8 @@
     pub last_event: Option<String>,
     /// The attempt that brought the first event of the stream that the caller resumes.
     pub resumes: Option<String>,
+    /// The attempts that may have executed the call, if another daemon passed it on.
+    pub forwarded: Option<u32>,
 }
 
 /// A validated call.
@@ -155,6 +157,17 @@
     }
 }
 
+/// What a call that is passed on to another daemon states, in addition to what the caller sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Forward {
+    /// The time left until the answer is due.
+    pub time_left: Duration,
+    /// The event after which the stream resumes.
+    pub last_event: Option<String>,
+    /// The attempts that may have executed the call.
+    pub executions: u32,
+}
+
 /// What the request to an upstream states about one attempt, in addition to the call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Dispatch {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use crate::{
+    collections::Set,
     fleet::board::Fact,
     gateway::{
         budget::Budget,
@@ -101,6 +102,8 @@
     pub view: ArcSwap<View>,
     /// Configured weights and the rollout progress of the engines.
     pub progress: ArcSwap<Progress>,
+    /// The services from whose upstreams this daemon is cut off.
+    pub cut_off: ArcSwap<Set<Service>>,
     /// Registered daemons.
     pub members: Members,
     /// Last known state of the other daemons.
@@ -151,6 +154,7 @@
             freshness: Freshness::default(),
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
+            cut_off: ArcSwap::default(),
             members: Members::default(),
             peers: Peers::default(),
             plan: ArcSwap::default(),
@@ -185,6 +189,19 @@
         self.document.load().is_some() && fresh && !self.leaving.is_cancelled()
     }
 
+    /// Whether this daemon is cut off from the upstreams of a service.
+    pub fn is_cut_off(&self, service: &Service) -> bool {
+        self.cut_off.load().contains(service)
+    }
+
+    /// Whether callers should be sent to this daemon: it is ready and reaches upstreams.
+    pub fn accepts_callers(&self) -> bool {
+        let (view, cut_off) = (self.view.load(), self.cut_off.load());
+        let mut used = view.services().filter(|it| !view.service(it).is_empty());
+        let reaches_none = !cut_off.is_empty() && used.all(|it| cut_off.contains(it));
+        self.is_ready() && !reaches_none
+    }
+
     /// Changes the operator's targets and the rollout progress; `change` returns whether it did.
     pub fn change_progress(&self, change: impl FnOnce(&mut Progress) -> bool) -> bool {
         let mut progress = (**self.progress.load()).clone();
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     gateway::{
-        call::{Call, Dispatch, Head},
+        call::{Call, Dispatch, Forward, Head},
         document::Document,
         limit::Statement,
         roster::{Endpoint, Record},
@@ -101,6 +101,10 @@
     /// Sets the protocol's headers on a request to an upstream.
     fn write_request_headers(&self, call: &Call, dispatch: &Dispatch, headers: &mut HeaderMap);
 
+    /// Sets the protocol's headers on a call that is passed on to another daemon, which keeps those
+    /// of the caller.
+    fn write_forwarded_headers(&self, forward: &Forward, headers: &mut HeaderMap);
+
     /// Parses the head of an upstream's response.
     fn parse_response(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> Evidence;
 
@@ -108,6 +112,9 @@
     /// will.
     fn denies_execution(&self, status: StatusCode) -> bool;
 
+    /// The retry delay that a refusal names.
+    fn retry_after(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Builds the response to a call that the gateway refuses.
     fn error_response(&self, refusal: Refusal) -> Response<Body>;
 }
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -37,7 +37,7 @@
     let (last_update, updates) = updates(context, name, to_link, &known);
     let own_name = context.settings.daemon.as_str();
     let mut live = peers.reported_live(name, to_link, now);
-    live.push((name_hash(own_name), context.is_ready()));
+    live.push((name_hash(own_name), context.accepts_callers()));
     let is_known = known != Known::default() && live_digest(&live) == known.sent_live;
     let progress = context.progress.load();
     let rollouts_digest = progress.statuses_digest();
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -35,6 +35,10 @@
 /// this delay.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// How much later than it was found dead another sign of life shows that only this daemon's path to
+/// an upstream is lost. The last bytes of an upstream that has crashed arrive within this time.
+const PATH_LOSS_MARGIN: Duration = Duration::from_millis(250);
+
 /// Number of daemons that together probe a dead upstream once in [`PROBE_INTERVAL`].
 const DAEMONS_PER_PROBE: u32 = 4;
 
@@ -82,8 +86,10 @@
     /// it too. Above 0, the upstream is suspected to be dead.
     failed_probes: u32,
     dead: bool,
-    /// When this daemon last found it dead.
+    /// When this daemon found it dead, though it was not before.
     died_at: Option<Time>,
+    /// When a probe of this daemon last opened a connection.
+    connected_at: Option<Time>,
     /// When any daemon last found it dead, and alive.
     sighting: Sighting,
     /// Cancelled when the upstream is found dead.
@@ -340,6 +346,35 @@
         true
     }
 
+    /// Whether a probe is due while paths to other upstreams are lost: nothing was heard of this one
+    /// lately. If so, the caller must probe it and call [`Self::record_probe`].
+    pub fn start_path_probe_if_due(&self, now: Time) -> bool {
+        let mut state = self.state();
+        let is_active = now.since(state.last_activity) < INACTIVITY_TIMEOUT;
+        if is_active || now.since(state.last_probe) < PROBE_INTERVAL {
+            return false;
+        }
+        state.last_probe = now;
+        true
+    }
+
+    /// When this daemon lost its path to the upstream, if it did: it can't connect, but the upstream
+    /// has sent something to some daemon since.
+    pub fn path_lost_at(&self) -> Option<Time> {
+        let state = self.state();
+        state.died_at.filter(|_| state.is_path_lost())
+    }
+
+    /// When a probe of this daemon last opened a connection.
+    pub fn connected_at(&self) -> Option<Time> {
+        self.state().connected_at
+    }
+
+    /// When the upstream last sent something, or received a call while it had none in flight.
+    pub fn last_activity(&self) -> Time {
+        self.state().last_activity
+    }
+
     /// Records the result of a probe; returns whether the upstream changed from alive to dead or
     /// back.
     pub fn record_probe(&self, connected: bool, now: Time) -> bool {
@@ -347,6 +382,7 @@
         let was_dead = state.dead;
         if connected {
             state.last_activity = now;
+            state.connected_at = Some(now);
             state.failed_probes = 0;
             state.sighting.alive_at = Some(now);
             if state.dead {
@@ -392,10 +428,20 @@
         self.outcomes_at = now;
     }
 
+    fn is_path_lost(&self) -> bool {
+        let lost_from = self.died_at.map(|it| it + PATH_LOSS_MARGIN);
+        self.dead && lost_from.is_some_and(|it| self.sighting.alive_at > Some(it))
+    }
+
     fn mark_dead(&mut self, now: Time) {
+        if !self.dead {
+            self.died_at = Some(now);
+        }
+        // Another failed probe over a lost path says nothing of the upstream.
+        if !self.is_path_lost() {
+            self.sighting.dead_at = Some(now);
+        }
         self.dead = true;
-        self.died_at = Some(now);
-        self.sighting.dead_at = Some(now);
         // Calls that failed when the process ended say nothing about its successor, which may
         // accept connections at the same address before its registration replaces this one.
         self.outcomes = Outcomes::default();
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tracing::info;
 
@@ -10,6 +11,7 @@
         call::Prompt,
         context::Context,
         crash::{self, Process, Run},
+        gauge::INACTIVITY_TIMEOUT,
         place::Choice,
         room::Event,
         roster::Endpoint,
@@ -32,10 +34,12 @@
     unread_tokens: u64,
     memory_tokens: u64,
     /// Cancelled when the upstream is found dead: it accepts no connections.
-    pub upstream_death: CancellationToken,
+    upstream_death: CancellationToken,
     context: Arc<Context>,
     /// Identifies this attempt in the table of requests that may have crashed an upstream.
     attempt_id: Request,
+    /// Whether another daemon took the call, whose upstream is not known.
+    pub is_forwarded: bool,
     succeeded: bool,
     /// Whether the answer shows that no part of the prompt crashes upstreams.
     clears_prompt: bool,
@@ -70,11 +74,42 @@
             upstream_death,
             context,
             attempt_id,
+            is_forwarded: false,
             succeeded: false,
             clears_prompt: false,
         }
     }
 
+    /// Represents a call that another daemon takes; `choice` names that in place of an upstream.
+    pub fn forwarded(context: &Arc<Context>, choice: Choice) -> Reservation {
+        let upstream_death = choice.endpoint.health.start_call(0, 0, context.now());
+        Reservation {
+            choice,
+            unread_tokens: 0,
+            memory_tokens: 0,
+            upstream_death,
+            context: context.clone(),
+            attempt_id: context.next_attempt_id(),
+            is_forwarded: true,
+            succeeded: false,
+            clears_prompt: false,
+        }
+    }
+
+    /// Waits until the upstream is found dead and has sent nothing for a while. Open connections may
+    /// live on when no new one can be opened.
+    pub async fn died(&self) {
+        self.upstream_death.cancelled().await;
+        let health = &self.choice.endpoint.health;
+        loop {
+            let silence = self.context.now().since(health.last_activity());
+            if silence >= INACTIVITY_TIMEOUT {
+                return;
+            }
+            time::sleep(INACTIVITY_TIMEOUT - silence).await;
+        }
+    }
+
     /// Records that the complete answer was received and is not a server error. `clears_prompt` tells
     /// whether it is a successful one whose end can't be that of a crashed upstream.
     pub fn succeed(&mut self, clears_prompt: bool) {
@@ -112,6 +147,9 @@
     /// Handles a lost connection. An upstream that accepts no new one is marked dead and counts as
     /// crashed, and the requests that were running there become suspects.
     pub async fn connection_lost(&self) {
+        if self.is_forwarded {
+            return;
+        }
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let now = self.context.now();
         health.record_failure(now);
@@ -146,6 +184,9 @@
     fn drop(&mut self) {
         self.mark_prompt_read();
         self.choice.endpoint.health.end_call(self.memory_tokens);
+        if self.is_forwarded {
+            return;
+        }
         let now = self.context.now();
         self.context.rooms.report(&self.choice.endpoint.record.service, Event::Freed, now);
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -115,6 +115,7 @@
 /// choose among the addresses at random, so daemons with little processor time are left out of some
 /// of the answers, in proportion.
 ///
+/// A daemon that is cut off from all upstreams names itself only if no other one accepts callers.
 /// A daemon that gets no response from any peer can't tell which ones are alive, and returns all
 /// that aren't shutting down.
 pub fn addresses(context: &Context, zone: Option<&str>) -> Vec<SocketAddr> {
@@ -124,7 +125,9 @@
     let accepting = context.peers.accepting_callers(now);
     let members = context.members.all();
     let is_open = |name: &str, member: &Member| match name == own {
-        true => context.is_ready(),
+        // With the others cut off, too, callers are served as soon as any is no longer.
+        true if accepting.is_empty() => context.is_ready(),
+        true => context.accepts_callers(),
         false => !member.leaving && (is_isolated || accepting.contains(&name_hash(name))),
     };
     let open = members.iter().filter(|(name, member)| is_open(name, member));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a call: sends it to upstreams, retries it where allowed, and passes the answer on.
 
 mod admit;
+mod forward;
 mod pump;
 mod resumption;
 mod turn;
@@ -9,7 +10,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use metrics::{counter, histogram};
 use tokio::time;
 use tracing::info;
@@ -113,6 +114,8 @@
 
 /// Relays a call and returns the response for the caller.
 pub async fn relay(context: Arc<Context>, call: Call) -> Response<Body> {
+    // Attempts by the daemon that passed the call on count as those of this one.
+    let executions = call.head.forwarded.unwrap_or(0);
     let mut active = Relay {
         context,
         fingerprint: call.fingerprint(),
@@ -122,17 +125,13 @@
         origin: None,
         excluded: Vec::new(),
         rejecting: Vec::new(),
-        executions: 0,
+        executions,
         rejections: 0,
-        sends: 0,
+        sends: executions,
         connect_failures: 0,
         charge: None,
     };
-    let answered = match active.find_origin().await {
-        Ok(()) => active.obtain_answer().await,
-        Err(refusal) => Err(refusal),
-    };
-    match answered {
+    match active.obtain().await {
         Ok((reservation, answer)) => active.deliver(reservation, answer).await,
         Err(refusal) => active.refuse(refusal),
     }
@@ -179,6 +178,20 @@
         }
     }
 
+    /// Obtains an answer from an upstream, or through another daemon if this one is cut off.
+    async fn obtain(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
+        if !self.is_cut_off() {
+            let result = match self.find_origin().await {
+                Ok(()) => self.obtain_answer().await,
+                Err(refusal) => Err(refusal),
+            };
+            if result.is_ok() || !self.is_cut_off() || !self.may_forward() {
+                return result;
+            }
+        }
+        self.obtain_forwarded().await
+    }
+
     /// Sends the call to upstreams until one of them answers.
     async fn obtain_answer(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
         while self.rejections < MAX_REJECTIONS {
@@ -305,6 +318,23 @@
         }
     }
 
+    /// The request with these headers; `None` if the target is not a valid URI.
+    fn request(&self, headers: HeaderMap) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::new(Full::new(self.call.body.clone()));
+        *request.method_mut() = self.call.method.clone();
+        *request.uri_mut() = self.call.target.parse().ok()?;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    fn attempt_timeout(&self, time_left: Duration) -> Duration {
+        if !self.may_retry() {
+            return time_left;
+        }
+        let objectives = self.call.route.latency_objective * ATTEMPT_TIMEOUT_OBJECTIVES;
+        time_left.min(objectives.max(time_left / 4))
+    }
+
     async fn send(&self, reservation: &Reservation) -> Outcome {
         let (context, call) = (&self.context, &self.call);
         let sent_at = context.now();
@@ -312,20 +342,11 @@
         let dispatch = self.dispatch(&reservation.choice, time_left);
         let mut headers = call.headers.clone();
         context.dialect.write_request_headers(call, &dispatch, &mut headers);
-        let mut request = hyper::Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        match call.target.parse() {
-            Ok(uri) => *request.uri_mut() = uri,
-            Err(_) => return Outcome::Unreachable("request target is not a valid URI".to_owned()),
-        }
-        *request.headers_mut() = headers;
-        let address = reservation.choice.endpoint.record.address;
-        let attempt_timeout = match self.may_retry() {
-            true => time_left.min(
-                (call.route.latency_objective * ATTEMPT_TIMEOUT_OBJECTIVES).max(time_left / 4),
-            ),
-            false => time_left,
+        let Some(request) = self.request(headers) else {
+            return Outcome::Unreachable("request target is not a valid URI".to_owned());
         };
+        let address = reservation.choice.endpoint.record.address;
+        let attempt_timeout = self.attempt_timeout(time_left);
         let request_sent = async {
             match call.route.kind.is_repeatable() {
                 true => context.client.send(address, request).await,
@@ -336,7 +357,7 @@
         };
         let sent = tokio::select! {
             sent = time::timeout(attempt_timeout, request_sent) => sent,
-            () = reservation.upstream_death.cancelled() => {
+            () = reservation.died() => {
                 return Outcome::Lost("the upstream was found dead".to_owned());
             }
             () = self.weights_expire(&reservation.choice) => return Outcome::Expired,
@@ -440,7 +461,7 @@
         if success && self.call.route.kind.is_stream() {
             return self.deliver_stream(reservation, answer);
         }
-        if self.denies_execution(answer.response.status()) {
+        if !reservation.is_forwarded && self.denies_execution(answer.response.status()) {
             return self.refuse_uncertain(&reservation, answer.response.status());
         }
         let (mut reservation, mut answer) = (reservation, answer);
@@ -481,7 +502,7 @@
             }
             self.executions += 1;
             self.excluded.push(reservation.choice.endpoint.name.clone());
-            (reservation, answer) = match self.obtain_answer().await {
+            (reservation, answer) = match self.obtain().await {
                 Ok(found) => found,
                 Err(refusal) => return self.refuse(refusal),
             };
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -35,7 +35,11 @@
     ) -> Response<Body> {
         let status = answer.response.status();
         let headers = stream_headers(answer.response.headers());
-        let origin = self.begin_stream(&reservation.choice.endpoint.record.build);
+        // The daemon that took a call knows the build of its upstream.
+        let origin = match reservation.is_forwarded {
+            true => None,
+            false => self.begin_stream(&reservation.choice.endpoint.record.build),
+        };
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
         tokio::spawn(async move {
             if let Some(origin) = &origin {
@@ -109,11 +113,12 @@
             let may_resume = self.call.is_resumable() && self.may_retry();
             self.executions += 1;
             self.excluded.push(upstream);
+            let was_forwarded = reservation.is_forwarded;
             drop(reservation);
             splitter.discard_partial();
             let next = match may_resume {
                 true => tokio::select! {
-                    next = self.resume(last_event.clone()) => next,
+                    next = self.resume(last_event.clone(), was_forwarded) => next,
                     () = sender.closed() => return self.log_disconnection(),
                 },
                 false => None,
@@ -134,11 +139,28 @@
         info!(attempt, "caller disconnected before its stream was complete");
     }
 
-    /// Resumes the stream after event `last` at another upstream. Tries a further one only after an
-    /// attempt that did not execute the call.
-    async fn resume(&mut self, last: Option<String>) -> Option<(Reservation, Box<Answer>)> {
+    /// Resumes the stream after event `last` at another upstream, or through another daemon if this
+    /// one is cut off or passed the call on before.
+    async fn resume(
+        &mut self,
+        last: Option<String>,
+        was_forwarded: bool,
+    ) -> Option<(Reservation, Box<Answer>)> {
         self.last_event = last;
         self.waiting_since = self.context.now();
+        if !was_forwarded && !self.is_cut_off() {
+            let resumed = self.resume_directly().await;
+            if resumed.is_some() || !self.is_cut_off() || !self.may_forward() {
+                return resumed;
+            }
+        }
+        let (reservation, answer) = self.obtain_forwarded().await.ok()?;
+        answer.response.status().is_success().then_some((reservation, answer))
+    }
+
+    /// Resumes the stream at another upstream. Tries a further one only after an attempt that did not
+    /// execute the call.
+    async fn resume_directly(&mut self) -> Option<(Reservation, Box<Answer>)> {
         while self.rejections < MAX_REJECTIONS {
             self.charge().await.ok()?;
             let reservation = self.acquire().await.ok()?;
@@ -172,7 +194,7 @@
             let frame = tokio::select! {
                 frame = answer.response.body_mut().frame() => frame,
                 () = sender.closed() => return End::CallerDisconnected,
-                () = reservation.upstream_death.cancelled() => {
+                () = reservation.died() => {
                     return End::Broken("the upstream was found dead".to_owned());
                 }
                 () = time::sleep(time_left) => return End::Expired,
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -32,7 +32,7 @@
 impl Relay {
     /// Finds the build that must continue the stream, if the call resumes one.
     pub(super) async fn find_origin(&mut self) -> Result<(), Refusal> {
-        if !self.call.is_resumption() {
+        if !self.call.is_resumption() || self.origin.is_some() {
             return Ok(());
         }
         let Some(build) = self.obtain_origin().await else {
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -18,7 +18,7 @@
 use tealturn::{
     gateway::{
         budget,
-        call::{Call, Dispatch, Head},
+        call::{Call, Dispatch, Forward, Head},
         context::{Context, Setup},
         dialect::{self, Answer, Directive, Evidence, Order, Refusal, Reply, Report},
         document::{self, Document, Limits, Tenant},
@@ -104,6 +104,12 @@
     fn write_request_headers(&self, _: &Call, _: &Dispatch, _: &mut HeaderMap) {
         unreachable!()
     }
+    fn write_forwarded_headers(&self, _: &Forward, _: &mut HeaderMap) {
+        unreachable!()
+    }
+    fn retry_after(&self, _: &HeaderMap) -> Option<Duration> {
+        unreachable!()
+    }
     fn parse_response(&self, _: &Call, _: StatusCode, _: &HeaderMap) -> Evidence {
         unreachable!()
     }
