Test who is cut off in fleets of 7 to 350 daemons

The decision as a table of cases, the spread of what it rests on in virtual time, and that no daemon takes itself for cut off when engines crash.

--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// The upstreams to be probed now.
-fn due_probes(context: &Context) -> Vec<Arc<Endpoint>> {
+/// The upstreams to be probed now; each must be probed, and the result recorded.
+pub fn due_probes(context: &Context) -> Vec<Arc<Endpoint>> {
     let now = context.now();
     // Without peers, nobody else probes for this daemon.
     let daemons = match context.peers.any_responsive(now) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -36,6 +36,8 @@
 mod quota_random;
 #[path = "gateway/quota_scene.rs"]
 mod quota_scene;
+#[path = "gateway/reach.rs"]
+mod reach;
 #[path = "gateway/resumption.rs"]
 mod resumption;
 #[path = "gateway/rollout.rs"]
