Take back crashes of upstreams that other daemons see alive

Cause: a connection that breaks while no new one opens counts as a crash, and what ran there is blamed at once and everywhere. Why this works: the daemon that told of a crash takes it back when it has lost its path to the upstream, which others see alive: it clears the requests and the parts of prompts. That counts only once this daemon has failed to connect after the sign of life, so that the next process at the address of one that did crash is no such sign.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod quota;
 pub mod reach;
 pub mod relay;
+pub mod retract;
 pub mod rollout;
 pub mod room;
 pub mod roster;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -30,6 +30,7 @@
         permit::Issuer,
         place::Placer,
         quota,
+        retract::Reports,
         rollout::{Progress, Target},
         room,
         roster::{self, Endpoint, Roster, View},
@@ -104,6 +105,8 @@
     pub progress: ArcSwap<Progress>,
     /// The services from whose upstreams this daemon is cut off.
     pub cut_off: ArcSwap<Set<Service>>,
+    /// Crashes that this daemon told the others of.
+    pub crash_reports: Reports,
     /// Registered daemons.
     pub members: Members,
     /// Last known state of the other daemons.
@@ -155,6 +158,7 @@
             view: ArcSwap::default(),
             progress: ArcSwap::default(),
             cut_off: ArcSwap::default(),
+            crash_reports: Reports::default(),
             members: Members::default(),
             peers: Peers::default(),
             plan: ArcSwap::default(),
--- a/src/gateway/crash/table.rs
+++ b/src/gateway/crash/table.rs
@@ -124,19 +124,33 @@
         let Some(run) = self.runs.end(attempt).filter(|_| is_whole) else {
             return Vec::new();
         };
+        run.parts.iter().for_each(|it| self.seen.insert(*it, now));
+        self.clear(&run.parts, now)
+    }
+
+    /// Records that an upstream process has not crashed, although that was told. A single crash can't
+    /// be taken back, so its parts are cleared of all until now. The facts are to be published.
+    pub fn retract(&mut self, process: Process, now: Time) -> Vec<Fact> {
+        let id = Crash::id(process);
+        let has_crash = |state: &State| state.crashes.iter().any(|(_, crash)| *crash == id);
+        let parts = self.parts.iter().filter(|(_, state)| has_crash(state));
+        let parts: Vec<_> = parts.map(|(part, _)| *part).collect();
+        self.clear(&parts, now)
+    }
+
+    fn clear(&mut self, parts: &[u64], now: Time) -> Vec<Fact> {
         let mut facts = Vec::new();
-        for part in run.parts {
-            self.seen.insert(part, now);
-            let stored = self.rows.0.get(&part).map(|it| it.row.clearances);
-            let known = self.parts.get(&part);
+        for part in parts {
+            let stored = self.rows.0.get(part).map(|it| it.row.clearances);
+            let known = self.parts.get(part);
             let clearances = known.map_or(0, |it| it.clearances);
             let has_crashes = known.is_some_and(|it| !it.crashes.is_empty());
             if !has_crashes && stored.is_none_or(|it| it < clearances) {
                 continue;
             }
-            let state = self.parts.entry(part).or_default();
+            let state = self.parts.entry(*part).or_default();
             state.clear(clearances.max(stored.unwrap_or_default()) + 1, now);
-            facts.push(state.fact(part, &[], now));
+            facts.push(state.fact(*part, &[], now));
         }
         if !facts.is_empty() {
             self.derive(now);
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -88,6 +88,8 @@
     dead: bool,
     /// When this daemon found it dead, though it was not before.
     died_at: Option<Time>,
+    /// Whether it is dead for this daemon only, as far as is known.
+    is_path_lost: bool,
     /// When a probe of this daemon last opened a connection.
     connected_at: Option<Time>,
     /// When any daemon last found it dead, and alive.
@@ -358,11 +360,12 @@
         true
     }
 
-    /// When this daemon lost its path to the upstream, if it did: it can't connect, but the upstream
-    /// has sent something to some daemon since.
+    /// When this daemon lost its path to the upstream, if it did: it still can't connect, although
+    /// another daemon has seen the upstream alive since. An upstream that has crashed may be back at
+    /// the same address, but then this daemon can connect, too.
     pub fn path_lost_at(&self) -> Option<Time> {
         let state = self.state();
-        state.died_at.filter(|_| state.is_path_lost())
+        state.died_at.filter(|_| state.is_path_lost)
     }
 
     /// When a probe of this daemon last opened a connection.
@@ -387,6 +390,7 @@
             state.sighting.alive_at = Some(now);
             if state.dead {
                 state.dead = false;
+                state.is_path_lost = false;
                 state.cancel_on_death = CancellationToken::new();
             }
         } else {
@@ -428,17 +432,15 @@
         self.outcomes_at = now;
     }
 
-    fn is_path_lost(&self) -> bool {
-        let lost_from = self.died_at.map(|it| it + PATH_LOSS_MARGIN);
-        self.dead && lost_from.is_some_and(|it| self.sighting.alive_at > Some(it))
-    }
-
     fn mark_dead(&mut self, now: Time) {
-        if !self.dead {
+        let lost_from = self.died_at.map(|it| it + PATH_LOSS_MARGIN);
+        if self.dead {
+            self.is_path_lost |= lost_from.is_some_and(|it| self.sighting.alive_at > Some(it));
+        } else {
             self.died_at = Some(now);
         }
-        // Another failed probe over a lost path says nothing of the upstream.
-        if !self.is_path_lost() {
+        // A failure over a lost path says nothing of the upstream.
+        if !self.is_path_lost {
             self.sighting.dead_at = Some(now);
         }
         self.dead = true;
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -169,6 +169,8 @@
                 "upstream crashed"
             );
         }
+        let requests = suspects.iter().filter_map(Fingerprint::of).collect();
+        self.context.crash_reports.push(&self.choice.endpoint, requests, now);
         self.context.publish_suspects(suspects);
         self.context.publish_crashes(facts);
     }
--- a/src/gateway/watch.rs
+++ b/src/gateway/watch.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     collections::Set,
-    gateway::{context::Context, reach, roster::Endpoint},
+    gateway::{context::Context, reach, retract, roster::Endpoint},
     kernel::id::Service,
 };
 
@@ -34,6 +34,7 @@
             () = time::sleep(CHECK_INTERVAL) => {}
         }
         update_cut_off(&context);
+        retract::retract_crashes(&context);
         for endpoint in due_probes(&context) {
             probes.spawn(probe(context.clone(), endpoint));
         }
--- a/src/request/suspect.rs
+++ b/src/request/suspect.rs
@@ -65,6 +65,14 @@
         Fingerprint(u64::from_le_bytes(low))
     }
 
+    /// The fingerprint that a fact is about, if it is about one.
+    pub fn of(fact: &Fact) -> Option<Fingerprint> {
+        match fact.key {
+            Key::Suspect(fingerprint) => Some(Fingerprint(fingerprint)),
+            _ => None,
+        }
+    }
+
     /// What its marks are published under.
     pub fn key(self) -> Key {
         Key::Suspect(self.0)
--- a/tests/gateway/reach.rs
+++ b/tests/gateway/reach.rs
@@ -101,6 +101,7 @@
                 let at = START + Duration::from_millis(*millis);
                 health.record_sighting(seen_alive(at), at);
             }
+            health.record_probe(false, START + Duration::from_millis(500));
         }
         case.leaving.iter().for_each(|it| assert!(upstreams[*it].health.record_leaving()));
         if let Some(index) = case.reached {
@@ -129,6 +130,24 @@
     assert_eq!(health.sighting().dead_at, Some(later));
 }
 
+/// Guards against crashes that are taken back, and so against requests that crash one upstream after the other,
+/// because another daemon has connected to the next process at the same address.
+#[test]
+fn an_upstream_that_is_back_after_a_crash_is_no_lost_path() {
+    let upstreams = engines(&[1, 1]);
+    for endpoint in &upstreams {
+        let health = &endpoint.health;
+        health.mark_dead(START);
+        let back = START + Duration::from_secs(2);
+        health.record_sighting(seen_alive(back), back + TICK);
+        assert_eq!(health.path_lost_at(), None, "before this daemon has tried");
+        assert!(health.start_probe_if_due(7, back + TICK), "it tries at once");
+        health.record_probe(true, back + TICK);
+        assert_eq!(health.path_lost_at(), None);
+    }
+    assert!(!reach::is_cut_off(&upstreams));
+}
+
 /// A fleet of which some daemons are cut off from the engines.
 struct Scene {
     fleet: Fleet,
