Give up calls of an upstream found dead after 2 s of silence

Cause: probes that hang find an upstream dead after 0.9 s, and that ended its calls at once. Sound upstreams may be silent for a second or so. Why this works: new calls still avoid the upstream at once, but those under way wait until it has sent nothing for 2 s; a process that ended closes its connections, which ends them sooner.

--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -11,7 +11,6 @@
         call::Prompt,
         context::Context,
         crash::{self, Process, Run},
-        gauge::INACTIVITY_TIMEOUT,
         place::Choice,
         room::Event,
         roster::Endpoint,
@@ -23,6 +22,10 @@
 /// The timeout for reconnecting to an upstream after a connection was lost.
 const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// The silence after which the calls of an upstream that was found dead are given up. A sound one may
+/// be silent for a second or so, and then goes on.
+const MAX_SILENCE: Duration = Duration::from_millis(2_000);
+
 /// Probes that must fail until an upstream counts as crashed whose connection ended without an error;
 /// a single one may be due to packet loss.
 const END_PROBES: usize = 2;
@@ -96,17 +99,17 @@
         }
     }
 
-    /// Waits until the upstream is found dead and has sent nothing for a while. Open connections may
-    /// live on when no new one can be opened.
+    /// Waits until the upstream has been found dead and sent nothing for [`MAX_SILENCE`]. Open
+    /// connections may live on when no new one can be opened.
     pub async fn died(&self) {
         self.upstream_death.cancelled().await;
         let health = &self.choice.endpoint.health;
         loop {
             let silence = self.context.now().since(health.last_activity());
-            if silence >= INACTIVITY_TIMEOUT {
+            if silence >= MAX_SILENCE {
                 return;
             }
-            time::sleep(INACTIVITY_TIMEOUT - silence).await;
+            time::sleep(MAX_SILENCE - silence).await;
         }
     }
 
