Let only the daemon that passes a call on retry it

Two daemons that both retry a call may send it to more upstreams than its route allows, because neither knows of the other's attempts; found by reading.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -300,9 +300,12 @@
         outcome
     }
 
-    /// Whether the call may be sent to another upstream after an attempt that may have executed it.
+    /// Whether the call may be sent to another upstream after an attempt that may have executed it. The
+    /// daemon that passed a call on counts the attempts, and retries it itself.
     fn may_retry(&self) -> bool {
-        self.call.route.kind.is_repeatable() && self.executions + 1 < self.call.route.max_attempts
+        let is_forwarded = self.call.head.forwarded.is_some();
+        let route = &self.call.route;
+        !is_forwarded && route.kind.is_repeatable() && self.executions + 1 < route.max_attempts
     }
 
     fn dispatch(&self, choice: &Choice, time_left: Duration) -> Dispatch {
