--- a/tests/gateway/reach.rs
+++ b/tests/gateway/reach.rs
@@ -130,8 +130,8 @@
     assert_eq!(health.sighting().dead_at, Some(later));
 }
 
-/// Guards against crashes that are taken back, and so against requests that crash one upstream after the other,
-/// because another daemon has connected to the next process at the same address.
+/// Guards against crashes that are taken back, so that a request crashes one upstream after the other, because
+/// another daemon has connected to the next process at the same address.
 #[test]
 fn an_upstream_that_is_back_after_a_crash_is_no_lost_path() {
     let upstreams = engines(&[1, 1]);
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -93,7 +93,7 @@
         /// When the last call was sent that the store didn't answer, in milliseconds before the removal.
         unanswered: u64,
         missing: u16,
-        /// How long they are kept, in milliseconds; while more of them are missing, for the whole grace period.
+        /// How long they are kept, in milliseconds.
         kept: u64,
     }
     for case in [
