Log how a daemon came to know which build began a resumed stream

Callers saw streams joined from two builds; the logs told the upstream but not whether its build was known, told by another daemon or assumed. The line `origin of a resumed stream found` and a counter by source tell that apart.

--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -29,15 +29,37 @@
 /// The same for the upstreams' rows, which watchers confirm less often.
 const MAX_ROWS_AGE: Duration = Duration::from_millis(8_000);
 
+/// How a daemon came to know which build began a stream.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// It saw the stream begin, or was told.
+    Known,
+    /// Another daemon knew it.
+    Asked,
+    /// It is the only recent build of the service that this daemon knows of.
+    OnlyBuild,
+}
+
+impl Source {
+    fn label(self) -> &'static str {
+        match self {
+            Source::Known => "known",
+            Source::Asked => "asked",
+            Source::OnlyBuild => "only_build",
+        }
+    }
+}
+
 impl Relay {
     /// Finds the build that must continue the stream, if the call resumes one.
     pub(super) async fn find_origin(&mut self) -> Result<(), Refusal> {
         if !self.call.is_resumption() || self.origin.is_some() {
             return Ok(());
         }
-        let Some(build) = self.obtain_origin().await else {
+        let Some((build, source)) = self.obtain_origin().await else {
             return Err(self.refuse_resumption("unknown_build"));
         };
+        self.log_origin(&build, source);
         let view = self.context.view.load();
         let mut upstreams = view.service(self.call.service()).iter();
         if !upstreams.any(|it| it.is_staying(&build)) {
@@ -76,20 +98,21 @@
     }
 
     /// Looks the origin up, asks the daemons that were told of it directly, and waits for news of it.
-    async fn obtain_origin(&self) -> Option<Build> {
+    async fn obtain_origin(&self) -> Option<(Build, Source)> {
         let give_up_at = self.context.now() + ORIGIN_WAIT;
-        if let Some(build) = self.look_up_origin() {
-            return Some(build);
+        if let Some(found) = self.look_up_origin() {
+            return Some(found);
         }
         let attempt = name_hash(self.call.stream_attempt());
         if let Some(build) = exchange::origin::ask(&self.context, attempt).await {
             let service = name_hash(self.call.service().as_str());
             let entry = Entry { attempt, service, build };
             self.context.origins().keep(&entry, self.context.now());
+            return Some((entry.build, Source::Asked));
         }
         loop {
-            if let Some(build) = self.look_up_origin() {
-                return Some(build);
+            if let Some(found) = self.look_up_origin() {
+                return Some(found);
             }
             if self.context.now() >= give_up_at {
                 return None;
@@ -98,10 +121,13 @@
         }
     }
 
-    fn look_up_origin(&self) -> Option<Build> {
+    fn look_up_origin(&self) -> Option<(Build, Source)> {
         let (context, now) = (&self.context, self.context.now());
         let service = self.call.service();
         let attempt = name_hash(self.call.stream_attempt());
+        if let Some(build) = context.origins().known(attempt, now) {
+            return Some((build, Source::Known));
+        }
         let rows = context.mirror.head(Topic::Upstreams).map(|it| now.since(it.confirmed_at));
         let is_alone = context.members.count() == 1;
         let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now)
@@ -110,7 +136,21 @@
         let view = context.view.load();
         let registered = view.builds(service);
         let hash = name_hash(service.as_str());
-        context.origins().find(attempt, hash, registered, is_current, now)
+        let build = context.origins().find(attempt, hash, registered, is_current, now)?;
+        Some((build, Source::OnlyBuild))
+    }
+
+    fn log_origin(&self, build: &Build, source: Source) {
+        let head = &self.call.head;
+        info!(
+            attempt = head.attempt,
+            resumes = head.resumes,
+            service = self.call.service().as_str(),
+            build = build.as_str(),
+            ?source,
+            "origin of a resumed stream found"
+        );
+        counter!("tealturn_origins_found_total", "source" => source.label()).increment(1);
     }
 
     fn refuse_resumption(&self, reason: &'static str) -> Refusal {
