Keep in the store which builds services had and which began their streams

Cause: which build began a stream, and which builds a service had, was known to daemons only. Daemons that start took the only build in view for the only one of the last 120 s. The class of fault: what nobody remembers is taken for what never was.

The store now lists the builds of each service, and no event goes to a caller before its build is listed; while there are several, it also has the origin of each stream. A daemon that doesn't know a resumed stream asks the others and reads the list after the call has arrived, so the list holds every build that may have begun the stream. What is not known then is refused.

With one build a stream costs no call.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,6 +38,7 @@
 pub mod place;
 pub mod quota;
 pub mod reach;
+pub mod record;
 pub mod relay;
 pub mod retract;
 pub mod rollout;
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -12,7 +12,7 @@
         bar,
         context::{Context, Setup},
         entry::Entry,
-        exchange, follow, member, operate,
+        exchange, follow, member, operate, record,
         store::Topic,
         watch,
     },
@@ -74,6 +74,7 @@
         tasks.spawn(watch::probe_endpoints(context.clone(), stop.clone()));
         tasks.spawn(member::announce(context.clone(), stop.clone()));
         tasks.spawn(bar::keep(context.clone(), stop.clone()));
+        tasks.spawn(record::keep(context.clone(), stop.clone()));
         for (listener, handler) in extra_listeners {
             tasks.spawn(server::serve(listener, handler, stop.clone()));
         }
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -155,6 +155,7 @@
     engine_tokens: u64,
     has_tenants: bool,
     prioritised: Set<Service>,
+    resumable: Set<Service>,
 }
 
 impl Document {
@@ -165,6 +166,7 @@
     /// The first [`Error`](enum@Error) found.
     pub fn new(parts: Parts) -> Result<Document, Error> {
         let prioritised = prioritised(&parts.routes);
+        let resumable = resumable(&parts.routes);
         let mut hosts: Map<String, Vec<Arc<Route>>> = Map::default();
         for route in parts.routes {
             if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
@@ -200,6 +202,7 @@
             engine_tokens,
             has_tenants,
             prioritised,
+            resumable,
         })
     }
 
@@ -253,12 +256,23 @@
         self.prioritised.contains(service)
     }
 
+    /// Whether callers may resume streams of a service.
+    pub fn is_resumable(&self, service: &Service) -> bool {
+        self.resumable.contains(service)
+    }
+
     /// Looks up the settings of a service.
     pub fn service(&self, name: &Service) -> Option<&Settings> {
         self.services.get(name)
     }
 }
 
+/// The services with a route whose streams may be resumed.
+fn resumable(routes: &[Route]) -> Set<Service> {
+    let routes = routes.iter().filter(|it| it.kind == Kind::Stream { resumable: true });
+    routes.flat_map(|it| &it.backends).map(|(service, _)| service.clone()).collect()
+}
+
 /// The services whose routes differ in priority.
 fn prioritised(routes: &[Route]) -> Set<Service> {
     let mut priorities: Map<&Service, u8> = Map::default();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -297,7 +297,7 @@
                 exchange::update_plan(context);
             }
         }
-        Topic::Leases => {}
+        Topic::Leases | Topic::Streams => {}
     }
     if previous.is_some() && !delta.rows.is_empty() {
         context.urgent.notify_one();
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -5,6 +5,13 @@
 //! at. Daemons tell each other which build began a stream as soon as its service has had more than
 //! one lately; until then, the only one began it. They tell all along the tree, and before the first
 //! event a few directly (see [`exchange::origin`](crate::gateway::exchange::origin)).
+//!
+//! All daemons may be killed at once, and builds come and go meanwhile. So the store keeps which builds
+//! each service had ([`ledger`]) and, while there are several, the origins of streams ([`log`]).
+
+mod ledger;
+pub mod log;
+pub mod row;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -64,6 +71,10 @@
     unshared: Map<u64, VecDeque<u64>>,
     /// When the builds of each service were last used or left.
     builds: Map<u64, Map<Build, Time>>,
+    /// What the store has of the builds of each service.
+    ledgers: Map<u64, ledger::Ledger>,
+    /// What the store has, or is to have, of the streams through this daemon.
+    log: log::Log,
 }
 
 impl Table {
@@ -170,7 +181,7 @@
     }
 
     /// Origins of streams through this daemon that others must be told now: those that may still be
-    /// resumed, if the service has had more than one build lately.
+    /// resumed, if the service has had more than one build lately. The store gets them, too.
     pub fn take_unshared(&mut self, service: u64, registered: &[Build], now: Time) -> Vec<Entry> {
         let is_idle = self.unshared.get(&service).is_none_or(VecDeque::is_empty);
         if is_idle || self.recent_builds(service, registered, now).len() < 2 {
@@ -187,6 +198,7 @@
             state.is_shared = true;
             entries.push(Entry { attempt, service, build: state.build.clone() });
         }
+        entries.iter().for_each(|it| self.log(it.attempt));
         entries
     }
 
--- /dev/null
+++ b/src/gateway/origin/ledger.rs
@@ -0,0 +1,104 @@
+//! Which builds the row of a service in the store lists, and which it should list.
+//!
+//! No event of a stream goes to its caller before the row lists the build that began the stream. So a
+//! daemon that reads the row after a caller has come back, and finds a single build, knows the origin
+//! of the stream without having heard of it.
+
+use super::{Table, row};
+use crate::{
+    gateway::store::Era,
+    kernel::{clock::Time, id::Build},
+};
+
+/// The row of a service, as this daemon last read or wrote it.
+#[derive(Debug)]
+pub(super) struct Ledger {
+    era: Era,
+    listed: Vec<Build>,
+    /// Those of the listed builds that have had upstreams ever since. The row may have lost the others.
+    verified: Vec<Build>,
+}
+
+impl Table {
+    /// Takes in the row of a service, which the store had, or lacked, in `era`.
+    pub fn learn_row(
+        &mut self,
+        service: u64,
+        row: Option<&row::Builds>,
+        era: Era,
+        registered: &[Build],
+        now: Time,
+    ) {
+        let known = self.builds.entry(service).or_default();
+        for build in row.into_iter().flat_map(|it| &it.builds) {
+            known.entry(build.clone()).or_insert(now);
+        }
+        if !is_incomplete(row, era) {
+            self.note_row(service, row.cloned().unwrap_or_default(), registered);
+        } else if !self.ledgers.contains_key(&service) {
+            // This daemon may not have seen the builds that the store has lost either.
+            known.entry(row::lost_builds()).or_insert(now);
+        }
+    }
+
+    /// The row that must replace the one that the store has, if it must be replaced.
+    pub fn row_to_write(
+        &self,
+        service: u64,
+        row: Option<&row::Builds>,
+        era: Era,
+        registered: &[Build],
+        now: Time,
+    ) -> Option<row::Builds> {
+        let recent = self.recent_builds(service, registered, now);
+        let listed = row.map_or(&[][..], |it| &it.builds);
+        let is_incomplete = is_incomplete(row, era);
+        let mut builds: Vec<Build> = match is_incomplete {
+            true => recent.into_iter().cloned().collect(),
+            false => listed.iter().filter(|it| recent.contains(it)).cloned().collect(),
+        };
+        builds.extend(registered.iter().cloned());
+        builds.sort_unstable();
+        builds.dedup();
+        let is_written = !is_incomplete && builds == listed;
+        (!is_written).then_some(row::Builds { era, builds })
+    }
+
+    /// Records that the store has this row.
+    pub fn note_row(&mut self, service: u64, row: row::Builds, registered: &[Build]) {
+        let verified = row.builds.iter().filter(|it| registered.contains(it)).cloned().collect();
+        let ledger = Ledger { era: row.era, listed: row.builds, verified };
+        self.ledgers.insert(service, ledger);
+    }
+
+    /// Whether this daemon has ever read or written the row of a service.
+    pub fn has_row(&self, service: u64) -> bool {
+        self.ledgers.contains_key(&service)
+    }
+
+    /// Whether the row of a service surely lists a build. `era` is the latest one of the store.
+    pub fn is_listed(&self, service: u64, build: &Build, era: Era) -> bool {
+        let ledger = self.ledgers.get(&service);
+        ledger.is_some_and(|it| it.era >= era && it.verified.contains(build))
+    }
+
+    /// Whether the row of a service must be read, and may have to be written: it may lack a build of an
+    /// upstream, or lists one that nobody has used for a while.
+    pub fn is_row_due(&mut self, service: u64, registered: &[Build], era: Era, now: Time) -> bool {
+        let Some(ledger) = self.ledgers.get_mut(&service) else {
+            return !registered.is_empty();
+        };
+        ledger.verified.retain(|it| registered.contains(it));
+        let ledger = &self.ledgers[&service];
+        let recent = self.recent_builds(service, registered, now);
+        ledger.era < era
+            || registered.iter().any(|it| !ledger.verified.contains(it))
+            || ledger.listed.iter().any(|it| !recent.contains(it))
+    }
+}
+
+/// Whether the store may have lost builds that the row listed: it has come back from an older copy since
+/// the row was known to be complete.
+fn is_incomplete(row: Option<&row::Builds>, era: Era) -> bool {
+    row.map_or(Era::default(), |it| it.era) < era
+}
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -14,6 +14,7 @@
         entry::end_to_end,
         exchange,
         hold::Reservation,
+        record,
         relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
         stream::Splitter,
     },
@@ -40,13 +41,21 @@
             true => None,
             false => self.begin_stream(&reservation.choice.endpoint.record.build),
         };
+        let is_recorded = reservation.is_forwarded || !self.call.is_resumable();
+        let build = reservation.choice.endpoint.record.build.clone();
         let (sender, receiver) = mpsc::channel(BUFFERED_CHUNKS);
         tokio::spawn(async move {
-            if let Some(origin) = &origin {
-                tokio::select! {
-                    () = exchange::origin::tell(&self.context, origin) => {}
-                    () = sender.closed() => {}
+            let publish = async {
+                if !is_recorded {
+                    record::wait_until_listed(&self.context, self.call.service(), &build).await;
                 }
+                if let Some(origin) = &origin {
+                    exchange::origin::tell(&self.context, origin).await;
+                }
+            };
+            tokio::select! {
+                () = publish => {}
+                () = sender.closed() => {}
             }
             self.forward(reservation, answer, sender).await;
             self.end_stream();
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -11,6 +11,7 @@
         dialect::Refusal,
         exchange,
         origin::{Entry, ORIGIN_WAIT},
+        record,
         relay::{RETRY_AFTER, Relay},
         roster::Endpoint,
         store::Topic,
@@ -36,8 +37,12 @@
     Known,
     /// Another daemon knew it.
     Asked,
-    /// It is the only recent build of the service that this daemon knows of.
+    /// The store has the origin of the stream.
+    Recorded,
+    /// The store lists no other build that the service had lately.
     OnlyBuild,
+    /// It is the only recent build of the service that this daemon knows of. The store didn't answer.
+    Assumed,
 }
 
 impl Source {
@@ -45,7 +50,9 @@
         match self {
             Source::Known => "known",
             Source::Asked => "asked",
+            Source::Recorded => "recorded",
             Source::OnlyBuild => "only_build",
+            Source::Assumed => "assumed",
         }
     }
 }
@@ -97,47 +104,67 @@
         upstreams.iter().filter(may_continue).filter(|it| !self.excluded.contains(&it.name))
     }
 
-    /// Looks the origin up, asks the daemons that were told of it directly, and waits for news of it.
+    /// Finds the origin of the stream: asks the daemons that may have been told of it and reads in the store
+    /// which builds the service had, and then the origin itself.
     async fn obtain_origin(&self) -> Option<(Build, Source)> {
-        let give_up_at = self.context.now() + ORIGIN_WAIT;
-        if let Some(found) = self.look_up_origin() {
-            return Some(found);
+        let context = &self.context;
+        let give_up_at = context.now() + ORIGIN_WAIT;
+        let (service, attempt) = (self.call.service(), name_hash(self.call.stream_attempt()));
+        if let Some(build) = self.known_origin() {
+            return Some((build, Source::Known));
         }
-        let attempt = name_hash(self.call.stream_attempt());
-        if let Some(build) = exchange::origin::ask(&self.context, attempt).await {
-            let service = name_hash(self.call.service().as_str());
-            let entry = Entry { attempt, service, build };
-            self.context.origins().keep(&entry, self.context.now());
-            return Some((entry.build, Source::Asked));
+        let ask = exchange::origin::ask(context, attempt);
+        // The row is read after the call has arrived, so that it lists every build that may have begun the
+        // stream.
+        let (told, is_listed) = tokio::join!(ask, record::read_builds(context, service));
+        if let Some(build) = told {
+            return Some((self.keep_origin(build), Source::Asked));
+        }
+        if let Some(build) = self.find_only_build(is_listed) {
+            return Some((build, if is_listed { Source::OnlyBuild } else { Source::Assumed }));
+        }
+        if let Some(build) = record::read_origin(context, attempt).await {
+            return Some((self.keep_origin(build), Source::Recorded));
         }
         loop {
-            if let Some(found) = self.look_up_origin() {
-                return Some(found);
+            if let Some(build) = self.known_origin() {
+                return Some((build, Source::Known));
             }
-            if self.context.now() >= give_up_at {
+            if context.now() >= give_up_at {
                 return None;
             }
             time::sleep(POLL_INTERVAL).await;
         }
     }
 
-    fn look_up_origin(&self) -> Option<(Build, Source)> {
-        let (context, now) = (&self.context, self.context.now());
-        let service = self.call.service();
+    fn known_origin(&self) -> Option<Build> {
         let attempt = name_hash(self.call.stream_attempt());
-        if let Some(build) = context.origins().known(attempt, now) {
-            return Some((build, Source::Known));
-        }
+        self.context.origins().known(attempt, self.context.now())
+    }
+
+    /// Remembers which build began the stream, as others know.
+    fn keep_origin(&self, build: Build) -> Build {
+        let (context, service) = (&self.context, name_hash(self.call.service().as_str()));
+        let entry = Entry { attempt: name_hash(self.call.stream_attempt()), service, build };
+        context.origins().keep(&entry, context.now());
+        entry.build
+    }
+
+    /// The build of the service, if it had only one lately. `is_listed` tells whether the store has just
+    /// told which ones it had.
+    fn find_only_build(&self, is_listed: bool) -> Option<Build> {
+        let (context, now) = (&self.context, self.context.now());
+        let (service, attempt) = (self.call.service(), name_hash(self.call.stream_attempt()));
+        let hash = name_hash(service.as_str());
         let rows = context.mirror.head(Topic::Upstreams).map(|it| now.since(it.confirmed_at));
         let is_alone = context.members.count() == 1;
         let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now)
             && rows.is_some_and(|it| it < MAX_ROWS_AGE)
             && (is_alone || context.peers.any_responsive(now));
         let view = context.view.load();
-        let registered = view.builds(service);
-        let hash = name_hash(service.as_str());
-        let build = context.origins().find(attempt, hash, registered, is_current, now)?;
-        Some((build, Source::OnlyBuild))
+        let mut origins = context.origins();
+        let may_assume = is_current && origins.has_row(hash);
+        origins.find(attempt, hash, view.builds(service), is_listed || may_assume, now)
     }
 
     fn log_origin(&self, build: &Build, source: Source) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -42,6 +42,8 @@
     pub address_lifetime: Duration,
     /// Time from SIGTERM to the end of the process.
     pub grace: Duration,
+    /// Writes a second that the store takes from all daemons together.
+    pub store_writes_per_s: f64,
     /// Estimated prefill throughput of any engine in prompt tokens per millisecond. Placement uses
     /// it to convert an engine's queued prompt tokens into time.
     pub prefill_tokens_per_ms: f64,
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -17,6 +17,8 @@
     Fleet,
     /// Leases, which are read on demand instead of followed.
     Leases,
+    /// Which builds services had, and which ones began their streams; read on demand.
+    Streams,
 }
 
 impl Topic {
@@ -97,6 +99,20 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Unconditional writes of rows of a topic, made all at once or not at all.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Batch {
+    /// Topic of the rows.
+    pub topic: Topic,
+    /// Keys and new values.
+    pub puts: Vec<(String, Vec<u8>)>,
+    /// Keys of the rows to remove.
+    pub removals: Vec<String>,
+}
+
+/// The number of rows that a [`Batch`] may have.
+pub const MAX_BATCH_ROWS: usize = 100;
+
 /// The result of a [`Write`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -138,4 +154,7 @@
 
     /// Applies a conditional write.
     async fn write(&self, write: &Write) -> Result<Answer<Outcome>, Error>;
+
+    /// Applies up to [`MAX_BATCH_ROWS`] writes in one transaction.
+    async fn write_all(&self, batch: &Batch) -> Result<Answer<()>, Error>;
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,6 +14,8 @@
 mod freshness;
 #[path = "gateway/gauge.rs"]
 mod gauge;
+#[path = "gateway/ledger.rs"]
+mod ledger;
 #[path = "gateway/limit.rs"]
 mod limit;
 #[path = "gateway/memory.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -95,6 +95,9 @@
     async fn write(&self, _: &Write) -> Result<store::Answer<store::Outcome>, store::Error> {
         unreachable!()
     }
+    async fn write_all(&self, _: &store::Batch) -> Result<store::Answer<()>, store::Error> {
+        unreachable!()
+    }
 }
 
 impl dialect::Dialect for Unused {
@@ -670,6 +673,7 @@
         load_share: 0.2,
         address_lifetime: Duration::from_secs(1),
         grace: Duration::from_secs(8),
+        store_writes_per_s: 400.0,
         prefill_tokens_per_ms: 45.0,
     }
 }
