--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -112,7 +112,7 @@
     }
 
     async fn keep_origin(self, _: call::Context, entry: Entry) {
-        self.0.origins().keep(&entry, self.0.now());
+        origin::keep_for_other(&self.0, &entry);
     }
 
     async fn find_origin(self, _: call::Context, attempt: u64) -> Option<Build> {
--- a/src/gateway/exchange/origin.rs
+++ b/src/gateway/exchange/origin.rs
@@ -17,6 +17,7 @@
         context::Context,
         exchange::ExchangeClient,
         origin::{Entry, ORIGIN_WAIT},
+        topology::FULL_MESH_DAEMONS,
     },
     kernel::id::Build,
 };
@@ -61,6 +62,16 @@
     }
 }
 
+/// Keeps what another daemon has told this one of its stream. In a large fleet hubs also write it to the store:
+/// they are few, so that each may write more often.
+pub fn keep_for_other(context: &Context, entry: &Entry) {
+    let (mut origins, now) = (context.origins(), context.now());
+    match context.plan.load().daemons > FULL_MESH_DAEMONS {
+        true => origins.keep_for_other(entry, now),
+        false => origins.keep(entry, now),
+    }
+}
+
 async fn keep(context: &Context, name: String, entry: &Entry) -> Option<()> {
     let address = context.members.peer_address(&name)?;
     let entry = entry.clone();
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -67,7 +67,7 @@
     states: Map<u64, State>,
     /// The attempts of `states`, oldest first, with a time of use that may be out of date.
     order: VecDeque<(Time, u64)>,
-    /// Attempts of streams through this daemon of which others weren't told, by service.
+    /// Attempts of streams through this daemon since others were last told of such, by service.
     unshared: Map<u64, VecDeque<u64>>,
     /// When the builds of each service were last used or left.
     builds: Map<u64, Map<Build, Time>>,
@@ -119,14 +119,13 @@
 
     /// Records that a stream through this daemon began or goes on. The first origin stays.
     pub fn begin(&mut self, entry: &Entry, now: Time) {
-        if self.insert(entry, false, now) {
-            let states = &self.states;
-            let unshared = self.unshared.entry(entry.service).or_default();
-            while unshared.front().is_some_and(|it| !states.contains_key(it)) {
-                unshared.pop_front();
-            }
-            unshared.push_back(entry.attempt);
+        self.insert(entry, false, now);
+        let states = &self.states;
+        let unshared = self.unshared.entry(entry.service).or_default();
+        while unshared.front().is_some_and(|it| !states.contains_key(it)) {
+            unshared.pop_front();
         }
+        unshared.push_back(entry.attempt);
         if let Some(state) = self.states.get_mut(&entry.attempt) {
             state.ended_at = None;
         }
@@ -189,16 +188,17 @@
         }
         let mut entries = Vec::new();
         for attempt in self.unshared.remove(&service).unwrap_or_default() {
-            let Some(state) = self.states.get_mut(&attempt).filter(|it| !it.is_shared) else {
-                continue;
-            };
+            let Some(state) = self.states.get_mut(&attempt) else { continue };
             if state.ended_at.is_some_and(|it| now.since(it) >= RETURN_PERIOD) {
                 continue;
             }
-            state.is_shared = true;
+            // The daemon where the stream was before may be gone without having written its origin.
+            self.log.push(attempt);
+            if std::mem::replace(&mut state.is_shared, true) {
+                continue;
+            }
             entries.push(Entry { attempt, service, build: state.build.clone() });
         }
-        entries.iter().for_each(|it| self.log(it.attempt));
         entries
     }
 
--- a/src/gateway/origin/ledger.rs
+++ b/src/gateway/origin/ledger.rs
@@ -20,25 +20,32 @@
 }
 
 impl Table {
-    /// Takes in the row of a service, which the store had, or lacked, in `era`.
+    /// Takes in the row of a service, which the store had, or lacked, in `era`; returns whether it lists all
+    /// builds that the service had lately.
     pub fn learn_row(
         &mut self,
         service: u64,
         row: Option<&row::Builds>,
         era: Era,
-        registered: &[Build],
         now: Time,
-    ) {
+    ) -> bool {
         let known = self.builds.entry(service).or_default();
+        let ledger = self.ledgers.get(&service);
         for build in row.into_iter().flat_map(|it| &it.builds) {
-            known.entry(build.clone()).or_insert(now);
+            // One that was off the row has had upstreams again, whenever this daemon saw the last one.
+            match ledger.is_some_and(|it| it.listed.contains(build)) {
+                true => drop(known.entry(build.clone()).or_insert(now)),
+                false => drop(known.insert(build.clone(), now)),
+            }
         }
         if !is_incomplete(row, era) {
-            self.note_row(service, row.cloned().unwrap_or_default(), registered);
-        } else if !self.ledgers.contains_key(&service) {
+            return true;
+        }
+        if ledger.is_none() {
             // This daemon may not have seen the builds that the store has lost either.
             known.entry(row::lost_builds()).or_insert(now);
         }
+        false
     }
 
     /// The row that must replace the one that the store has, if it must be replaced.
@@ -52,15 +59,22 @@
     ) -> Option<row::Builds> {
         let recent = self.recent_builds(service, registered, now);
         let listed = row.map_or(&[][..], |it| &it.builds);
-        let is_incomplete = is_incomplete(row, era);
-        let mut builds: Vec<Build> = match is_incomplete {
-            true => recent.into_iter().cloned().collect(),
-            false => listed.iter().filter(|it| recent.contains(it)).cloned().collect(),
-        };
+        let ledger = self.ledgers.get(&service);
+        let was_lost = is_incomplete(row, era) || ledger.is_some_and(|it| it.era < era);
+        let mut builds: Vec<Build> =
+            listed.iter().filter(|it| recent.contains(it)).cloned().collect();
+        if was_lost {
+            builds.extend(recent.iter().map(|it| (*it).clone()));
+        }
         builds.extend(registered.iter().cloned());
         builds.sort_unstable();
         builds.dedup();
-        let is_written = !is_incomplete && builds == listed;
+        let is_back = |it: &&Build| {
+            ledger.is_some_and(|ledger| ledger.listed.contains(it) && !ledger.verified.contains(it))
+        };
+        // Another daemon may be about to take a build off that is back. Then its write must fail.
+        let must_touch = registered.iter().any(|it| is_back(&it));
+        let is_written = !is_incomplete(row, era) && builds == listed && !must_touch;
         (!is_written).then_some(row::Builds { era, builds })
     }
 
--- a/src/gateway/origin/log.rs
+++ b/src/gateway/origin/log.rs
@@ -1,16 +1,20 @@
 //! Which origins of streams through this daemon must be written to the store, or removed from it.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
-use super::{RETURN_PERIOD, Table, row};
+use super::{Table, row};
 use crate::{
-    gateway::store::{Batch, MAX_BATCH_ROWS, Topic},
+    gateway::store::{Batch, Era, MAX_BATCH_ROWS, Topic},
     kernel::clock::Time,
 };
 
 /// Number of rows that may be removed before they are, unless others are written anyway.
 const MIN_REMOVALS: usize = 32;
 
+/// How long after its end through this daemon the row of a stream is kept: longer than it may go on through
+/// another one, and the return of its caller.
+const ROW_LIFETIME: Duration = Duration::from_secs(30);
+
 /// Number of rows that are checked for removal at a time.
 const CHECKED_ROWS: usize = 256;
 
@@ -19,6 +23,8 @@
 pub(super) struct Log {
     unwritten: VecDeque<u64>,
     written: VecDeque<u64>,
+    /// The era of the store in which the rows were written.
+    era: Era,
 }
 
 /// Rows to be written and removed.
@@ -42,15 +48,27 @@
     }
 }
 
+impl Log {
+    /// Lets the origin of a stream be written.
+    pub(super) fn push(&mut self, attempt: u64) {
+        self.unwritten.push_back(attempt);
+    }
+}
+
 impl Table {
-    /// Lets the origin of a stream through this daemon be written.
-    pub fn log(&mut self, attempt: u64) {
-        self.log.unwritten.push_back(attempt);
+    /// Records what another daemon told this one directly, which is a hub that writes it for that one.
+    pub fn keep_for_other(&mut self, entry: &super::Entry, now: Time) {
+        self.keep(entry, now);
+        self.log.push(entry.attempt);
     }
 
     /// The rows to be written and removed now, if any; [`Self::settle`] must follow.
-    pub fn due_rows(&mut self, now: Time) -> Option<Due> {
+    pub fn due_rows(&mut self, era: Era, now: Time) -> Option<Due> {
         let mut due = Due::default();
+        if era > std::mem::replace(&mut self.log.era, era) {
+            // The store may have lost the last of them.
+            self.log.unwritten.append(&mut self.log.written);
+        }
         while due.puts.len() < MAX_BATCH_ROWS {
             let Some(attempt) = self.log.unwritten.pop_front() else { break };
             let Some(state) = self.states.get(&attempt).filter(|_| !self.is_over(attempt, now))
@@ -90,6 +108,6 @@
     /// Whether the caller of a stream through this daemon won't come back any more.
     fn is_over(&self, attempt: u64, now: Time) -> bool {
         let state = self.states.get(&attempt);
-        state.is_none_or(|it| it.ended_at.is_some_and(|at| now.since(at) >= RETURN_PERIOD))
+        state.is_none_or(|it| it.ended_at.is_some_and(|at| now.since(at) >= ROW_LIFETIME))
     }
 }
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -34,6 +34,9 @@
 /// The share of the store's writes that the origins of streams may take.
 const WRITE_SHARE: f64 = 0.125;
 
+/// Writes of origins a second by all daemons, and as many by hubs. All rows are in one part of the store.
+const MAX_WRITES_PER_S: f64 = 50.0;
+
 /// How long the store may take to answer while a caller waits.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -59,14 +62,18 @@
 
 async fn keep_builds(context: &Context) {
     loop {
-        time::sleep(CHECK_INTERVAL).await;
+        time::sleep(CHECK_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+        let mut has_failed = false;
         for service in due_services(context) {
             if let Err(failure) = record_builds(context, &service).await {
                 let service = service.as_str();
                 warn!(service, %failure, "failed to record the builds of a service; retrying");
-                time::sleep(RETRY_DELAY).await;
+                has_failed = true;
             }
         }
+        if has_failed {
+            time::sleep(RETRY_DELAY).await;
+        }
     }
 }
 
@@ -92,13 +99,16 @@
     let answer = context.store.get(Topic::Streams, &key).await?;
     let (mut era, mut stored) = (answer.era, answer.value);
     for _ in 0..MAX_CONFLICTS {
-        let listed = decode::<row::Builds>(stored.as_ref());
+        let listed = decode_builds(stored.as_ref(), era);
         learn(context, service, listed.as_ref(), era);
         let view = context.view.load();
         let registered = view.builds(service);
         let wanted =
             context.origins().row_to_write(hash, listed.as_ref(), era, registered, context.now());
-        let Some(wanted) = wanted else { return Ok(()) };
+        let Some(wanted) = wanted else {
+            context.origins().note_row(hash, listed.unwrap_or_default(), registered);
+            return Ok(());
+        };
         let value = serde_json::to_vec(&wanted)
             .map_err(|error| store::Error::Refused(error.to_string()))?;
         let expected = Some(stored.as_ref().map_or(0, |it| it.version));
@@ -124,16 +134,21 @@
     Err(store::Error::Refused(format!("{MAX_CONFLICTS} conflicting writes")))
 }
 
-fn learn(context: &Context, service: &Service, row: Option<&row::Builds>, era: Era) {
+/// Takes in the row of a service; returns whether it lists all builds that the service had lately.
+fn learn(context: &Context, service: &Service, row: Option<&row::Builds>, era: Era) -> bool {
     context.eras.observe(era, context.now());
-    let view = context.view.load();
-    let (hash, registered) = (name_hash(service.as_str()), view.builds(service));
-    context.origins().learn_row(hash, row, era, registered, context.now());
+    let hash = name_hash(service.as_str());
+    let is_latest = context.eras.latest() <= Some(era);
+    context.origins().learn_row(hash, row, era, context.now()) && is_latest
 }
 
-/// The value of a row. One that can't be read counts as missing, and is written anew.
-fn decode<T: serde::de::DeserializeOwned>(row: Option<&Row>) -> Option<T> {
-    let row = row?;
+/// The builds in the row of a service. Nobody knows those in a row that can't be read.
+fn decode_builds(row: Option<&Row>, era: Era) -> Option<row::Builds> {
+    let decoded = decode(row?);
+    Some(decoded.unwrap_or_else(|| row::Builds { era, builds: vec![row::lost_builds()] }))
+}
+
+fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Option<T> {
     match serde_json::from_slice(row.value.as_deref().unwrap_or_default()) {
         Ok(value) => Some(value),
         Err(error) => {
@@ -162,19 +177,18 @@
     }
 }
 
-/// Reads which builds a service had; returns whether the store answered.
+/// Reads which builds a service had; returns whether the store has told all of them.
 pub async fn read_builds(context: &Context, service: &Service) -> bool {
     let Some((era, row)) = get(context, &row::Builds::key(service)).await else {
         return false;
     };
-    learn(context, service, decode(row.as_ref()).as_ref(), era);
-    true
+    learn(context, service, decode_builds(row.as_ref(), era).as_ref(), era)
 }
 
 /// Reads which build began a stream.
 pub async fn read_origin(context: &Context, attempt: u64) -> Option<Build> {
     let (_, row) = get(context, &row::Stream::key(attempt)).await?;
-    decode::<row::Stream>(row.as_ref()).map(|it| it.build)
+    decode::<row::Stream>(&row?).map(|it| it.build)
 }
 
 /// Reads a row while a caller waits; `None` if the store doesn't answer in time.
@@ -194,10 +208,18 @@
 
 async fn keep_streams(context: &Context) {
     loop {
-        let daemons = context.members.count() as f64;
-        let writes_per_s = context.settings.store_writes_per_s * WRITE_SHARE / daemons;
+        let writers = {
+            let plan = context.plan.load();
+            match plan.is_hub {
+                true => plan.hubs.len() + 1,
+                false => context.members.count(),
+            }
+        };
+        let writes_per_s = context.settings.store_writes_per_s * WRITE_SHARE;
+        let writes_per_s = writes_per_s.min(MAX_WRITES_PER_S) / writers as f64;
         time::sleep(Duration::from_secs_f64(1.0 / writes_per_s)).await;
-        let due = context.origins().due_rows(context.now());
+        let era = context.eras.latest().unwrap_or_default();
+        let due = context.origins().due_rows(era, context.now());
         let Some(due) = due else { continue };
         let result = write_streams(context, &due).await;
         context.origins().settle(due, result.is_ok());
