Log and count answers that belong to another request

The log of an attempt whose answer belonged to another request named neither that answer's status, nor the attempt that it named, nor whether its connection had carried other requests, so a refusal that came once more could not be told from an answer without an attempt.

Nothing else changes.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -61,6 +61,8 @@
 pub struct Evidence {
     /// Whether the response belongs to the request that was sent.
     pub matches_request: bool,
+    /// The other attempt that the response names, if it doesn't belong to the request.
+    pub other_attempt: Option<String>,
     /// Whether the upstream reports that it did not execute the call.
     pub not_executed: bool,
     /// Whether the address now belongs to another incarnation or another process.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -409,10 +409,23 @@
             let pause_ms = pause.as_millis() as u64;
             info!(upstream = name.as_str(), pause_ms, "upstream asked for a pause");
         }
+        let connection = answer.connection();
         if !head.matches_request {
+            info!(
+                attempt = self.call.head.attempt,
+                upstream = name.as_str(),
+                other_attempt = head.other_attempt,
+                status = status.as_u16(),
+                connection,
+                "answer discarded: it belongs to another request"
+            );
+            answer.count_foreign();
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
         health.record_activity(now);
+        if head.misdirected || head.not_executed {
+            counter!("tealturn_rejections_total", "connection" => connection).increment(1);
+        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -21,6 +21,7 @@
     header,
 };
 use hyper_util::rt::TokioIo;
+use metrics::counter;
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time};
@@ -119,9 +120,25 @@
     pub response: Response<Incoming>,
     address: SocketAddr,
     connection: Connection,
+    is_reused: bool,
 }
 
 impl Answer {
+    /// Whether its connection had carried an earlier request. The answer to that one may come once more.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
+    /// The same as a label.
+    pub fn connection(&self) -> &'static str {
+        if self.is_reused { "reused" } else { "new" }
+    }
+
+    /// Counts an answer that belongs to another request.
+    pub fn count_foreign(&self) {
+        counter!("tealturn_foreign_answers_total", "connection" => self.connection()).increment(1);
+    }
+
     /// Whether the answer tells where its body ends, by a length or in chunks. Otherwise the body ends
     /// with the connection, as it also does when the sender crashes.
     pub fn is_framed(&self) -> bool {
@@ -169,9 +186,9 @@
     /// [`Error::Connect`] if nothing was sent, [`Error::NoResponse`] if the request may have
     /// arrived.
     pub async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer> {
-        let mut connection = match self.take(address) {
-            Some(connection) => connection,
-            None => self.connect(address).await?,
+        let (mut connection, mut is_reused) = match self.take(address) {
+            Some(connection) => (connection, true),
+            None => (self.connect(address).await?, false),
         };
         let lost = |error: hyper::Error| Error::NoResponse { address, reason: error.to_string() };
         let response = match connection.sender.try_send_request(request).await {
@@ -179,13 +196,13 @@
             Err(mut error) => match error.take_message() {
                 // The idle connection was closed before the request was written to it.
                 Some(request) => {
-                    connection = self.connect(address).await?;
+                    (connection, is_reused) = (self.connect(address).await?, false);
                     connection.sender.send_request(request).await.map_err(lost)?
                 }
                 None => return Err(lost(error.into_error())),
             },
         };
-        Ok(Answer { response, address, connection })
+        Ok(Answer { response, address, connection, is_reused })
     }
 
     /// Sends a request over a new connection, since an idle one may have gone silent.
@@ -202,7 +219,7 @@
         let sent = connection.sender.send_request(request).await;
         let response =
             sent.map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
-        Ok(Answer { response, address, connection })
+        Ok(Answer { response, address, connection, is_reused: false })
     }
 
     /// Sends a request over a new connection if `may_send` says so once that is open. `None`
@@ -224,7 +241,7 @@
         let sent = connection.sender.send_request(request).await;
         let response =
             sent.map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
-        Ok(Some(Answer { response, address, connection }))
+        Ok(Some(Answer { response, address, connection, is_reused: false }))
     }
 
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
@@ -285,7 +302,7 @@
     ///
     /// [`Error::NoResponse`] if the answer broke off, or if there is no memory for it.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
-        let Answer { response, address, connection } = answer;
+        let Answer { response, address, connection, .. } = answer;
         let kept = idle_time(&response);
         let lost = |reason| Error::NoResponse { address, reason };
         let mut body = response.into_body();
