Withhold refusals of streams that may have run and must run once

Callers of streams that may not be resumed got an upstream's 503, 429, 408 that doesn't say that the call has not run. They take these statuses as a promise that it has not, and begin the stream again, which may then run twice.

Cause: the check asked for the kind of call that must run at most once, but streams are of a kind of their own, and must run once too unless they may be resumed (PROTOCOL.md: such a request must be treated as unsafe).

Change: what counts is whether the call may be repeated, as everywhere else in the relay. Such an answer becomes a 502. Answers that state that the call has not run, and 421, lead to another upstream as before.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,7 +21,6 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
-        document::Kind,
         entry::end_to_end,
         exchange::quota::{self, Charge},
         hold::Reservation,
@@ -447,7 +446,8 @@
     /// Whether the caller would take an answer of this status as a statement that its call, which must not
     /// run twice, has not run. Answers of upstreams that do state this are not passed on.
     fn denies_execution(&self, status: StatusCode) -> bool {
-        self.call.route.kind == Kind::AtMostOnce && self.context.dialect.denies_execution(status)
+        let may_repeat = self.call.route.kind.is_repeatable();
+        !may_repeat && self.context.dialect.denies_execution(status)
     }
 
     /// Refuses a call that an upstream turned away without stating that it has not run. The answer may
