Withhold uncertain refusals that another daemon passed on

A daemon that is cut off from the upstreams passed on what another daemon answered for an at-most-once call, also an upstream's 503, 429, 408 or 421 that doesn't say that the call has not run.

Cause: such answers were exempt from the check because a daemon of this build never sends one: its own refusals name no attempt and are told apart before. Builds before do send them, and builds run side by side while daemons are replaced.

Change: the check holds for them, too. Daemons of this build are not affected, as they send no such answer.

Result: repeated::a_refusal_that_another_daemon_passed_on_... failed before (503, 429, 408, 421 in place of 502) and passes; cut_off:: passes.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -477,7 +477,7 @@
         if success && self.call.route.kind.is_stream() {
             return self.deliver_stream(reservation, answer);
         }
-        if !reservation.is_forwarded && self.denies_execution(answer.response.status()) {
+        if self.denies_execution(answer.response.status()) {
             return self.refuse_uncertain(&reservation, answer.response.status());
         }
         let (mut reservation, mut answer) = (reservation, answer);
