Send a call again to an upstream that rejected it over a new connection

A stream that its caller takes up again goes to the upstreams of its build once more if each has rejected it. All sends of a call carry the caller's attempt, which must not be changed. An upstream that writes its first rejection once more, on a kept connection, makes it pass for the answer to the second send: the caller was told that the stream had not run while it ran.

Change: the second send to an upstream that rejected the call goes over a new connection, which can't have carried the first rejection. Other sends are unchanged, so that only such sends open a connection more.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -99,6 +99,8 @@
     excluded: Vec<Upstream>,
     /// Those of them that rejected the call without executing it, and may be asked again.
     rejecting: Vec<Upstream>,
+    /// All upstreams that rejected the call without executing it.
+    rejected_by: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
     executions: u32,
     /// Failed attempts that did not execute the call, including those without a connection.
@@ -124,6 +126,7 @@
         origin: None,
         excluded: Vec::new(),
         rejecting: Vec::new(),
+        rejected_by: Vec::new(),
         executions,
         rejections: 0,
         sends: executions,
@@ -277,6 +280,7 @@
     fn record_rejection(&mut self, reservation: &Reservation) {
         self.pause_after_rejection(reservation, REJECTION_PAUSE);
         self.rejections += 1;
+        self.rejected_by.push(reservation.choice.endpoint.name.clone());
         self.exclude_rejecting(&reservation.choice.endpoint.name);
     }
 
@@ -349,11 +353,14 @@
         };
         let address = reservation.choice.endpoint.record.address;
         let attempt_timeout = self.attempt_timeout(time_left);
+        // A server may close an idle connection while the request arrives. A call that must not execute
+        // twice could not be retried then. An upstream that rejected the call may write the rejection once
+        // more on a connection that it keeps, and all sends of the call carry the same attempt.
+        let may_reuse = call.route.kind.is_repeatable()
+            && !self.rejected_by.contains(&reservation.choice.endpoint.name);
         let request_sent = async {
-            match call.route.kind.is_repeatable() {
+            match may_reuse {
                 true => context.client.send(address, request).await,
-                // A server may close an idle connection while the request arrives. A call that must
-                // not execute twice could not be retried then.
                 false => context.client.send_fresh(address, request).await,
             }
         };
