--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,7 +21,6 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
-        document::Kind,
         entry::end_to_end,
         exchange::quota::{self, Charge},
         hold::Reservation,
@@ -100,6 +99,8 @@
     excluded: Vec<Upstream>,
     /// Those of them that rejected the call without executing it, and may be asked again.
     rejecting: Vec<Upstream>,
+    /// All upstreams that rejected the call without executing it.
+    rejected_by: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
     executions: u32,
     /// Failed attempts that did not execute the call, including those without a connection.
@@ -125,6 +126,7 @@
         origin: None,
         excluded: Vec::new(),
         rejecting: Vec::new(),
+        rejected_by: Vec::new(),
         executions,
         rejections: 0,
         sends: executions,
@@ -278,6 +280,7 @@
     fn record_rejection(&mut self, reservation: &Reservation) {
         self.pause_after_rejection(reservation, REJECTION_PAUSE);
         self.rejections += 1;
+        self.rejected_by.push(reservation.choice.endpoint.name.clone());
         self.exclude_rejecting(&reservation.choice.endpoint.name);
     }
 
@@ -350,11 +353,14 @@
         };
         let address = reservation.choice.endpoint.record.address;
         let attempt_timeout = self.attempt_timeout(time_left);
+        // A server may close an idle connection while the request arrives. A call that must not execute
+        // twice could not be retried then. An upstream that rejected the call may write the rejection once
+        // more on a connection that it keeps, and all sends of the call carry the same attempt.
+        let may_reuse = call.route.kind.is_repeatable()
+            && !self.rejected_by.contains(&reservation.choice.endpoint.name);
         let request_sent = async {
-            match call.route.kind.is_repeatable() {
+            match may_reuse {
                 true => context.client.send(address, request).await,
-                // A server may close an idle connection while the request arrives. A call that must
-                // not execute twice could not be retried then.
                 false => context.client.send_fresh(address, request).await,
             }
         };
@@ -409,10 +415,23 @@
             let pause_ms = pause.as_millis() as u64;
             info!(upstream = name.as_str(), pause_ms, "upstream asked for a pause");
         }
+        let connection = answer.connection();
         if !head.matches_request {
+            info!(
+                attempt = self.call.head.attempt,
+                upstream = name.as_str(),
+                other_attempt = head.other_attempt,
+                status = status.as_u16(),
+                connection,
+                "answer discarded: it belongs to another request"
+            );
+            answer.count_foreign();
             return Outcome::Lost("the answer belongs to another request".to_owned());
         }
         health.record_activity(now);
+        if head.misdirected || head.not_executed {
+            counter!("tealturn_rejections_total", "connection" => connection).increment(1);
+        }
         if head.misdirected {
             return Outcome::NotExecuted("another incarnation or other weights are at the address");
         }
@@ -434,7 +453,8 @@
     /// Whether the caller would take an answer of this status as a statement that its call, which must not
     /// run twice, has not run. Answers of upstreams that do state this are not passed on.
     fn denies_execution(&self, status: StatusCode) -> bool {
-        self.call.route.kind == Kind::AtMostOnce && self.context.dialect.denies_execution(status)
+        let may_repeat = self.call.route.kind.is_repeatable();
+        !may_repeat && self.context.dialect.denies_execution(status)
     }
 
     /// Refuses a call that an upstream turned away without stating that it has not run. The answer may
@@ -464,7 +484,7 @@
         if success && self.call.route.kind.is_stream() {
             return self.deliver_stream(reservation, answer);
         }
-        if !reservation.is_forwarded && self.denies_execution(answer.response.status()) {
+        if self.denies_execution(answer.response.status()) {
             return self.refuse_uncertain(&reservation, answer.response.status());
         }
         let (mut reservation, mut answer) = (reservation, answer);
