Log what an upstream answers that is asked to resume a stream

Logs told that a stream had broken off and where it was sent next, but not what the next upstream answered: status, media type and framing, or why the attempt failed. So an error that is taken for the rest of a stream, a rest without events and a sound one looked the same. A line and a counter for each such answer tell them apart, and a line at the end of a resumed stream between which events it went on. No decision changes.

--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -66,6 +66,7 @@
     ) {
         let mut last_event = self.call.head.last_event.clone();
         let mut splitter = Splitter::new(self.context.client.memory().hold());
+        let mut resumed_after = None;
         loop {
             let end = self.forward_events(
                 &mut reservation,
@@ -79,6 +80,10 @@
             let upstream = reservation.choice.endpoint.name.clone();
             match end {
                 End::Complete => {
+                    if let Some(resumed_after) = resumed_after {
+                        let attempt = &self.call.head.attempt;
+                        info!(attempt, resumed_after, last_event, "resumed stream complete");
+                    }
                     reservation.succeed(answer.is_framed());
                     self.context.client.release(*answer);
                     self.record_metrics();
@@ -130,10 +135,41 @@
                 drop(sender.send(Err(broken)).await);
                 return;
             };
+            resumed_after = Some(last_event.clone());
             (reservation, answer) = (next_reservation, next_answer);
         }
     }
 
+    /// Logs what an upstream answered that was asked to resume the stream.
+    fn log_resumption(&self, reservation: &Reservation, outcome: &Outcome) {
+        let answer = match outcome {
+            Outcome::Answer(answer) => Some(answer),
+            _ => None,
+        };
+        let headers = answer.map(|it| it.response.headers());
+        let media_type = headers.and_then(|it| it.get(header::CONTENT_TYPE));
+        let text = match outcome {
+            Outcome::Answer(_) => "answer",
+            Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
+            Outcome::NotExecuted(reason) => reason,
+            Outcome::TimedOut => "timed out",
+            Outcome::Expired => "not begun before the grace period of the weights ended",
+        };
+        info!(
+            attempt = self.call.head.attempt,
+            upstream = reservation.choice.endpoint.name.as_str(),
+            last_event = self.last_event,
+            status = answer.map(|it| it.response.status().as_u16()),
+            media_type = media_type.and_then(|it| it.to_str().ok()),
+            is_framed = answer.map(|it| it.is_framed()),
+            outcome = text,
+            "upstream was asked to resume the stream"
+        );
+        let is_stream = answer.is_some_and(|it| it.response.status().is_success());
+        let outcome = if is_stream { "resumed" } else { "failed" };
+        counter!("tealturn_stream_resumptions_total", "outcome" => outcome).increment(1);
+    }
+
     fn log_disconnection(&self) {
         let attempt = &self.call.head.attempt;
         info!(attempt, "caller disconnected before its stream was complete");
@@ -164,7 +200,9 @@
         while self.rejections < MAX_REJECTIONS {
             self.charge().await.ok()?;
             let reservation = self.acquire().await.ok()?;
-            match self.send_charged(&reservation).await {
+            let outcome = self.send_charged(&reservation).await;
+            self.log_resumption(&reservation, &outcome);
+            match outcome {
                 Outcome::Answer(answer) if answer.response.status().is_success() => {
                     return Some((reservation, answer));
                 }
