Continue a stream only with an answer that is one

After a break callers found the text or JSON of another upstream's 200 in their stream, or the stream ended as complete after event 1 of 3 with its 204. Any signed 2xx was taken for the rest; after a 4xx or 5xx the stream was broken off although attempts were left. An answer to a resumption must now be a 200, without a content coding, and an event stream if it names a media type; the same holds for what another daemon passes on. Any other one counts as a failed attempt, after which a further upstream of the same build is asked while attempts and the retry budget are left.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -91,6 +91,8 @@
     fingerprint: Fingerprint,
     /// The event after which the next upstream continues the stream.
     last_event: Option<String>,
+    /// Whether the caller has the head of a stream, so that only its rest may follow.
+    is_streaming: bool,
     /// The build that began the stream, which alone may continue it.
     origin: Option<Build>,
     /// When it began to wait for an upstream: when it was received, when the origin of the stream that it
@@ -120,6 +122,7 @@
         context,
         fingerprint: call.fingerprint(),
         last_event: call.head.last_event.clone(),
+        is_streaming: false,
         waiting_since: call.received,
         call,
         origin: None,
@@ -428,6 +431,9 @@
         if status.is_success() && !head.signed {
             return Outcome::Lost("the answer is not signed".to_owned());
         }
+        if let Some(fault) = self.find_fault(&answer) {
+            return Outcome::Lost(fault);
+        }
         Outcome::Answer(Box::new(answer))
     }
 
--- a/src/gateway/relay/forward.rs
+++ b/src/gateway/relay/forward.rs
@@ -165,6 +165,9 @@
     fn classify_forwarded(&self, answer: Answer) -> Result<Box<Answer>, Failure> {
         let (status, headers) = (answer.response.status(), answer.response.headers());
         let head = self.context.dialect.parse_response(&self.call, status, headers);
+        if let Some(fault) = self.find_fault(&answer).filter(|_| head.matches_request) {
+            return Err(Failure::Lost(fault));
+        }
         if head.matches_request && status.is_server_error() && self.may_retry() {
             return Err(Failure::Lost(format!("an upstream answered {status}")));
         }
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{HeaderMap, Response, body::Frame, header};
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    body::Frame,
+    header::{self, HeaderValue},
+};
 use metrics::counter;
 use tokio::{sync::mpsc, time};
 use tracing::info;
@@ -146,8 +150,6 @@
             Outcome::Answer(answer) => Some(answer),
             _ => None,
         };
-        let headers = answer.map(|it| it.response.headers());
-        let media_type = headers.and_then(|it| it.get(header::CONTENT_TYPE));
         let text = match outcome {
             Outcome::Answer(_) => "answer",
             Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
@@ -159,14 +161,11 @@
             attempt = self.call.head.attempt,
             upstream = reservation.choice.endpoint.name.as_str(),
             last_event = self.last_event,
-            status = answer.map(|it| it.response.status().as_u16()),
-            media_type = media_type.and_then(|it| it.to_str().ok()),
             is_framed = answer.map(|it| it.is_framed()),
             outcome = text,
             "upstream was asked to resume the stream"
         );
-        let is_stream = answer.is_some_and(|it| it.response.status().is_success());
-        let outcome = if is_stream { "resumed" } else { "failed" };
+        let outcome = if answer.is_some() { "resumed" } else { "failed" };
         counter!("tealturn_stream_resumptions_total", "outcome" => outcome).increment(1);
     }
 
@@ -183,6 +182,7 @@
         was_forwarded: bool,
     ) -> Option<(Reservation, Box<Answer>)> {
         self.last_event = last;
+        self.is_streaming = true;
         self.waiting_since = self.context.now();
         if !was_forwarded && !self.is_cut_off() {
             let resumed = self.resume_directly().await;
@@ -190,12 +190,10 @@
                 return resumed;
             }
         }
-        let (reservation, answer) = self.obtain_forwarded().await.ok()?;
-        answer.response.status().is_success().then_some((reservation, answer))
+        self.obtain_forwarded().await.ok()
     }
 
-    /// Resumes the stream at another upstream. Tries a further one only after an attempt that did not
-    /// execute the call.
+    /// Resumes the stream at another upstream. Tries further ones while attempts are left.
     async fn resume_directly(&mut self) -> Option<(Reservation, Box<Answer>)> {
         while self.rejections < MAX_REJECTIONS {
             self.charge().await.ok()?;
@@ -203,21 +201,48 @@
             let outcome = self.send_charged(&reservation).await;
             self.log_resumption(&reservation, &outcome);
             match outcome {
-                Outcome::Answer(answer) if answer.response.status().is_success() => {
-                    return Some((reservation, answer));
+                Outcome::Answer(answer) => return Some((reservation, answer)),
+                Outcome::Unreachable(_) => {
+                    self.record_unreachable(&reservation.choice.endpoint);
+                    continue;
                 }
-                Outcome::Unreachable(_) => self.record_unreachable(&reservation.choice.endpoint),
-                Outcome::NotExecuted(_) => self.record_rejection(&reservation),
-                Outcome::Lost(_) => {
-                    reservation.connection_lost().await;
-                    return None;
+                Outcome::NotExecuted(_) => {
+                    self.record_rejection(&reservation);
+                    continue;
+                }
+                Outcome::Lost(_) => reservation.connection_lost().await,
+                Outcome::TimedOut => {
+                    reservation.choice.endpoint.health.record_failure(self.context.now());
                 }
-                Outcome::Answer(..) | Outcome::TimedOut | Outcome::Expired => return None,
+                Outcome::Expired => {}
+            }
+            let may_retry = self.may_retry();
+            self.executions += 1;
+            self.excluded.push(reservation.choice.endpoint.name.clone());
+            if !may_retry {
+                return None;
             }
         }
         None
     }
 
+    /// Why an answer can't be the rest of a stream whose head the caller has.
+    pub(super) fn find_fault(&self, answer: &Answer) -> Option<String> {
+        if !self.is_streaming {
+            return None;
+        }
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        if status != StatusCode::OK {
+            return Some(format!("the answer is not the rest of a stream: its status is {status}"));
+        }
+        if let Some(media_type) = headers.get(header::CONTENT_TYPE).filter(|it| !is_stream(it)) {
+            return Some(format!("the answer is not the rest of a stream: it is {media_type:?}"));
+        }
+        headers
+            .contains_key(header::CONTENT_ENCODING)
+            .then(|| "the answer is not the rest of a stream: it is encoded".to_owned())
+    }
+
     async fn forward_events(
         &self,
         reservation: &mut Reservation,
@@ -303,6 +328,12 @@
     Broken(String),
 }
 
+/// Whether a media type, which may have parameters, is that of event streams.
+fn is_stream(media_type: &HeaderValue) -> bool {
+    let essence = media_type.as_bytes().split(|it| *it == b';').next().unwrap_or_default();
+    essence.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+}
+
 fn stream_headers(headers: &HeaderMap) -> HeaderMap {
     let mut kept = end_to_end(headers);
     kept.remove(header::CONTENT_LENGTH);
