Pass on only events that go on where the stream is

Callers found the head and text of an error in their stream, events that came twice or went back, or a stream that ended as complete although it had broken off within an event and the rest came empty. Any bytes before an empty line passed as an event, nothing compared an event with the ones before it, and any end without an error was the end.

stream::sequence reads the lines of complete events in place, without copies. A line whose field neither the format of event streams nor dialect::Format knows belongs to no event. Where identifiers are numbers they increase, also after the event that a caller resumes after; the first event of another upstream must have one; versions of weights don't go back. At the first fault the sound events before it are passed on, and the stream goes on at another upstream or is broken off. It is complete only if no event is known to be missing: an incomplete one, bytes of a length that was not reached, or what a fault stands for. A stream whose last events have no identifier is not resumed at all. Numbers may skip, since an event may hold several tokens.

--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -71,6 +71,17 @@
     pub notice: Notice,
     /// How long the upstream, which turned the call away, asks for no calls.
     pub pause: Option<Duration>,
+    /// The weights of which the response is.
+    pub version: Option<Version>,
+}
+
+/// A field of an event that the format of event streams does not define.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Field {
+    /// No event has it.
+    Foreign,
+    /// The weights of which the stream is from this event on.
+    Weights(Version),
 }
 
 /// A decoded row of the operator's topic.
@@ -89,8 +100,17 @@
 #[error("{0}")]
 pub struct Error(pub String);
 
+/// What the events of upstreams' streams have besides the format of event streams.
+pub trait Format: Send + Sync {
+    /// Parses a field that the format does not define. A line without a colon is a name.
+    fn parse_field(&self, name: &[u8], value: &[u8]) -> Field;
+
+    /// Whether each event with data has an identifier.
+    fn identifies_events(&self) -> bool;
+}
+
 /// The HTTP conventions of callers and upstreams.
-pub trait Dialect: Send + Sync {
+pub trait Dialect: Format {
     /// Parses the head of a caller's request.
     ///
     /// # Errors
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
     HeaderMap, Response, StatusCode,
-    body::Frame,
+    body::{Body as _, Frame},
     header::{self, HeaderValue},
 };
 use metrics::counter;
@@ -19,7 +19,10 @@
         exchange,
         hold::Reservation,
         relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
-        stream::Splitter,
+        stream::{
+            Splitter,
+            sequence::{Sequence, begins_event},
+        },
     },
     http::{client::Answer, server::Body},
 };
@@ -68,7 +71,7 @@
         mut answer: Box<Answer>,
         sender: mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) {
-        let mut last_event = self.call.head.last_event.clone();
+        let mut sequence = self.begin_sequence(&answer);
         let mut splitter = Splitter::new(self.context.client.memory().hold());
         let mut resumed_after = None;
         loop {
@@ -76,7 +79,7 @@
                 &mut reservation,
                 &mut answer,
                 &mut splitter,
-                &mut last_event,
+                &mut sequence,
                 &sender,
             );
             let end = end.await;
@@ -86,6 +89,7 @@
                 End::Complete => {
                     if let Some(resumed_after) = resumed_after {
                         let attempt = &self.call.head.attempt;
+                        let last_event = sequence.last_id();
                         info!(attempt, resumed_after, last_event, "resumed stream complete");
                     }
                     reservation.succeed(answer.is_framed());
@@ -96,6 +100,9 @@
                 End::CallerDisconnected => return self.log_disconnection(),
                 End::Expired | End::CallerStalled | End::Broken(_) => {}
             }
+            if has_more(&answer) || begins_event(splitter.partial(), &*self.context.dialect) {
+                sequence.expect_event();
+            }
             // Closes the connection, which ends the run, before anything is waited for.
             drop(answer);
             let reason = match end {
@@ -115,16 +122,19 @@
             info!(
                 attempt = self.call.head.attempt,
                 upstream = upstream.as_str(),
-                last_event,
+                last_event = sequence.last_id(),
                 reason,
                 "stream from the upstream ended prematurely"
             );
-            let may_resume = self.call.is_resumable() && self.may_retry();
+            let is_resumable = self.call.is_resumable() && sequence.is_resumable();
+            let may_resume = is_resumable && self.may_retry();
             self.executions += 1;
             self.excluded.push(upstream);
             let was_forwarded = reservation.is_forwarded;
             drop(reservation);
             splitter.discard_partial();
+            sequence.resume();
+            let last_event = sequence.last_id().map(str::to_owned);
             let next = match may_resume {
                 true => tokio::select! {
                     next = self.resume(last_event.clone(), was_forwarded) => next,
@@ -139,7 +149,7 @@
                 drop(sender.send(Err(broken)).await);
                 return;
             };
-            resumed_after = Some(last_event.clone());
+            resumed_after = Some(last_event);
             (reservation, answer) = (next_reservation, next_answer);
         }
     }
@@ -248,7 +258,7 @@
         reservation: &mut Reservation,
         answer: &mut Answer,
         splitter: &mut Splitter,
-        last_event: &mut Option<String>,
+        sequence: &mut Sequence,
         sender: &mpsc::Sender<io::Result<Frame<Bytes>>>,
     ) -> End {
         let is_framed = answer.is_framed();
@@ -271,6 +281,11 @@
                 None if !is_framed && !self.is_begun(splitter) => {
                     return End::Broken("the stream ended before its first event".to_owned());
                 }
+                None if sequence.lacks_event() => {
+                    return End::Broken(
+                        "the stream ended before an event that is missing".to_owned(),
+                    );
+                }
                 None if !reservation.is_whole(is_framed).await => {
                     return End::Broken(CRASHED_AT_END.to_owned());
                 }
@@ -287,17 +302,29 @@
                 }
                 continue;
             };
-            if events.last_id.is_some() {
-                *last_event = events.last_id;
-            }
-            match time::timeout(time_left, self.pass_on(events.bytes, sender)).await {
+            let fault = sequence.take(&events, &*self.context.dialect).err();
+            let sound = events.slice(..fault.map_or(events.len(), |it| it.sound));
+            match time::timeout(time_left, self.pass_on(sound, sender)).await {
                 Ok(true) => {}
                 Ok(false) => return End::CallerDisconnected,
                 Err(_) => return End::CallerStalled,
             }
+            if let Some(fault) = fault {
+                counter!("tealturn_stream_faults_total").increment(1);
+                return End::Broken(fault.reason.to_owned());
+            }
         }
     }
 
+    /// A stream that begins with this answer, or that its caller resumes.
+    fn begin_sequence(&self, answer: &Answer) -> Sequence {
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        let version = self.context.dialect.parse_response(&self.call, status, headers).version;
+        let head = &self.call.head;
+        let last_id = head.last_event.as_deref().filter(|_| self.call.is_resumption());
+        Sequence::new(last_id, version)
+    }
+
     /// Whether the caller has an event of the stream. Otherwise it can't have ended.
     fn is_begun(&self, splitter: &Splitter) -> bool {
         self.call.head.last_event.is_some() || splitter.has_returned_events()
@@ -306,6 +333,9 @@
     /// Passes bytes on to a caller, once there is memory for as long as it takes the caller to read
     /// them; returns whether the caller is still connected.
     async fn pass_on(&self, bytes: Bytes, sender: &mpsc::Sender<io::Result<Frame<Bytes>>>) -> bool {
+        if bytes.is_empty() {
+            return true;
+        }
         let mut hold = self.context.client.memory().hold();
         while !hold.resize(bytes.len()) {
             tokio::select! {
@@ -328,6 +358,11 @@
     Broken(String),
 }
 
+/// Whether an answer has a length that its body has not reached.
+fn has_more(answer: &Answer) -> bool {
+    answer.response.body().size_hint().exact().is_some_and(|left| left > 0)
+}
+
 /// Whether a media type, which may have parameters, is that of event streams.
 fn is_stream(media_type: &HeaderValue) -> bool {
     let essence = media_type.as_bytes().split(|it| *it == b';').next().unwrap_or_default();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,5 +1,7 @@
 //! Splits a server-sent event stream at event boundaries.
 
+pub mod sequence;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::http::memory::Hold;
@@ -29,15 +31,6 @@
     follows_cr: bool,
 }
 
-/// One or more complete events.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Events {
-    /// The bytes of the events, unchanged.
-    pub bytes: Bytes,
-    /// The last event identifier among them, if any.
-    pub last_id: Option<String>,
-}
-
 impl Splitter {
     /// A splitter without bytes that takes its memory from `hold`.
     pub fn new(hold: Hold) -> Splitter {
@@ -50,8 +43,8 @@
         }
     }
 
-    /// Appends bytes and returns the events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
+    /// Appends bytes and returns those of the events that are now complete, if any.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         if !self.hold.resize(self.buffer.len() + bytes.len()) {
             self.exceeds_limit = true;
             return None;
@@ -62,8 +55,7 @@
         self.search.skip(end);
         self.hold.resize(self.buffer.len());
         self.has_returned_events = true;
-        let last_id = last_id(&bytes);
-        Some(Events { bytes, last_id })
+        Some(bytes)
     }
 
     /// Whether any event was complete.
@@ -76,6 +68,11 @@
         !self.buffer.is_empty()
     }
 
+    /// The bytes of the incomplete event.
+    pub fn partial(&self) -> &[u8] {
+        &self.buffer
+    }
+
     /// Whether the buffered event exceeds the size limit, or there is no memory for it.
     pub fn exceeds_limit(&self) -> bool {
         self.exceeds_limit || self.buffer.len() > MAX_EVENT_BYTES
@@ -120,14 +117,3 @@
         self.line_start -= length;
     }
 }
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|it| matches!(it, b'\n' | b'\r')).rev();
-    for line in lines {
-        let Some(id) = line.strip_prefix(b"id:") else {
-            continue;
-        };
-        return std::str::from_utf8(id).ok().map(|it| it.trim().to_owned());
-    }
-    None
-}
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -97,6 +97,15 @@
     }
 }
 
+impl dialect::Format for Unused {
+    fn parse_field(&self, _: &[u8], _: &[u8]) -> dialect::Field {
+        unreachable!()
+    }
+    fn identifies_events(&self) -> bool {
+        unreachable!()
+    }
+}
+
 impl dialect::Dialect for Unused {
     fn parse_request(&self, _: &request::Parts) -> Result<Head, Refusal> {
         unreachable!()
