Lay out calls between daemons so that they can be extended

Cause: frames were bincode of tarpc's and the gateway's types, without names or numbers of fields. By reading, too: a call with a time that no clock has panics in tarpc's reader, and an answer to another method panics in the client that tarpc generates, after which a session never calls that peer again.

Change: protocol 2 lays out calls as CBOR arrays (minicbor 2). Unknown fields are skipped, missing ones have a stated value or the message is refused, items of lists with unknown variants are left out. Which protocol a connection speaks is told by a header of its stream and of the answer's head, so it is right for the processes at its ends, also after a roll back. A daemon that names none speaks protocol 1, the layout of production. An answer to another method is a malformed frame; times of calls are cut at 10 s. Registrations name the protocol; tealturn_daemons counts daemons by it.

Clients and servers of both layouts understand each other over real connections.

tests/gateway/simulation.rs counts the bytes of the new layout, against the same bound.

--- a/src/fleet/service.rs
+++ b/src/fleet/service.rs
@@ -10,6 +10,7 @@
 use tarpc::{
     client, context,
     server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -18,7 +19,7 @@
     Result,
     fleet::{
         message::{Envelope, Refusal},
-        transport,
+        transport::{self, Transport},
     },
 };
 
@@ -65,13 +66,13 @@
 ///
 /// [`Error::Connect`] if it does not open in time.
 pub async fn connect(address: SocketAddr) -> Result<ExchangeClient> {
-    let transport = transport::connect(address, PATH).await?;
+    let transport = transport::connect::<_, _, Bincode<_, _>>(address, PATH).await?;
     Ok(ExchangeClient::new(client::Config::default(), transport).spawn())
 }
 
 /// Answers other daemons until `stop`.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, stop: CancellationToken) {
-    let answer = move |transport| {
+    let answer = move |transport: Transport<_, _>| {
         let channel = BaseChannel::with_defaults(transport);
         let requests = channel.execute(Server(handler.clone()).serve());
         requests.for_each_concurrent(MAX_CALLS, |call| call)
--- a/src/fleet/transport.rs
+++ b/src/fleet/transport.rs
@@ -1,10 +1,16 @@
-//! Connections between daemons: one h2 stream each, which carries `tarpc` calls with `bincode`.
+//! Connections between daemons: one h2 stream each, which carries `tarpc` calls.
+//!
+//! The caller names the newest protocol that it speaks in a header of the stream, and the answer's head names
+//! the one that both speak. A daemon that names none speaks the first one.
 
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{Method, Request, Response, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use serde::{Deserialize, Serialize};
-use tarpc::{serde_transport, tokio_serde::formats::Bincode};
+use tarpc::{
+    serde_transport,
+    tokio_serde::{Deserializer, Serializer, formats::Bincode},
+};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
@@ -27,32 +33,62 @@
 /// opens a new one when it needs one.
 const MAX_AGE: Duration = Duration::from_secs(300);
 
+/// The header that names a protocol.
+const PROTOCOL_HEADER: &str = "tealturn-protocol";
+
+/// The protocol of daemons that name none.
+const FIRST_PROTOCOL: u32 = 1;
+
+/// Lays out the messages of one connection.
+pub trait Codec {
+    /// The newest protocol that it speaks.
+    const NEWEST: u32;
+
+    /// The codec of a connection on which both sides speak `protocol`, from the first to the newest.
+    fn speaking(protocol: u32) -> Self;
+}
+
+impl<Received, Sent> Codec for Bincode<Received, Sent> {
+    const NEWEST: u32 = FIRST_PROTOCOL;
+
+    fn speaking(_: u32) -> Bincode<Received, Sent> {
+        Bincode::default()
+    }
+}
+
 /// Carries messages of type `Sent` to the other side, and of type `Received` from it.
-pub type Transport<Received, Sent> =
-    serde_transport::Transport<Stream, Received, Sent, Bincode<Received, Sent>>;
+pub type Transport<Received, Sent, Layout = Bincode<Received, Sent>> =
+    serde_transport::Transport<Stream, Received, Sent, Layout>;
 
 /// Opens a connection to a daemon.
 ///
 /// # Errors
 ///
 /// [`Error::Connect`] if it does not open in time.
-pub async fn connect<Received, Sent>(
+pub async fn connect<Received, Sent, Layout>(
     address: SocketAddr,
     path: &str,
-) -> Result<Transport<Received, Sent>>
+) -> Result<Transport<Received, Sent, Layout>>
 where
     Received: for<'de> Deserialize<'de>,
     Sent: Serialize,
+    Layout: Codec + Deserializer<Received> + Serializer<Sent>,
 {
     let refused = |source| Error::Connect { address, source };
-    let stream = time::timeout(CONNECT_TIMEOUT, open(address, path))
+    let (stream, protocol) = time::timeout(CONNECT_TIMEOUT, open(address, path, Layout::NEWEST))
         .await
         .map_err(|elapsed| refused(elapsed.into()))?
         .map_err(refused)?;
-    Ok(serde_transport::new(codec().new_framed(stream), Bincode::default()))
+    Ok(serde_transport::new(codec().new_framed(stream), Layout::speaking(protocol)))
+}
+
+/// The protocol that both sides speak, by the headers of the other one.
+fn agreed(headers: &HeaderMap, newest: u32) -> u32 {
+    let named = headers.get(PROTOCOL_HEADER).and_then(|it| it.to_str().ok()?.parse().ok());
+    named.unwrap_or(FIRST_PROTOCOL).clamp(FIRST_PROTOCOL, newest)
 }
 
-async fn open(address: SocketAddr, path: &str) -> std::io::Result<Stream> {
+async fn open(address: SocketAddr, path: &str, newest: u32) -> std::io::Result<(Stream, u32)> {
     let other = std::io::Error::other;
     let socket = TcpStream::connect(address).await?;
     socket.set_nodelay(true)?;
@@ -69,20 +105,23 @@
     let mut request = Request::new(());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = uri;
+    request.headers_mut().insert(PROTOCOL_HEADER, HeaderValue::from(newest));
     let (response, send) = sender.send_request(request, false).map_err(other)?;
-    let receive = response.await.map_err(other)?.into_body();
-    Ok(Stream::new(send, receive))
+    let response = response.await.map_err(other)?;
+    let protocol = agreed(response.headers(), newest);
+    Ok((Stream::new(send, response.into_body()), protocol))
 }
 
 /// Answers other daemons until `stop`: `answer` handles the calls of one connection.
-pub async fn serve<Received, Sent, Answer, Answered>(
+pub async fn serve<Received, Sent, Layout, Answer, Answered>(
     listener: TcpListener,
     answer: Answer,
     stop: CancellationToken,
 ) where
     Received: for<'de> Deserialize<'de> + Send + 'static,
     Sent: Send + Serialize + 'static,
-    Answer: Fn(Transport<Received, Sent>) -> Answered + Clone + Send + Sync + 'static,
+    Layout: Codec + Deserializer<Received> + Send + Serializer<Sent> + 'static,
+    Answer: Fn(Transport<Received, Sent, Layout>) -> Answered + Clone + Send + Sync + 'static,
     Answered: Future<Output = ()> + Send + 'static,
 {
     let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -107,14 +146,15 @@
     }
 }
 
-async fn accept<Received, Sent, Answer, Answered>(
+async fn accept<Received, Sent, Layout, Answer, Answered>(
     socket: TcpStream,
     answer: Answer,
 ) -> Result<(), h2::Error>
 where
     Received: for<'de> Deserialize<'de>,
     Sent: Serialize,
-    Answer: Fn(Transport<Received, Sent>) -> Answered,
+    Layout: Codec + Deserializer<Received> + Serializer<Sent>,
+    Answer: Fn(Transport<Received, Sent, Layout>) -> Answered,
     Answered: Future<Output = ()> + Send + 'static,
 {
     if socket.set_nodelay(true).is_err() {
@@ -127,9 +167,13 @@
     let mut calls = tokio::task::JoinSet::new();
     while let Some(accepted) = connection.accept().await {
         let (request, mut respond) = accepted?;
-        let send = respond.send_response(Response::new(()), false)?;
+        let protocol = agreed(request.headers(), Layout::NEWEST);
+        let mut response = Response::new(());
+        response.headers_mut().insert(PROTOCOL_HEADER, HeaderValue::from(protocol));
+        let send = respond.send_response(response, false)?;
         let stream = Stream::new(send, request.into_body());
-        let transport = serde_transport::new(codec().new_framed(stream), Bincode::default());
+        let transport =
+            serde_transport::new(codec().new_framed(stream), Layout::speaking(protocol));
         calls.spawn(answer(transport));
     }
     Ok(())
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 pub mod permit;
 pub mod quota;
 mod take;
+pub mod wire;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -23,12 +24,14 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::info;
 
+use self::wire::{Codec, FIRST_PROTOCOL, PROTOCOL};
 pub use self::{compose::compose, take::take};
 use crate::{
     collections::Map,
-    fleet::transport,
+    fleet::transport::{self, Transport},
     gateway::{
         context::Context,
+        member::Member,
         message::{Link, Message},
         origin::Entry,
         permit::{Ask, Verdict},
@@ -120,9 +123,15 @@
     }
 }
 
+/// Opens a connection to another daemon.
+async fn connect(address: SocketAddr) -> crate::Result<ExchangeClient> {
+    let transport = transport::connect::<_, _, Codec>(address, STREAM_PATH).await?;
+    Ok(ExchangeClient::new(client::Config::default(), transport).spawn())
+}
+
 /// Serves other daemons until `stop`.
 pub async fn serve(context: Arc<Context>, listener: TcpListener, stop: CancellationToken) {
-    let handle = move |transport| {
+    let handle = move |transport: Transport<_, _, Codec>| {
         let channel = BaseChannel::with_defaults(transport);
         channel.execute(Server(context.clone()).serve()).for_each(|call| call)
     };
@@ -153,6 +162,7 @@
         .collect();
     let plan = topology::plan(context.settings.daemon.as_str(), &candidates);
     gauge!("tealturn_exchange_daemons").set(plan.daemons as f64);
+    count_protocols(&members);
     if let Some(age) = context.freshness.age(now) {
         gauge!("tealturn_confirmation_age_seconds").set(age.as_secs_f64());
     }
@@ -167,6 +177,16 @@
     }
 }
 
+/// Tells operators how far an upgrade is along.
+fn count_protocols(members: &[(String, Member)]) {
+    for protocol in FIRST_PROTOCOL..=PROTOCOL {
+        let count = members.iter().filter(|(_, it)| it.protocol == protocol && !it.leaving).count();
+        gauge!("tealturn_daemons", "protocol" => protocol.to_string()).set(count as f64);
+    }
+    let newer = members.iter().filter(|(_, it)| it.protocol > PROTOCOL && !it.leaving).count();
+    gauge!("tealturn_daemons", "protocol" => "newer").set(newer as f64);
+}
+
 /// The peers that this daemon should call: name, address, and what it is to them. `is_running`
 /// tells which fellow hubs it calls already.
 pub fn peers_to_call(
@@ -366,10 +386,8 @@
         let client = match connection {
             Some(client) => client,
             None => {
-                let Ok(transport) = transport::connect(self.address, STREAM_PATH).await else {
-                    return false;
-                };
-                connection.insert(ExchangeClient::new(client::Config::default(), transport).spawn())
+                let Ok(client) = connect(self.address).await else { return false };
+                connection.insert(client)
             }
         };
         let message = compose(&self.context, &self.name, self.link);
--- a/src/gateway/exchange/connection.rs
+++ b/src/gateway/exchange/connection.rs
@@ -2,10 +2,7 @@
 
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
-use tarpc::{
-    client::{self, RpcError},
-    context as call,
-};
+use tarpc::{client::RpcError, context as call};
 use tokio::{
     sync::{Mutex, OnceCell},
     time,
@@ -13,8 +10,7 @@
 
 use crate::{
     collections::Map,
-    fleet::transport,
-    gateway::exchange::{ExchangeClient, STREAM_PATH},
+    gateway::exchange::{self, ExchangeClient},
 };
 
 /// Number of open connections at which all are closed: there are as many as hubs at most.
@@ -39,13 +35,9 @@
         F: Future<Output = Result<T, RpcError>>,
     {
         let connection = self.connection(address).await;
-        let open = || async {
-            let transport = transport::connect(address, STREAM_PATH).await?;
-            let client = ExchangeClient::new(client::Config::default(), transport).spawn();
-            Ok::<_, crate::Error>(client)
-        };
         let answered = async {
-            let client = connection.get_or_try_init(open).await.ok()?.clone();
+            let client =
+                connection.get_or_try_init(|| exchange::connect(address)).await.ok()?.clone();
             make(client, call::current()).await.ok()
         };
         let answer = time::timeout(timeout, answered).await.ok().flatten();
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -12,6 +12,7 @@
 use crate::{
     gateway::{
         context::Context,
+        exchange::wire::{FIRST_PROTOCOL, PROTOCOL},
         follow::MEMBER_PREFIX,
         mirror::Delta,
         store::{Era, Topic, Write},
@@ -35,6 +36,11 @@
     1_000
 }
 
+/// Protocol of daemons whose registrations don't name it.
+fn default_protocol() -> u32 {
+    FIRST_PROTOCOL
+}
+
 /// Registration of a daemon.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -49,6 +55,9 @@
     /// Its share of a processor core, in thousandths.
     #[serde(default = "default_cpu_millis")]
     pub cpu_millis: u32,
+    /// The newest protocol of calls between daemons that it speaks.
+    #[serde(default = "default_protocol")]
+    pub protocol: u32,
     /// Whether it is shutting down and is no longer listed in the addresses given to callers.
     pub leaving: bool,
 }
@@ -210,6 +219,7 @@
         caller: settings.caller,
         peer: settings.peer,
         cpu_millis: settings.cpu_millis,
+        protocol: PROTOCOL,
         leaving,
     };
     let value = match serde_json::to_vec(&member) {
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -4,6 +4,9 @@
 //! sender received the last message of the receiver, and the receiver adds them to the time at which
 //! it had sent that one. The result is never later than the time that is meant, however long either
 //! message was on the way.
+//!
+//! The types derive the layout of protocol 1, which older builds read; later ones are laid out in
+//! [`wire`](crate::gateway::exchange::wire). A new field carries `#[serde(skip)]`.
 
 use std::time::Duration;
 
@@ -73,7 +76,7 @@
 /// A time on its way to another daemon, in microseconds after the sender received the last message
 /// of the receiver; negative if before.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Offset(i64);
+pub struct Offset(pub(super) i64);
 
 impl Offset {
     /// The time `at` for a peer whose last message was received at `heard_at`.
@@ -92,7 +95,7 @@
 /// [`Offset`], the result is never earlier than the time that is meant. Where daemons keep the
 /// earliest of several reports, one that is passed on again and again must not get earlier.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Age(u64);
+pub struct Age(pub(super) u64);
 
 impl Age {
     /// The age of `at` in a message sent at `now`.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -46,6 +46,8 @@
 mod room;
 #[path = "gateway/roster.rs"]
 mod roster;
+#[path = "gateway/rows.rs"]
+mod rows;
 #[path = "gateway/scene.rs"]
 mod scene;
 #[path = "gateway/shutdown.rs"]
@@ -62,3 +64,9 @@
 mod topology;
 #[path = "gateway/tree.rs"]
 mod tree;
+#[path = "gateway/upgrade.rs"]
+mod upgrade;
+#[path = "gateway/wire.rs"]
+mod wire;
+#[path = "gateway/wire_samples.rs"]
+mod wire_samples;
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -11,7 +11,6 @@
 };
 
 use async_trait::async_trait;
-use bincode::Options;
 use http::request;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -22,7 +21,10 @@
         context::{Context, Setup},
         dialect::{self, Answer, Directive, Evidence, Order, Refusal, Reply, Report},
         document::{self, Document, Limits, Tenant},
-        exchange,
+        exchange::{
+            self,
+            wire::{self, PROTOCOL},
+        },
         follow::{self, MEMBER_PREFIX},
         member::Member,
         message::{Link, Message},
@@ -358,6 +360,7 @@
             caller: SocketAddr::from(([10, 0, 0, 1], index as u16 + 1)),
             peer: SocketAddr::from(([10, 0, 0, 2], index as u16 + 1)),
             cpu_millis: vm.cpu_millis,
+            protocol: PROTOCOL,
             leaving: false,
         };
         let value = serde_json::to_vec(&member).expect("a member can be encoded");
@@ -647,8 +650,7 @@
     }
 
     fn count(&mut self, index: usize, message: &Message) {
-        let bytes = bincode::DefaultOptions::new().serialized_size(message);
-        self.vms[index].traffic.bytes += bytes.expect("a message can be encoded");
+        self.vms[index].traffic.bytes += wire::to_bytes(message).len() as u64;
     }
 }
 
