--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -5,6 +5,13 @@
 //! at. Daemons tell each other which build began a stream as soon as its service has had more than
 //! one lately; until then, the only one began it. They tell all along the tree, and before the first
 //! event a few directly (see [`exchange::origin`](crate::gateway::exchange::origin)).
+//!
+//! All daemons may be killed at once, and builds come and go meanwhile. So the store keeps which builds
+//! each service had ([`ledger`]) and, while there are several, the origins of streams ([`log`]).
+
+mod ledger;
+pub mod log;
+pub mod row;
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -60,10 +67,14 @@
     states: Map<u64, State>,
     /// The attempts of `states`, oldest first, with a time of use that may be out of date.
     order: VecDeque<(Time, u64)>,
-    /// Attempts of streams through this daemon of which others weren't told, by service.
+    /// Attempts of streams through this daemon since others were last told of such, by service.
     unshared: Map<u64, VecDeque<u64>>,
     /// When the builds of each service were last used or left.
     builds: Map<u64, Map<Build, Time>>,
+    /// What the store has of the builds of each service.
+    ledgers: Map<u64, ledger::Ledger>,
+    /// What the store has, or is to have, of the streams through this daemon.
+    log: log::Log,
 }
 
 impl Table {
@@ -108,14 +119,13 @@
 
     /// Records that a stream through this daemon began or goes on. The first origin stays.
     pub fn begin(&mut self, entry: &Entry, now: Time) {
-        if self.insert(entry, false, now) {
-            let states = &self.states;
-            let unshared = self.unshared.entry(entry.service).or_default();
-            while unshared.front().is_some_and(|it| !states.contains_key(it)) {
-                unshared.pop_front();
-            }
-            unshared.push_back(entry.attempt);
+        self.insert(entry, false, now);
+        let states = &self.states;
+        let unshared = self.unshared.entry(entry.service).or_default();
+        while unshared.front().is_some_and(|it| !states.contains_key(it)) {
+            unshared.pop_front();
         }
+        unshared.push_back(entry.attempt);
         if let Some(state) = self.states.get_mut(&entry.attempt) {
             state.ended_at = None;
         }
@@ -170,7 +180,7 @@
     }
 
     /// Origins of streams through this daemon that others must be told now: those that may still be
-    /// resumed, if the service has had more than one build lately.
+    /// resumed, if the service has had more than one build lately. The store gets them, too.
     pub fn take_unshared(&mut self, service: u64, registered: &[Build], now: Time) -> Vec<Entry> {
         let is_idle = self.unshared.get(&service).is_none_or(VecDeque::is_empty);
         if is_idle || self.recent_builds(service, registered, now).len() < 2 {
@@ -178,13 +188,15 @@
         }
         let mut entries = Vec::new();
         for attempt in self.unshared.remove(&service).unwrap_or_default() {
-            let Some(state) = self.states.get_mut(&attempt).filter(|it| !it.is_shared) else {
-                continue;
-            };
+            let Some(state) = self.states.get_mut(&attempt) else { continue };
             if state.ended_at.is_some_and(|it| now.since(it) >= RETURN_PERIOD) {
                 continue;
             }
-            state.is_shared = true;
+            // The daemon where the stream was before may be gone without having written its origin.
+            self.log.push(attempt);
+            if std::mem::replace(&mut state.is_shared, true) {
+                continue;
+            }
             entries.push(Entry { attempt, service, build: state.build.clone() });
         }
         entries
