Add failing tests of upstreams that fall over when they reject too much

Callers lose their calls when an upstream that says how many rejections a second it withstands gets more of them and falls over. Stand-ins play it with 7, 58 and 350 daemons without a network, for plain services and engines, and behind seven daemons on sockets.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Unit tests of the gateway's decision logic.
 
+#[path = "gateway/brittle.rs"]
+mod brittle;
 #[path = "gateway/budget.rs"]
 mod budget;
 #[path = "gateway/cache.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -133,7 +133,8 @@
 
 /// A row `version-N` of the operator sets a target, and the row [`WEIGHTS_KEY`] the one that its value
 /// names; any other is a document whose version is its value, or that of the row if it has none. The value
-/// may also name a quota, see [`Fleet::write_quotas`]. An upstream is an engine, and `engine-7.v2` has the build `v2`.
+/// may also name a quota, see [`Fleet::write_quotas`]. An upstream is an engine, and `engine-7.v2` has the build `v2`;
+/// its value may be a number of slots.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -166,7 +167,10 @@
         let name = row.key.trim_start_matches("engine-");
         let (number, build) = name.split_once('.').unwrap_or((name, scene::BUILD));
         let number = number.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
-        Ok(Record { build: Build::from(build), ..scene::record(number, 1) })
+        let record = scene::record(number, 1);
+        let value = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+        let slots = value.and_then(|it| it.parse().ok()).unwrap_or(record.slots);
+        Ok(Record { build: Build::from(build), slots, ..record })
     }
 }
 
@@ -418,6 +422,12 @@
         runs(from) && runs(to) && from.part == to.part
     }
 
+    /// Registers an engine that runs this many calls at a time.
+    pub fn register_engine(&mut self, number: u16, slots: u32) {
+        let key = format!("engine-{number}");
+        self.write_value(Topic::Upstreams, &key, slots.to_string().into_bytes());
+    }
+
     /// Writes a document with workspaces that have quotas, each as `NAME:RATE:BURST:UNIT`.
     pub fn write_quotas(&mut self, quotas: &str) {
         let value = format!("{} {quotas}", self.position.version + 1).into_bytes();
