Limit the requests to upstreams that fall over when they reject too much

Callers lost their calls when such an upstream fell over, and the calls that came to the others then made these fall over as well. The upstreams say how many rejections a second they withstand (Server-Brittle), but the header was not read: each daemon paused an upstream for 250 ms after a rejection, by itself, and all daemons together caused far more.

The header becomes a limit on the requests of all daemons, the pace: three quarters of the slots at most by the mean duration of calls, less after each rejection. The existing permits enforce it, so no field is added to messages. Known calls in flight never exceed the slots, a daemon pauses after a rejection, and an upstream that starts among brittle ones gets their pace.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,6 +12,7 @@
 //! external protocols.
 
 pub mod bar;
+pub mod brittle;
 pub mod budget;
 pub mod cache;
 pub mod call;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -1,8 +1,11 @@
 //! State shared by the gateway's tasks.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -15,6 +18,7 @@
     collections::Set,
     fleet::board::Fact,
     gateway::{
+        brittle,
         budget::Budget,
         crash,
         dialect::{Dialect, Engines, Notice, Schema},
@@ -22,6 +26,7 @@
         era::Eras,
         exchange::connection::Connections,
         freshness::{Documents, Freshness},
+        limit::Statement,
         member::Members,
         message::{News, Update},
         mirror::Mirror,
@@ -269,7 +274,11 @@
     fn publish_view(&self, roster: &Roster) {
         let document = self.document.load();
         let is_known = |it: &Service| document.as_ref().is_none_or(|known| known.has_service(it));
-        self.view.store(Arc::new(roster.view().limited_to(is_known)));
+        let view = roster.view().limited_to(is_known);
+        for service in view.services() {
+            brittle::pace_new(view.service(service), self.now());
+        }
+        self.view.store(Arc::new(view));
     }
 
     /// Removes upstreams whose registrations are gone, and publishes the view if there were any.
@@ -292,6 +301,18 @@
         if notice.leaving && health.record_leaving() {
             info!(upstream = name, "upstream announced that it leaves");
         }
+        if health.record_brittleness(notice.brittleness, sent_at, self.now()) {
+            let rejections_per_s = health.brittleness();
+            counter!("tealturn_brittle_upstreams_total")
+                .increment(u64::from(rejections_per_s.is_some()));
+            info!(
+                upstream = name,
+                rejections_per_s, "upstream changed the rejections a second that it withstands"
+            );
+        }
+        if health.brittleness().is_some() && notice.limit == Statement::Unlimited {
+            return self.pace(upstream, brittle::Event::Answered);
+        }
         if health.record_limit(notice.limit, sent_at, self.now()) {
             let rate = health.limit().rate;
             counter!("tealturn_limits_named_total").increment(u64::from(rate.is_some()));
@@ -300,6 +321,55 @@
         }
     }
 
+    /// Changes the pace of requests to a brittle upstream after an answer.
+    fn pace(&self, upstream: &Endpoint, event: brittle::Event) {
+        let (now, health) = (self.now(), &upstream.health);
+        let Some(rejections_per_s) = health.brittleness() else {
+            return;
+        };
+        let (slots, limit) = (upstream.record.slots, health.limit());
+        let (call_time, calls) = self.call_time(&upstream.record.service);
+        let state = brittle::State { rejections_per_s, slots, call_time, calls, limit };
+        let Some(rate) = brittle::decide(&state, event, now) else {
+            return;
+        };
+        health.set_pace(rate, now);
+        info!(
+            upstream = upstream.name.as_str(),
+            rate,
+            before = limit.rate,
+            ?event,
+            call_ms = call_time.as_millis() as u64,
+            "pace of requests to a brittle upstream changed"
+        );
+        self.urgent.notify_one();
+    }
+
+    /// The mean duration of the calls of this daemon that upstreams of a service completed, and the
+    /// number of calls.
+    fn call_time(&self, service: &Service) -> (Duration, u32) {
+        let (mut sum, mut count) = (Duration::ZERO, 0);
+        for endpoint in self.view.load().service(service) {
+            let (mean, calls) = endpoint.health.call_time();
+            sum += mean * calls;
+            count += calls;
+        }
+        (sum.checked_div(count).unwrap_or_default(), count)
+    }
+
+    /// Records that an upstream rejected a call; returns whether it is brittle, and gets no calls for
+    /// a while.
+    pub fn spare(&self, upstream: &Endpoint) -> bool {
+        let Some(rejections_per_s) = upstream.health.brittleness() else {
+            return false;
+        };
+        counter!("tealturn_brittle_rejections_total").increment(1);
+        self.pace(upstream, brittle::Event::Rejected);
+        let pause = brittle::pause(rejections_per_s, self.members.count(), rand::random());
+        upstream.health.await_permit(self.now() + pause);
+        true
+    }
+
     /// Selects upstreams for calls.
     pub fn placer(&self) -> MutexGuard<'_, Placer> {
         self.placer.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -54,6 +54,8 @@
     pub leaving: bool,
     /// The limit on the requests that it takes.
     pub limit: Statement,
+    /// The limit on the rejections in a second, beyond which it falls over.
+    pub brittleness: Statement,
 }
 
 /// What the head of an upstream's response shows about the attempt.
--- a/src/gateway/gauge.rs
+++ b/src/gateway/gauge.rs
@@ -50,6 +50,10 @@
 /// observe a few calls, short enough for a recovered upstream to get calls again soon.
 const OUTCOME_DECAY_TIME: Duration = Duration::from_secs(5);
 
+/// The number of calls after which the mean duration of calls weighs each further one alike, so that
+/// older ones are forgotten.
+const CALL_TIME_CALLS: u32 = 10;
+
 /// Successes added to the observed calls, so that a single failure has little effect on the
 /// failure rate.
 const ASSUMED_SUCCESSES: f32 = 3.0;
@@ -75,6 +79,10 @@
     /// Whether it announced that it leaves, which holds for the rest of its process.
     leaving: bool,
     limit: Limit,
+    /// Rejections a second that it says it withstands, as the rate.
+    brittleness: Limit,
+    /// Mean duration of the calls that it completed, and their number up to [`CALL_TIME_CALLS`].
+    call_time: (Duration, u32),
     /// Until when this daemon may not ask for a permit again, which a limit requires.
     no_permit_until: Option<Time>,
     /// End of the pauses that it asked for. Unlike an ejection, only time ends them.
@@ -259,23 +267,51 @@
     /// Records what an answer says of a limit; see [`Limit::update`].
     pub fn record_limit(&self, statement: Statement, sent_at: Time, now: Time) -> bool {
         let mut state = self.state();
+        let before = state.limit.rate;
         let changes = state.limit.update(statement, sent_at, now);
-        if changes {
-            state.no_permit_until = None;
-        }
+        state.reconsider_permits(before);
         changes
     }
 
     /// Takes what another daemon knows of the limit; see [`Limit::merge`].
     pub fn learn_limit(&self, limit: Limit) -> bool {
         let mut state = self.state();
+        let before = state.limit.rate;
         let changes = state.limit.merge(limit);
-        if changes {
-            state.no_permit_until = None;
-        }
+        state.reconsider_permits(before);
         changes
     }
 
+    /// Limits the requests to the upstream to this rate, which it has not named itself.
+    pub fn set_pace(&self, rate: f64, now: Time) {
+        self.learn_limit(Limit { rate: Some(rate), heard_at: now });
+    }
+
+    /// Records how many rejections a second an answer says that the upstream withstands; see
+    /// [`Limit::update`].
+    pub fn record_brittleness(&self, statement: Statement, sent_at: Time, now: Time) -> bool {
+        self.state().brittleness.update(statement, sent_at, now)
+    }
+
+    /// Rejections a second from all daemons that the upstream withstands, if it is brittle.
+    pub fn brittleness(&self) -> Option<f64> {
+        self.state().brittleness.rate
+    }
+
+    /// Records the duration of a completed call.
+    pub fn record_call_time(&self, duration: Duration) {
+        let mut state = self.state();
+        let (mean, calls) = state.call_time;
+        let calls = (calls + 1).min(CALL_TIME_CALLS);
+        state.call_time = ((mean * (calls - 1) + duration) / calls, calls);
+    }
+
+    /// Mean duration of the calls of this daemon that the upstream completed, and the number of calls
+    /// by which the mean is weighed.
+    pub fn call_time(&self) -> (Duration, u32) {
+        self.state().call_time
+    }
+
     /// Keeps calls away until a permit may be asked for again.
     pub fn await_permit(&self, until: Time) {
         let mut state = self.state();
@@ -432,6 +468,18 @@
         self.outcomes_at = now;
     }
 
+    /// Lets this daemon ask for a permit at once if the limit is higher than before or has ended.
+    fn reconsider_permits(&mut self, before: Option<f64>) {
+        let is_raised = match (before, self.limit.rate) {
+            (Some(before), Some(rate)) => rate > before,
+            (before, None) => before.is_some(),
+            (None, Some(_)) => true,
+        };
+        if is_raised {
+            self.no_permit_until = None;
+        }
+    }
+
     fn mark_dead(&mut self, now: Time) {
         let lost_from = self.died_at.map(|it| it + PATH_LOSS_MARGIN);
         if self.dead {
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -15,7 +15,7 @@
         room::Event,
         roster::Endpoint,
     },
-    kernel::id::Request,
+    kernel::{clock::Time, id::Request},
     request::suspect::Fingerprint,
 };
 
@@ -34,6 +34,7 @@
 pub struct Reservation {
     /// The selected upstream.
     pub choice: Choice,
+    began_at: Time,
     unread_tokens: u64,
     memory_tokens: u64,
     /// Cancelled when the upstream is found dead: it accepts no connections.
@@ -59,8 +60,9 @@
     ) -> Reservation {
         let endpoint = &choice.endpoint;
         let memory_tokens = prompt.map_or(0, Prompt::memory_tokens);
+        let began_at = context.now();
         let upstream_death =
-            endpoint.health.start_call(choice.unread_tokens, memory_tokens, context.now());
+            endpoint.health.start_call(choice.unread_tokens, memory_tokens, began_at);
         let attempt_id = context.next_attempt_id();
         let incarnation = endpoint.record.incarnation;
         let mut suspects = context.suspects();
@@ -72,6 +74,7 @@
         let (unread_tokens, context) = (choice.unread_tokens, context.clone());
         Reservation {
             choice,
+            began_at,
             unread_tokens,
             memory_tokens,
             upstream_death,
@@ -85,9 +88,11 @@
 
     /// Represents a call that another daemon takes; `choice` names that in place of an upstream.
     pub fn forwarded(context: &Arc<Context>, choice: Choice) -> Reservation {
-        let upstream_death = choice.endpoint.health.start_call(0, 0, context.now());
+        let began_at = context.now();
+        let upstream_death = choice.endpoint.health.start_call(0, 0, began_at);
         Reservation {
             choice,
+            began_at,
             unread_tokens: 0,
             memory_tokens: 0,
             upstream_death,
@@ -193,6 +198,9 @@
             return;
         }
         let now = self.context.now();
+        if self.succeeded {
+            self.choice.endpoint.health.record_call_time(now.since(self.began_at));
+        }
         self.context.rooms.report(&self.choice.endpoint.record.service, Event::Freed, now);
         let cleared = self.context.suspects().ended(self.attempt_id, self.succeeded, now);
         self.context.publish_suspects(cleared);
--- a/src/gateway/limit.rs
+++ b/src/gateway/limit.rs
@@ -24,6 +24,16 @@
     Unknown,
 }
 
+impl Statement {
+    /// The same of an answer that can't tell that a limit has ended.
+    pub fn without_end(self) -> Statement {
+        match self {
+            Statement::Unlimited => Statement::Unknown,
+            Statement::Limited(_) | Statement::Unknown => self,
+        }
+    }
+}
+
 /// The limit of an upstream process as last stated.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Limit {
--- a/src/gateway/permit.rs
+++ b/src/gateway/permit.rs
@@ -12,7 +12,7 @@
 use crate::{
     admission::bucket,
     collections::Map,
-    gateway::{context::Context, roster::Endpoint, topology::Plan},
+    gateway::{brittle, context::Context, roster::Endpoint, topology::Plan},
     kernel::{clock::Time, id::Incarnation},
     route::pool::{mix, name_hash},
 };
@@ -69,6 +69,17 @@
     pub purpose: Purpose,
 }
 
+/// What permits are issued by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Requests a second that the upstream takes.
+    pub rate: f64,
+    /// The most permits in stock.
+    pub burst: f64,
+    /// The number of daemons that may ask.
+    pub daemons: usize,
+}
+
 /// The issuer's answer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Verdict {
@@ -99,12 +110,19 @@
     /// Decides on a question about an upstream that takes `rate` requests a second. `random`, from 0 to
     /// 1, spreads the daemons that must ask again.
     pub fn decide(&mut self, ask: &Ask, rate: f64, random: f64, now: Time) -> Verdict {
+        let terms = Terms { rate, burst: f64::INFINITY, daemons: usize::MAX };
+        self.decide_on(ask, terms, random, now)
+    }
+
+    /// The same on these terms.
+    pub fn decide_on(&mut self, ask: &Ask, terms: Terms, random: f64, now: Time) -> Verdict {
+        let Terms { rate, burst, daemons } = terms;
         self.buckets.retain(|_, it| now.since(it.at) < BUCKET_LIFETIME);
         let rate = rate.max(MIN_RATE);
         let new = Bucket { stock: bucket::Bucket::new(0.0, now), denied: 0.0, at: now };
         let bucket = self.buckets.entry((ask.upstream, ask.incarnation)).or_insert(new);
         let passed = now.since(bucket.at).as_secs_f64();
-        let most = (rate * STOCK.as_secs_f64()).max(MIN_STOCK);
+        let most = (rate * STOCK.as_secs_f64()).min(burst).max(MIN_STOCK);
         bucket.stock.refill(rate, most, now);
         bucket.denied *= (-passed / DENIAL_DECAY_S).exp();
         bucket.at = now;
@@ -117,7 +135,7 @@
             bucket.stock.charge(1);
             return Verdict::Granted;
         }
-        bucket.denied += 1.0;
+        bucket.denied = (bucket.denied + 1.0).min(daemons as f64);
         let spread = (bucket.denied / rate).min(MAX_SPREAD_S) * random;
         let pause = (needed - bucket.stock.balance()) / rate + spread;
         Verdict::Denied(Duration::from_secs_f64(pause.min(MAX_PAUSE_S)))
@@ -155,8 +173,11 @@
         Some(limit) => limit.rate,
         None => Some(ask.rate),
     };
-    match rate {
-        Some(rate) => context.issuer().decide(ask, rate, rand::random(), context.now()),
-        None => Verdict::Granted,
-    }
+    let Some(rate) = rate else {
+        return Verdict::Granted;
+    };
+    // More would have to wait there, or be rejected.
+    let burst = upstream.map_or(f64::INFINITY, |it| brittle::burst(it.record.slots));
+    let terms = Terms { rate, burst, daemons: context.members.count() };
+    context.issuer().decide_on(ask, terms, rand::random(), context.now())
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,12 +15,13 @@
 
 use crate::{
     gateway::{
+        brittle,
         cache::{self, Estimate},
         call::Prompt,
         document::KvStore,
         peer::Totals,
         place::{
-            candidate::{Candidates, candidates, failure_rate, is_eligible},
+            candidate::{Candidates, candidates, failure_rate, has_slot, is_eligible},
             cost::{Transfer, cost},
             holder::Holders,
         },
@@ -130,7 +131,8 @@
     /// earlier attempt of this call, has another build than the stream that it would continue, is
     /// loading weights, or serves unknown or too old ones.
     Closed,
-    /// All upstreams that could take the call have reached the limit on running calls.
+    /// All upstreams that could take the call have reached the limit on running calls; brittle ones,
+    /// the number of their slots.
     Full,
     /// All upstreams that could take the call named limits, and permits may be asked for again from
     /// this time on.
@@ -186,10 +188,12 @@
         all: &[Arc<Endpoint>],
         now: Time,
     ) -> Result<Choice, Error> {
+        let is_brittle = brittle::any(all);
+        let has_slot = |it: &&Arc<Endpoint>| !is_brittle || has_slot(it, query);
         let eligible = all.iter().filter(|it| is_eligible(it, query, now));
         let permit_at = |it: &&Arc<Endpoint>| it.health.permit_denied_until(now);
         let open = eligible.clone().filter(|it| permit_at(it).is_none());
-        let chosen = open.min_by_key(|it| {
+        let chosen = open.clone().filter(has_slot).min_by_key(|it| {
             let peers = query.peers.get(&it.hash).map_or(0, |it| it.calls);
             let busy = u64::from(peers + it.health.calls_in_flight());
             let full = busy >= u64::from(it.record.slots);
@@ -205,6 +209,9 @@
             return Err(Error::Full);
         }
         let Some(chosen) = chosen else {
+            if open.clone().next().is_some() {
+                return Err(Error::Full);
+            }
             let first = eligible.filter_map(|it| permit_at(&it)).min();
             return Err(first.map_or(Error::Closed, Error::Limited));
         };
@@ -239,6 +246,7 @@
         let store = store::assigned(query.kv_stores, prefix_hash(query, prompt));
         let mut best: Option<(f64, Choice)> = None;
         let mut any_full = false;
+        let is_brittle = brittle::any(all);
         let weighed = |is_weighed| {
             let all = candidates.iter().enumerate();
             all.filter(move |(_, it)| it.is_weighed == is_weighed)
@@ -270,8 +278,8 @@
             // An idle engine accepts a call of any size, because no engine would ever take one that
             // exceeds the limit otherwise.
             let (memory, limit) = (prompt.memory_tokens(), query.running_limit_tokens);
-            let has_room =
-                query.room.is_none_or(|it| it.fits(endpoint, peers.memory, memory, limit));
+            let has_room = (!is_brittle || has_slot(endpoint, query))
+                && query.room.is_none_or(|it| it.fits(endpoint, peers.memory, memory, limit));
             if !has_room || (running > 0 && running + memory > limit) {
                 any_full = true;
                 continue;
--- a/src/gateway/place/candidate.rs
+++ b/src/gateway/place/candidate.rs
@@ -185,3 +185,9 @@
     let may_continue = query.build.is_none_or(|it| *it == endpoint.record.build);
     may_continue && !endpoint.health.is_unavailable(now) && !query.excluded.contains(&endpoint.name)
 }
+
+/// Whether fewer calls than the upstream has slots are known to run there.
+pub(super) fn has_slot(endpoint: &Endpoint, query: &Query<'_>) -> bool {
+    let peers = query.peers.get(&endpoint.hash).map_or(0, |it| it.calls);
+    peers + endpoint.health.calls_in_flight() < endpoint.record.slots.max(1)
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,7 +25,6 @@
         entry::end_to_end,
         exchange::quota::{self, Charge},
         hold::Reservation,
-        limit::Statement,
         place::{self, Choice, Source},
         roster::Endpoint,
     },
@@ -276,7 +275,9 @@
 
     /// Records that an upstream did not execute the call.
     fn record_rejection(&mut self, reservation: &Reservation) {
-        self.pause_after_rejection(reservation, REJECTION_PAUSE);
+        if !self.context.spare(&reservation.choice.endpoint) {
+            self.pause_after_rejection(reservation, REJECTION_PAUSE);
+        }
         self.rejections += 1;
         self.exclude_rejecting(&reservation.choice.endpoint.name);
     }
@@ -400,9 +401,10 @@
         let Endpoint { name, health, .. } = &**endpoint;
         let now = self.context.now();
         let mut notice = head.notice;
-        if !head.matches_request && notice.limit == Statement::Unlimited {
-            // It may have been made before the upstream named its limit.
-            notice.limit = Statement::Unknown;
+        if !head.matches_request {
+            // It may have been made before the upstream named its limits.
+            notice.limit = notice.limit.without_end();
+            notice.brittleness = notice.brittleness.without_end();
         }
         self.context.take_notice(endpoint, notice, sent_at);
         if let Some(pause) = head.pause.filter(|it| health.record_pause(*it, now)) {
--- a/tests/gateway/brittle.rs
+++ b/tests/gateway/brittle.rs
@@ -5,10 +5,11 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use tealturn::{
     gateway::{
+        brittle::{self, Event, State},
         call::Prompt,
         context::Context,
         dialect::Notice,
-        limit::Statement,
+        limit::{Limit, Statement},
         permit::{self, Purpose, Verdict},
         place::Query,
         roster::Endpoint,
@@ -233,6 +234,7 @@
             endpoint.health.end_call(call.memory);
             endpoint.health.record_success(context.now());
             let ago = now.since(call.sent_at);
+            endpoint.health.record_call_time(ago);
             self.hear(&context, &endpoint, ago);
         }
     }
@@ -240,14 +242,20 @@
     /// A daemon gets an answer to a request that was sent this long ago.
     fn hear(&self, context: &Arc<Context>, endpoint: &Endpoint, ago: Duration) {
         let now = context.now();
-        let notice = Notice { leaving: false, limit: Statement::Unlimited };
+        let brittleness = match self.is_brittle {
+            true => Statement::Limited(self.scene.rejections_per_s),
+            false => Statement::Unlimited,
+        };
+        let notice = Notice { brittleness, ..Notice::default() };
         context.take_notice(endpoint, notice, now - ago);
     }
 
     /// A daemon's call was rejected.
     fn reject(&self, context: &Arc<Context>, endpoint: &Endpoint) {
         self.hear(context, endpoint, Duration::ZERO);
-        endpoint.health.eject_for(REJECTION_PAUSE, context.now());
+        if !context.spare(endpoint) {
+            endpoint.health.eject_for(REJECTION_PAUSE, context.now());
+        }
     }
 
     /// Tries to send a call. One that no upstream takes waits until its objective has passed.
@@ -382,6 +390,70 @@
     number.parse().expect("a number")
 }
 
+/// Guards against a pace that follows single calls up and down, or never rises again after a rejection.
+#[test]
+fn the_pace_falls_after_rejections_and_rises_later() {
+    struct Case {
+        what: &'static str,
+        pace: Option<f64>,
+        age_ms: u64,
+        call_ms: u64,
+        calls: u32,
+        event: Event,
+        changed: Option<f64>,
+    }
+    let usual = Case {
+        what: "the pace is near the estimate of 12",
+        pace: Some(10.0),
+        age_ms: 10_000,
+        call_ms: 1_000,
+        calls: 10,
+        event: Event::Answered,
+        changed: None,
+    };
+    let cases = [
+        Case { what: "nothing is known", pace: None, calls: 0, ..usual },
+        Case { what: "a first answer", pace: None, changed: Some(12.0), ..usual },
+        Case {
+            what: "a first answer that is a rejection",
+            pace: None,
+            event: Event::Rejected,
+            changed: Some(8.4),
+            ..usual
+        },
+        Case { what: "a rejection", event: Event::Rejected, changed: Some(7.0), ..usual },
+        Case {
+            what: "a rejection at a pace that is safe",
+            pace: Some(2.5),
+            event: Event::Rejected,
+            ..usual
+        },
+        Case {
+            what: "a rejection before any call was completed",
+            calls: 0,
+            event: Event::Rejected,
+            changed: Some(7.0),
+            ..usual
+        },
+        Case { what: "a rejection with another one", age_ms: 200, event: Event::Rejected, ..usual },
+        Case { what: "calls take longer", call_ms: 3_000, changed: Some(6.0), ..usual },
+        Case { what: "a few calls take longer", call_ms: 3_000, calls: 9, ..usual },
+        Case { what: "the pace is low", pace: Some(8.0), changed: Some(10.0), ..usual },
+        Case { what: "it changed lately", pace: Some(8.0), age_ms: 1_500, ..usual },
+        usual,
+    ];
+    let now = Time::from_millis(100_000);
+    for case in cases {
+        let limit = Limit { rate: case.pace, heard_at: now - Duration::from_millis(case.age_ms) };
+        let call_time = Duration::from_millis(case.call_ms);
+        let (rejections_per_s, calls) = (5.0, case.calls);
+        let state = State { rejections_per_s, slots: 16, call_time, calls, limit };
+        let changed = brittle::decide(&state, case.event, now);
+        let changed = changed.map(|it| (it * 10.0).round() / 10.0);
+        assert_eq!(changed, case.changed, "{}", case.what);
+    }
+}
+
 /// Guards against daemons that each keep away from a full upstream by themselves: together they cause
 /// more rejections than it withstands.
 #[test]
--- a/tests/gateway/permit.rs
+++ b/tests/gateway/permit.rs
@@ -123,7 +123,7 @@
         let mut fleet = Fleet::new(daemons, 78, seed);
         fleet.run(Duration::from_secs(5));
         let finder = fleet.context(daemons / 2).clone();
-        let notice = Notice { leaving: false, limit: Statement::Limited(rate) };
+        let notice = Notice { limit: Statement::Limited(rate), ..Notice::default() };
         finder.take_notice(&upstream(&finder), notice, finder.now());
         Demand {
             fleet,
@@ -290,7 +290,7 @@
         for (round, rate) in [Some(4.0), Some(1.0), Some(2.0), None].into_iter().enumerate() {
             let finder = fleet.context((round * 3) % daemons).clone();
             let limit = rate.map_or(Statement::Unlimited, Statement::Limited);
-            let notice = Notice { leaving: false, limit };
+            let notice = Notice { limit, ..Notice::default() };
             finder.take_notice(&upstream(&finder), notice, finder.now());
             let know = |it: &Fleet| {
                 it.contexts().iter().all(|it| upstream(it).health.limit().rate == rate)
--- a/tests/gateway/tree.rs
+++ b/tests/gateway/tree.rs
@@ -552,10 +552,14 @@
             let [leaving, paused, limited] =
                 ["engine-7", "engine-8", "engine-9"].map(|it| engine(it).expect("a known engine"));
             let limit = Statement::Unlimited;
-            context.take_notice(&leaving, Notice { leaving: true, limit }, now);
+            context.take_notice(
+                &leaving,
+                Notice { leaving: true, limit, ..Notice::default() },
+                now,
+            );
             paused.health.record_pause(PAUSE, now);
             let limit = Statement::Limited(2.0);
-            context.take_notice(&limited, Notice { leaving: false, limit }, now);
+            context.take_notice(&limited, Notice { limit, ..Notice::default() }, now);
         }
         for name in ["engine-7", "engine-8", "engine-9"] {
             fleet.write(Topic::Upstreams, name);
