--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,7 +24,6 @@
         entry::end_to_end,
         exchange::quota::{self, Charge},
         hold::Reservation,
-        limit::Statement,
         place::{self, Choice, Source},
         roster::Endpoint,
     },
@@ -90,6 +89,8 @@
     fingerprint: Fingerprint,
     /// The event after which the next upstream continues the stream.
     last_event: Option<String>,
+    /// Whether the caller has the head of a stream, so that only its rest may follow.
+    is_streaming: bool,
     /// The build that began the stream, which alone may continue it.
     origin: Option<Build>,
     /// When it began to wait for an upstream: when it was received, when the origin of the stream that it
@@ -121,6 +122,7 @@
         context,
         fingerprint: call.fingerprint(),
         last_event: call.head.last_event.clone(),
+        is_streaming: false,
         waiting_since: call.received,
         call,
         origin: None,
@@ -278,7 +280,9 @@
 
     /// Records that an upstream did not execute the call.
     fn record_rejection(&mut self, reservation: &Reservation) {
-        self.pause_after_rejection(reservation, REJECTION_PAUSE);
+        if !self.context.spare(&reservation.choice.endpoint) {
+            self.pause_after_rejection(reservation, REJECTION_PAUSE);
+        }
         self.rejections += 1;
         self.rejected_by.push(reservation.choice.endpoint.name.clone());
         self.exclude_rejecting(&reservation.choice.endpoint.name);
@@ -406,9 +410,10 @@
         let Endpoint { name, health, .. } = &**endpoint;
         let now = self.context.now();
         let mut notice = head.notice;
-        if !head.matches_request && notice.limit == Statement::Unlimited {
-            // It may have been made before the upstream named its limit.
-            notice.limit = Statement::Unknown;
+        if !head.matches_request {
+            // It may have been made before the upstream named its limits.
+            notice.limit = notice.limit.without_end();
+            notice.brittleness = notice.brittleness.without_end();
         }
         self.context.take_notice(endpoint, notice, sent_at);
         if let Some(pause) = head.pause.filter(|it| health.record_pause(*it, now)) {
@@ -447,6 +452,9 @@
         if status.is_success() && !head.signed {
             return Outcome::Lost("the answer is not signed".to_owned());
         }
+        if let Some(fault) = self.find_fault(&answer) {
+            return Outcome::Lost(fault);
+        }
         Outcome::Answer(Box::new(answer))
     }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Unit tests of the gateway's decision logic.
 
+#[path = "gateway/brittle.rs"]
+mod brittle;
 #[path = "gateway/budget.rs"]
 mod budget;
 #[path = "gateway/cache.rs"]
@@ -48,6 +50,8 @@
 mod room;
 #[path = "gateway/roster.rs"]
 mod roster;
+#[path = "gateway/rows.rs"]
+mod rows;
 #[path = "gateway/scene.rs"]
 mod scene;
 #[path = "gateway/shutdown.rs"]
@@ -64,3 +68,9 @@
 mod topology;
 #[path = "gateway/tree.rs"]
 mod tree;
+#[path = "gateway/upgrade.rs"]
+mod upgrade;
+#[path = "gateway/wire.rs"]
+mod wire;
+#[path = "gateway/wire_samples.rs"]
+mod wire_samples;
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -11,7 +11,6 @@
 };
 
 use async_trait::async_trait;
-use bincode::Options;
 use http::request;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -22,7 +21,10 @@
         context::{Context, Setup},
         dialect::{self, Answer, Directive, Evidence, Order, Refusal, Reply, Report},
         document::{self, Document, Limits, Tenant},
-        exchange,
+        exchange::{
+            self,
+            wire::{self, PROTOCOL},
+        },
         follow::{self, MEMBER_PREFIX},
         member::Member,
         message::{Link, Message},
@@ -100,6 +102,15 @@
     }
 }
 
+impl dialect::Format for Unused {
+    fn parse_field(&self, _: &[u8], _: &[u8]) -> dialect::Field {
+        unreachable!()
+    }
+    fn identifies_events(&self) -> bool {
+        unreachable!()
+    }
+}
+
 impl dialect::Dialect for Unused {
     fn parse_request(&self, _: &request::Parts) -> Result<Head, Refusal> {
         unreachable!()
@@ -136,7 +147,8 @@
 
 /// A row `version-N` of the operator sets a target, and the row [`WEIGHTS_KEY`] the one that its value
 /// names; any other is a document whose version is its value, or that of the row if it has none. The value
-/// may also name a quota, see [`Fleet::write_quotas`]. An upstream is an engine, and `engine-7.v2` has the build `v2`.
+/// may also name a quota, see [`Fleet::write_quotas`]. An upstream is an engine, and `engine-7.v2` has the build `v2`;
+/// its value may be a number of slots.
 struct Schema;
 
 impl dialect::Schema for Schema {
@@ -169,7 +181,10 @@
         let name = row.key.trim_start_matches("engine-");
         let (number, build) = name.split_once('.').unwrap_or((name, scene::BUILD));
         let number = number.parse().map_err(|_| dialect::Error("no number".to_owned()))?;
-        Ok(Record { build: Build::from(build), ..scene::record(number, 1) })
+        let record = scene::record(number, 1);
+        let value = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
+        let slots = value.and_then(|it| it.parse().ok()).unwrap_or(record.slots);
+        Ok(Record { build: Build::from(build), slots, ..record })
     }
 }
 
@@ -361,6 +376,7 @@
             caller: SocketAddr::from(([10, 0, 0, 1], index as u16 + 1)),
             peer: SocketAddr::from(([10, 0, 0, 2], index as u16 + 1)),
             cpu_millis: vm.cpu_millis,
+            protocol: PROTOCOL,
             leaving: false,
         };
         let value = serde_json::to_vec(&member).expect("a member can be encoded");
@@ -421,6 +437,12 @@
         runs(from) && runs(to) && from.part == to.part
     }
 
+    /// Registers an engine that runs this many calls at a time.
+    pub fn register_engine(&mut self, number: u16, slots: u32) {
+        let key = format!("engine-{number}");
+        self.write_value(Topic::Upstreams, &key, slots.to_string().into_bytes());
+    }
+
     /// Writes a document with workspaces that have quotas, each as `NAME:RATE:BURST:UNIT`.
     pub fn write_quotas(&mut self, quotas: &str) {
         let value = format!("{} {quotas}", self.position.version + 1).into_bytes();
@@ -650,8 +672,7 @@
     }
 
     fn count(&mut self, index: usize, message: &Message) {
-        let bytes = bincode::DefaultOptions::new().serialized_size(message);
-        self.vms[index].traffic.bytes += bytes.expect("a message can be encoded");
+        self.vms[index].traffic.bytes += wire::to_bytes(message).len() as u64;
     }
 }
 
