Reset connections on which a request is given up

Cause: a daemon writes a request, its link is cut, it gives the attempt up and closes the connection. Closing sends a FIN after what is unsent, and the kernel repeats both until the path is back; the upstream gets a request that nobody waits for. It may also be one that was sent elsewhere meanwhile.

With SO_LINGER 0, closing discards what is unsent and resets the connection. The client only closes connections that have carried a whole answer or whose request is given up, so nothing is lost that anyone waits for.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// An open connection; dropping it closes it.
+/// An open connection; dropping it resets it.
 struct Connection {
     sender: Sender,
     /// Drives the connection.
@@ -114,7 +114,7 @@
     until: Instant,
 }
 
-/// An answer whose body is still to be read. Dropping it closes its connection.
+/// An answer whose body is still to be read. Dropping it resets its connection.
 pub struct Answer {
     /// Status, headers and body.
     pub response: Response<Incoming>,
@@ -433,10 +433,14 @@
     Ok(Connection { sender, _task: AbortOnDropHandle::new(task), until: Instant::now() })
 }
 
-/// Lets small writes leave at once, and a connection that has gone silent break.
+/// Lets small writes leave at once, a connection that has gone silent break, and one that is closed
+/// take what it has not delivered with it.
 fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    // Without a reset the kernel goes on to send a request that was given up, for as long as a lost path
+    // takes to come back.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LONGEST))?;
     let probes = TcpKeepalive::new().with_time(KEEPALIVE_EVERY);
     socket.set_tcp_keepalive(&probes.with_interval(KEEPALIVE_EVERY).with_retries(KEEPALIVE_PROBES))
