Check once more that an upstream stays when a connection has opened

Calls reach upstreams up to a second after these have left, besides the time in which daemons hear of it: the upstream is selected, and its connection may take 1 s to open (DRAIN).

The client asks the caller when a new connection is open. A call that is withheld counts as not sent: it goes to another upstream, is no retry, and the upstream isn't taken for dead. It is logged and counted (tealturn_calls_withheld_total).

--- a/src/control/edge.rs
+++ b/src/control/edge.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    Error,
     control::{
         charge::{FLIGHT, Rejection},
         core::Core,
@@ -21,7 +22,7 @@
         plan::{self, Engine},
         shard::{self, Name},
     },
-    http::client,
+    http::client::{self, Reuse},
     kernel::{
         clock::Time,
         context::Context,
@@ -231,10 +232,10 @@
         .map_err(|_| Rejection::NotSent)?;
     let may_send = || context.now() < valid_until;
     let exchange = async {
-        let sent = context.client.send_if(address, request, may_send).await;
+        let sent = context.client.send_if(address, request, Reuse::Forbidden, may_send).await;
         let answer = match sent {
-            Ok(Some(answer)) => answer,
-            Ok(None) | Err(crate::Error::Connect { .. }) => return Err(Rejection::NotSent),
+            Ok(answer) => answer,
+            Err(Error::Withheld { .. } | Error::Connect { .. }) => return Err(Rejection::NotSent),
             Err(_) => return Err(Rejection::Lost),
         };
         let status = answer.response.status();
--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,12 @@
         /// The I/O error of the connection attempt.
         source: io::Error,
     },
+    /// Nothing was sent, because the sender no longer wanted it once the connection was open.
+    #[error("nothing was sent to {address}: it was no longer wanted")]
+    Withheld {
+        /// The remote address.
+        address: SocketAddr,
+    },
     /// No response, or only part of one, arrived. Unlike after [`Error::Connect`], the remote
     /// process may have received and executed the request.
     #[error("no complete response from {address}: {reason}")]
--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -141,7 +141,8 @@
         false
     }
 
-    fn is_leaving(&self) -> bool {
+    /// Whether the upstream leaves or is gone.
+    pub fn is_leaving(&self) -> bool {
         let Endpoint { name, record, health, .. } = &*self.choice.endpoint;
         let view = self.context.view.load();
         health.is_leaving() || !view.service(&record.service).iter().any(|it| it.name == *name)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,7 +27,10 @@
         place::{self, Choice, Source},
         roster::Endpoint,
     },
-    http::{client::Answer, server::Body},
+    http::{
+        client::{Answer, Reuse},
+        server::Body,
+    },
     kernel::{
         clock::Time,
         id::{Build, Upstream},
@@ -60,6 +63,9 @@
 /// The interval between checks whether the weights that a call waits for have been superseded.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Why nothing was sent to the selected upstream.
+const WITHHELD: &str = "the upstream left while the connection was being opened";
+
 /// Why an answer without framing is not whole although its connection ended without an error.
 const CRASHED_AT_END: &str = "the upstream accepts no connections after the end of an answer whose \
                               length is unknown";
@@ -71,6 +77,8 @@
     /// Nothing was sent, because no connection could be opened or the request target is not a valid
     /// URI.
     Unreachable(String),
+    /// Nothing was sent, because the upstream left while the connection was being opened.
+    Withheld,
     /// The upstream did not execute the call.
     NotExecuted(&'static str),
     /// The attempt failed, and the upstream may have executed the call.
@@ -208,6 +216,7 @@
                 Outcome::Answer(..) => "answer",
                 Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
                 Outcome::NotExecuted(reason) => reason,
+                Outcome::Withheld => WITHHELD,
                 Outcome::TimedOut => "timed out",
                 Outcome::Expired => "not begun before the grace period of the weights ended",
             };
@@ -236,6 +245,10 @@
                     self.record_unreachable(&reservation.choice.endpoint);
                     continue;
                 }
+                Outcome::Withheld => {
+                    self.record_withheld(&reservation.choice.endpoint);
+                    continue;
+                }
                 Outcome::NotExecuted(_) => {
                     self.record_rejection(&reservation);
                     continue;
@@ -278,6 +291,14 @@
         self.excluded.push(endpoint.name.clone());
     }
 
+    /// Records that the call was not sent to an upstream that has left.
+    fn record_withheld(&mut self, endpoint: &Endpoint) {
+        counter!("tealturn_calls_withheld_total").increment(1);
+        self.connect_failures += 1;
+        self.rejections += 1;
+        self.excluded.push(endpoint.name.clone());
+    }
+
     /// Records that an upstream did not execute the call.
     fn record_rejection(&mut self, reservation: &Reservation) {
         if !self.context.spare(&reservation.choice.endpoint) {
@@ -301,7 +322,8 @@
     async fn send_charged(&mut self, reservation: &Reservation) -> Outcome {
         self.charge.iter_mut().for_each(Charge::executed);
         let outcome = self.send(reservation).await;
-        if matches!(outcome, Outcome::Unreachable(_) | Outcome::NotExecuted(_)) {
+        if matches!(outcome, Outcome::Unreachable(_) | Outcome::Withheld | Outcome::NotExecuted(_))
+        {
             self.charge.iter_mut().for_each(Charge::rejected);
         }
         outcome
@@ -362,12 +384,9 @@
         // more on a connection that it keeps, and all sends of the call carry the same attempt.
         let may_reuse = call.route.kind.is_repeatable()
             && !self.rejected_by.contains(&reservation.choice.endpoint.name);
-        let request_sent = async {
-            match may_reuse {
-                true => context.client.send(address, request).await,
-                false => context.client.send_fresh(address, request).await,
-            }
-        };
+        let reuse = if may_reuse { Reuse::Allowed } else { Reuse::Forbidden };
+        let may_send = || !reservation.is_leaving();
+        let request_sent = context.client.send_if(address, request, reuse, may_send);
         let sent = tokio::select! {
             sent = time::timeout(attempt_timeout, request_sent) => sent,
             () = reservation.died() => {
@@ -378,6 +397,7 @@
         match sent {
             Err(_) => Outcome::TimedOut,
             Ok(Err(Error::Connect { source, .. })) => Outcome::Unreachable(source.to_string()),
+            Ok(Err(Error::Withheld { .. })) => Outcome::Withheld,
             Ok(Err(error)) => Outcome::Lost(error.to_string()),
             Ok(Ok(answer)) => self.classify(reservation, answer, sent_at),
         }
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -19,7 +19,7 @@
         exchange,
         hold::Reservation,
         record,
-        relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay},
+        relay::{CRASHED_AT_END, MAX_REJECTIONS, Outcome, Relay, WITHHELD},
         stream::{
             Splitter,
             sequence::{Sequence, begins_event},
@@ -173,6 +173,7 @@
             Outcome::Answer(_) => "answer",
             Outcome::Unreachable(reason) | Outcome::Lost(reason) => reason,
             Outcome::NotExecuted(reason) => reason,
+            Outcome::Withheld => WITHHELD,
             Outcome::TimedOut => "timed out",
             Outcome::Expired => "not begun before the grace period of the weights ended",
         };
@@ -225,6 +226,10 @@
                     self.record_unreachable(&reservation.choice.endpoint);
                     continue;
                 }
+                Outcome::Withheld => {
+                    self.record_withheld(&reservation.choice.endpoint);
+                    continue;
+                }
                 Outcome::NotExecuted(_) => {
                     self.record_rejection(&reservation);
                     continue;
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -105,6 +105,15 @@
     }
 }
 
+/// Whether a request may be sent on a connection that has carried another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// It may.
+    Allowed,
+    /// It may not.
+    Forbidden,
+}
+
 /// An open connection; dropping it resets it.
 struct Connection {
     sender: Sender,
@@ -186,23 +195,7 @@
     /// [`Error::Connect`] if nothing was sent, [`Error::NoResponse`] if the request may have
     /// arrived.
     pub async fn send(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> Result<Answer> {
-        let (mut connection, mut is_reused) = match self.take(address) {
-            Some(connection) => (connection, true),
-            None => (self.connect(address).await?, false),
-        };
-        let lost = |error: hyper::Error| Error::NoResponse { address, reason: error.to_string() };
-        let response = match connection.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => match error.take_message() {
-                // The idle connection was closed before the request was written to it.
-                Some(request) => {
-                    (connection, is_reused) = (self.connect(address).await?, false);
-                    connection.sender.send_request(request).await.map_err(lost)?
-                }
-                None => return Err(lost(error.into_error())),
-            },
-        };
-        Ok(Answer { response, address, connection, is_reused })
+        self.send_if(address, request, Reuse::Allowed, || true).await
     }
 
     /// Sends a request over a new connection, since an idle one may have gone silent.
@@ -215,33 +208,45 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer> {
-        let mut connection = self.connect(address).await?;
-        let sent = connection.sender.send_request(request).await;
-        let response =
-            sent.map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
-        Ok(Answer { response, address, connection, is_reused: false })
+        self.send_if(address, request, Reuse::Forbidden, || true).await
     }
 
-    /// Sends a request over a new connection if `may_send` says so once that is open. `None`
-    /// means that nothing was sent.
+    /// Sends a request unless `may_send` denies it once a new connection is open, which may take
+    /// [`CONNECT_TIMEOUT`].
     ///
     /// # Errors
     ///
-    /// As [`Client::send`].
+    /// As [`Client::send`]; [`Error::Withheld`] if it was denied.
     pub async fn send_if(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        may_send: impl FnOnce() -> bool,
-    ) -> Result<Option<Answer>> {
+        mut request: Request<Full<Bytes>>,
+        reuse: Reuse,
+        may_send: impl Fn() -> bool,
+    ) -> Result<Answer> {
+        let lost = |error: hyper::Error| Error::NoResponse { address, reason: error.to_string() };
+        let idle = match reuse {
+            Reuse::Allowed => self.take(address),
+            Reuse::Forbidden => None,
+        };
+        if let Some(mut connection) = idle {
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    return Ok(Answer { response, address, connection, is_reused: true });
+                }
+                Err(mut error) => match error.take_message() {
+                    // The idle connection was closed before the request was written to it.
+                    Some(unsent) => request = unsent,
+                    None => return Err(lost(error.into_error())),
+                },
+            }
+        }
         let mut connection = self.connect(address).await?;
         if !may_send() {
-            return Ok(None);
+            return Err(Error::Withheld { address });
         }
-        let sent = connection.sender.send_request(request).await;
-        let response =
-            sent.map_err(|error| Error::NoResponse { address, reason: error.to_string() })?;
-        Ok(Some(Answer { response, address, connection, is_reused: false }))
+        let response = connection.sender.send_request(request).await.map_err(lost)?;
+        Ok(Answer { response, address, connection, is_reused: false })
     }
 
     /// Sends a request and reads the whole answer, which must have a status of 2xx.
