Let a request wait unacknowledged for two seconds at most

Calls at an upstream that is silent and accepts no connections are given up after 2 s already; the same time now holds for bytes that are not acknowledged. Sound upstreams that are silent for a second or so, and packets that are lost three times in a row, are not affected.

No test: it takes a network that loses packets.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -46,8 +46,10 @@
 /// rest covers the way there.
 const IDLE_USED: f64 = 0.5;
 
-/// Bytes that are not acknowledged for this long break a connection that has gone silent.
-const UNACKNOWLEDGED_LONGEST: Duration = Duration::from_secs(3);
+/// How long written bytes may stay unacknowledged, and a connection silent, until it breaks. A request
+/// that arrives later may reach an upstream that has left since. Sound upstreams may be silent for a
+/// second or so.
+const UNACKNOWLEDGED_LONGEST: Duration = Duration::from_secs(2);
 
 /// The time between probes of a silent connection; [`KEEPALIVE_PROBES`] lost ones break it.
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
