Let the watchers of a large fleet take turns while rows change

A watcher whose poll has waited for a change now polls again after its part of the delay, by its rank; while rows change all the time each still waits the whole delay, so that their polls stay apart. Any of them is enough, since each tells the others.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -22,6 +22,7 @@
         mirror::Delta,
         rollout::Target,
         store::{self, Era, Page, Position, Row, Topic},
+        topology::FULL_MESH_DAEMONS,
     },
     kernel::{
         clock::Time,
@@ -92,12 +93,16 @@
 /// (2 s on the platform).
 const BATCH_DELAY_MAX: Duration = Duration::from_millis(1_000);
 
+/// A poll that takes longer has waited for a change.
+const SHORT_POLL: Duration = Duration::from_millis(50);
+
 /// Key prefix of the daemons' rows.
 pub const MEMBER_PREFIX: &str = "member/";
 
 /// Follows one topic until `stop` is cancelled.
 pub async fn follow(context: Arc<Context>, topic: Topic, stop: CancellationToken) {
-    let mut follower = Follower { context, topic, must_list: false, failures: 0 };
+    let mut follower =
+        Follower { context, topic, must_list: false, failures: 0, has_batched: false };
     tokio::select! {
         () = stop.cancelled() => {}
         () = follower.run() => {}
@@ -110,6 +115,8 @@
     /// Whether changes are missing, so that all rows must be listed.
     must_list: bool,
     failures: u32,
+    /// Whether the last poll brought changes, so that this one came after a delay.
+    has_batched: bool,
 }
 
 impl Follower {
@@ -170,6 +177,7 @@
         let head = head.filter(|it| !self.must_list && Some(it.era) >= latest_era);
         let after = head.map(|it| it.version);
         let is_watcher = self.context.plan.load().is_watcher;
+        let (polled_at, mut has_waited) = (time::Instant::now(), false);
         let result = match head {
             None => self.list_all().await,
             Some(head) => {
@@ -181,10 +189,12 @@
                     _ => POLL_TIMEOUT,
                 };
                 // Others may learn of a later era while this call waits.
-                tokio::select! {
+                let result = tokio::select! {
                     result = self.context.store.changes(self.topic, head.version, timeout) => result,
                     () = self.context.eras.wait_after(head.era) => return,
-                }
+                };
+                has_waited = polled_at.elapsed() >= SHORT_POLL;
+                result
             }
         };
         let outcome = if result.is_ok() { "answered" } else { "failed" };
@@ -207,13 +217,14 @@
                     return self.back_off(&failure, requested_at, is_watcher).await;
                 }
                 let changed = !page.rows.is_empty();
+                let is_in_turn = std::mem::replace(&mut self.has_batched, changed) && !has_waited;
                 if self.topic == Topic::Upstreams {
                     self.context.change_roster(|it| it.store_answered(self.context.now()));
                 }
                 let position = Position { era: page.era, version: page.version };
                 apply(&self.context, self.topic, &page.rows, after, position, requested_at);
                 if changed && self.topic != Topic::Operator {
-                    time::sleep(batch_delay(self.context.members.count())).await;
+                    time::sleep(self.batch_delay(is_in_turn)).await;
                 }
             }
             Err(store::Error::Compacted) => {
@@ -242,6 +253,18 @@
         Ok(page)
     }
 
+    /// How long to wait for more changes before the next poll. All watchers that wait for a change get it at
+    /// the same time. They delay the next poll by different times then, and so take turns as long as rows
+    /// change all the time (`is_in_turn`).
+    fn batch_delay(&self, is_in_turn: bool) -> Duration {
+        let plan = self.context.plan.load();
+        let delay = batch_delay(self.context.members.count());
+        match !is_in_turn && plan.is_watcher && plan.daemons > FULL_MESH_DAEMONS {
+            true => stagger(delay, plan.rank, plan.watchers),
+            false => delay,
+        }
+    }
+
     async fn back_off(&mut self, failure: &store::Error, requested_at: Time, is_watcher: bool) {
         if self.failures == 0 {
             warn!(topic = ?self.topic, %failure, "call to the store failed; retrying");
@@ -412,6 +435,12 @@
     (BATCH_DELAY_PER_DAEMON * u32::try_from(daemons).unwrap_or(u32::MAX)).min(BATCH_DELAY_MAX)
 }
 
+/// The part of `delay` after which the watcher of this rank among several polls again, the first one last.
+pub fn stagger(delay: Duration, rank: usize, watchers: usize) -> Duration {
+    let turn = watchers.saturating_sub(rank).max(1);
+    delay.mul_f64(turn as f64 / watchers.max(turn) as f64)
+}
+
 /// Makes `document` the active document unless the active one is as new or newer.
 fn apply_document(context: &Context, document: Arc<Document>) {
     let active_version = context.document.load().as_ref().map(|it| it.version);
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -49,6 +49,8 @@
     /// Its rank among the daemons that may take over work of the fleet: watchers first, then other
     /// hubs, then spokes.
     pub rank: usize,
+    /// Number of daemons that follow the store.
+    pub watchers: usize,
     /// All hubs but itself, in the order in which a spoke should use them: those of its own zone
     /// first, and each spoke starting with another one.
     pub hubs: Vec<String>,
@@ -104,6 +106,7 @@
         is_hub: place.is_some_and(|it| it < per_zone),
         is_watcher: place.is_some_and(|it| it < watchers_per_zone),
         rank: position.unwrap_or(ranked.len()),
+        watchers: ranked.iter().filter(|it| it.0 < watchers_per_zone).count(),
         hubs: others.into_iter().map(|(_, _, it)| it.name.to_owned()).collect(),
         daemons,
     }
