Give up calls that are held up on their way to an upstream that leaves

Calls that are still waited for reach upstreams after these have left (DRAIN), held up on a link that was cut just after they were written: nothing probes an upstream that is draining, so the call waits for its deadline or until the kernel breaks the connection. The users' pages say that held up bytes are lost if their sender resets the connection; they don't say it of a connection that breaks by itself. So the daemon must reset it first, and the kernel's time is 3 s again.

A call without an answer is given up when its upstream leaves, was silent for 1 s and lets two connections hang for 250 ms each. A refused one says nothing, since an upstream that leaves may close its port and go on with its calls.

--- a/src/gateway/hold.rs
+++ b/src/gateway/hold.rs
@@ -15,6 +15,7 @@
         room::Event,
         roster::Endpoint,
     },
+    http::client::Probe,
     kernel::{clock::Time, id::Request},
     request::suspect::Fingerprint,
 };
@@ -26,6 +27,16 @@
 /// be silent for a second or so, and then goes on.
 const MAX_SILENCE: Duration = Duration::from_millis(2_000);
 
+/// The interval between checks whether the path to an upstream that leaves is lost.
+const LEAVING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The silence after which the path to an upstream that leaves may be lost. A sound upstream may be silent
+/// for a second or so.
+const LEAVING_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The time in which such an upstream must accept a connection.
+const LEAVING_PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Probes that must fail until an upstream counts as crashed whose connection ended without an error;
 /// a single one may be due to packet loss.
 const END_PROBES: usize = 2;
@@ -118,6 +129,32 @@
         }
     }
 
+    /// Waits until the upstream leaves and the path to it seems lost, before it has begun to answer. The call
+    /// may not have arrived yet, and must not arrive after the path is back: the upstream wants no calls by
+    /// then. A refused connection says nothing, since an upstream that leaves may close its port and go on
+    /// with its calls.
+    pub async fn path_lost_at_leaving(&self) {
+        let health = &self.choice.endpoint.health;
+        let mut silent_probes = 0;
+        loop {
+            time::sleep(LEAVING_CHECK_INTERVAL).await;
+            let silent_since = health.last_activity().max(self.began_at);
+            let is_silent = self.context.now().since(silent_since) >= LEAVING_SILENCE;
+            if !is_silent || self.is_forwarded || !self.is_leaving() {
+                silent_probes = 0;
+                continue;
+            }
+            let address = self.choice.endpoint.record.address;
+            match self.context.client.probe(address, LEAVING_PROBE_TIMEOUT).await {
+                Probe::Silent => silent_probes += 1,
+                Probe::Open | Probe::Refused => silent_probes = 0,
+            }
+            if silent_probes >= END_PROBES {
+                return;
+            }
+        }
+    }
+
     /// Records that the complete answer was received and is not a server error. `clears_prompt` tells
     /// whether it is a successful one whose end can't be that of a crashed upstream.
     pub fn succeed(&mut self, clears_prompt: bool) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -392,6 +392,9 @@
             () = reservation.died() => {
                 return Outcome::Lost("the upstream was found dead".to_owned());
             }
+            () = reservation.path_lost_at_leaving() => {
+                return Outcome::Lost("the path to the upstream, which leaves, was lost".to_owned());
+            }
             () = self.weights_expire(&reservation.choice) => return Outcome::Expired,
         };
         match sent {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -46,10 +46,8 @@
 /// rest covers the way there.
 const IDLE_USED: f64 = 0.5;
 
-/// How long written bytes may stay unacknowledged, and a connection silent, until it breaks. A request
-/// that arrives later may reach an upstream that has left since. Sound upstreams may be silent for a
-/// second or so.
-const UNACKNOWLEDGED_LONGEST: Duration = Duration::from_secs(2);
+/// Bytes that are not acknowledged for this long break a connection that has gone silent.
+const UNACKNOWLEDGED_LONGEST: Duration = Duration::from_secs(3);
 
 /// The time between probes of a silent connection; [`KEEPALIVE_PROBES`] lost ones break it.
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
@@ -107,6 +105,17 @@
     }
 }
 
+/// What became of an attempt to open a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// It opened.
+    Open,
+    /// The other side refused it, or there is no way there.
+    Refused,
+    /// Nothing came in time.
+    Silent,
+}
+
 /// Whether a request may be sent on a connection that has carried another one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reuse {
@@ -342,7 +351,16 @@
 
     /// Whether a connection to `address` opens within `timeout`. It is closed at once.
     pub async fn opens(&self, address: SocketAddr, timeout: Duration) -> bool {
-        matches!(time::timeout(timeout, self.connector.connect(address)).await, Ok(Ok(_)))
+        self.probe(address, timeout).await == Probe::Open
+    }
+
+    /// Tries to open a connection to `address`, which is closed at once.
+    pub async fn probe(&self, address: SocketAddr, timeout: Duration) -> Probe {
+        match time::timeout(timeout, self.connector.connect(address)).await {
+            Ok(Ok(_)) => Probe::Open,
+            Ok(Err(_)) => Probe::Refused,
+            Err(_) => Probe::Silent,
+        }
     }
 
     /// Closes the idle connections to an address, for instance after one went silent.
