Take what an upstream says in an answer that came through another daemon

A daemon that is cut off passes on answers of upstreams that another daemon called, with Server-Leaving, Server-Limit and Server-Brittle, and took none of that for itself. Once its path is back it calls an upstream of which it has itself told callers that it leaves (DRAIN, which binds the machine that passed on the answer, in touch or not).

The answer doesn't tell which upstream it is from. A daemon that passes a call on now asks, by the header tealturn-upstream, and the other one names the upstream and the start of its process; the header is taken out before the caller sees the answer. Daemons of earlier builds ignore it, and don't ask.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -82,6 +82,8 @@
     pub resumes: Option<String>,
     /// The attempts that may have executed the call, if another daemon passed it on.
     pub forwarded: Option<u32>,
+    /// Whether that daemon wants to know which upstream answers.
+    pub asks_upstream: bool,
 }
 
 /// A validated call.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -19,7 +19,7 @@
     http::server::Body,
     kernel::{
         clock::Time,
-        id::{Model, Version},
+        id::{Incarnation, Model, Upstream, Version},
     },
 };
 
@@ -129,6 +129,12 @@
     /// of the caller.
     fn write_forwarded_headers(&self, forward: &Forward, headers: &mut HeaderMap);
 
+    /// Names the upstream that answers, for the daemon that passed the call on.
+    fn name_upstream(&self, upstream: &Endpoint, headers: &mut HeaderMap);
+
+    /// Takes the name of the upstream and its process out of an answer that came through another daemon.
+    fn take_upstream(&self, headers: &mut HeaderMap) -> Option<(Upstream, Incarnation)>;
+
     /// Parses the head of an upstream's response.
     fn parse_response(&self, call: &Call, status: StatusCode, headers: &HeaderMap) -> Evidence;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -522,7 +522,7 @@
         loop {
             let status = answer.response.status();
             let is_framed = answer.is_framed();
-            let headers = end_to_end(answer.response.headers());
+            let headers = self.caller_headers(&reservation, &answer);
             let time_left = self.call.deadline.since(self.context.now());
             let read = self.read_whole(&reservation, *answer);
             match time::timeout(time_left, read).await {
@@ -563,6 +563,15 @@
         }
     }
 
+    /// The headers of an answer for the caller, or for the daemon that passed the call on.
+    fn caller_headers(&self, reservation: &Reservation, answer: &Answer) -> HeaderMap {
+        let mut headers = end_to_end(answer.response.headers());
+        if self.call.head.forwarded.is_some() && self.call.head.asks_upstream {
+            self.context.dialect.name_upstream(&reservation.choice.endpoint, &mut headers);
+        }
+        headers
+    }
+
     /// Reads the body of an answer.
     async fn read_whole(&self, reservation: &Reservation, answer: Answer) -> Result<Bytes, Error> {
         let is_framed = answer.is_framed();
--- a/src/gateway/relay/forward.rs
+++ b/src/gateway/relay/forward.rs
@@ -12,7 +12,7 @@
     Error,
     gateway::{
         call::Forward,
-        dialect::Refusal,
+        dialect::{Notice, Refusal},
         gauge::Health,
         hold::Reservation,
         place::Choice,
@@ -21,7 +21,10 @@
         roster::{Endpoint, Record},
     },
     http::client::Answer,
-    kernel::id::{Build, Incarnation, Upstream, Zone},
+    kernel::{
+        clock::Time,
+        id::{Build, Incarnation, Upstream, Zone},
+    },
     route::pool::name_hash,
 };
 
@@ -147,6 +150,7 @@
             return Err(Failure::Unreachable("request target is not a valid URI".to_owned()));
         };
         let address = reservation.choice.endpoint.record.address;
+        let sent_at = context.now();
         let sent = async {
             match call.route.kind.is_repeatable() {
                 true => context.client.send(address, request).await,
@@ -157,14 +161,43 @@
             Err(_) => Err(Failure::TimedOut),
             Ok(Err(Error::Connect { source, .. })) => Err(Failure::Unreachable(source.to_string())),
             Ok(Err(error)) => Err(Failure::Lost(error.to_string())),
-            Ok(Ok(answer)) => self.classify_forwarded(answer),
+            Ok(Ok(answer)) => self.classify_forwarded(answer, sent_at),
+        }
+    }
+
+    /// Takes what an upstream that another daemon has called says of itself.
+    fn take_forwarded_notice(
+        &self,
+        name: &Upstream,
+        incarnation: Incarnation,
+        notice: Notice,
+        sent_at: Time,
+    ) {
+        let view = self.context.view.load();
+        let mut upstreams = view.service(self.call.service()).iter();
+        let is_named =
+            |it: &&Arc<Endpoint>| (&it.name, it.record.incarnation) == (name, incarnation);
+        if let Some(endpoint) = upstreams.find(is_named) {
+            return self.context.take_notice(endpoint, notice, sent_at);
+        }
+        if notice != Notice::default() {
+            let (attempt, upstream) = (&self.call.head.attempt, name.as_str());
+            info!(attempt, upstream, ?notice, "an upstream that is not in use says this of itself");
         }
     }
 
     /// Tells the answer of an upstream, which names this call, from a refusal of the other daemon.
-    fn classify_forwarded(&self, answer: Answer) -> Result<Box<Answer>, Failure> {
+    fn classify_forwarded(
+        &self,
+        mut answer: Answer,
+        sent_at: Time,
+    ) -> Result<Box<Answer>, Failure> {
+        let upstream = self.context.dialect.take_upstream(answer.response.headers_mut());
         let (status, headers) = (answer.response.status(), answer.response.headers());
         let head = self.context.dialect.parse_response(&self.call, status, headers);
+        if let Some((name, incarnation)) = upstream.filter(|_| head.matches_request) {
+            self.take_forwarded_notice(&name, incarnation, head.notice, sent_at);
+        }
         if let Some(fault) = self.find_fault(&answer).filter(|_| head.matches_request) {
             return Err(Failure::Lost(fault));
         }
--- a/src/gateway/relay/pump.rs
+++ b/src/gateway/relay/pump.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
-    HeaderMap, Response, StatusCode,
+    Response, StatusCode,
     body::{Body as _, Frame},
     header::{self, HeaderValue},
 };
@@ -15,7 +15,6 @@
 
 use crate::{
     gateway::{
-        entry::end_to_end,
         exchange,
         hold::Reservation,
         record,
@@ -42,7 +41,8 @@
         answer: Box<Answer>,
     ) -> Response<Body> {
         let status = answer.response.status();
-        let headers = stream_headers(answer.response.headers());
+        let mut headers = self.caller_headers(&reservation, &answer);
+        headers.remove(header::CONTENT_LENGTH);
         // The daemon that took a call knows the build of its upstream.
         let origin = match reservation.is_forwarded {
             true => None,
@@ -383,12 +383,6 @@
     essence.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
 }
 
-fn stream_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut kept = end_to_end(headers);
-    kept.remove(header::CONTENT_LENGTH);
-    kept
-}
-
 fn receiver_stream<T>(receiver: mpsc::Receiver<T>) -> impl futures::Stream<Item = T> {
     futures::stream::unfold(receiver, |mut receiver| async move {
         receiver.recv().await.map(|item| (item, receiver))
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -37,7 +37,7 @@
     http::{client::Client, server::Body},
     kernel::{
         clock::{Clock, Time},
-        id::{Build, Daemon, Incarnation, Model, Service, Version, Workspace, Zone},
+        id::{Build, Daemon, Incarnation, Model, Service, Upstream, Version, Workspace, Zone},
     },
     route::pool::name_hash,
 };
@@ -121,6 +121,12 @@
     fn write_forwarded_headers(&self, _: &Forward, _: &mut HeaderMap) {
         unreachable!()
     }
+    fn name_upstream(&self, _: &Endpoint, _: &mut HeaderMap) {
+        unreachable!()
+    }
+    fn take_upstream(&self, _: &mut HeaderMap) -> Option<(Upstream, Incarnation)> {
+        unreachable!()
+    }
     fn retry_after(&self, _: &HeaderMap) -> Option<Duration> {
         unreachable!()
     }
