Don't guess the build of a stream at a daemon that is out of step

While the store doesn't answer, a daemon that doesn't know a stream takes the only build that it knows of for the origin, if its document was confirmed within 3 s, its rows within 8 s, and any daemon was heard of within 0.7 s. All of that may be from before the cut.

Evidence: with three others frozen, the store silent and an engine of v2 just registered, the daemon sends the resumption to v1 and answers 200.

What it goes by must be from after the caller's return: as many other daemons as keep origins have to answer that they don't know the stream, and most of the fleet has to be heard of. Those keepers are told before the first event when there are two builds. The resumption is refused now, not run; with the others answering, it goes on as before (same test, which failed before).

--- a/src/gateway/exchange/origin.rs
+++ b/src/gateway/exchange/origin.rs
@@ -79,20 +79,30 @@
     context.connections.call(address, ANSWER_TIMEOUT, make).await
 }
 
+/// What other daemons have answered.
+#[derive(Debug, Default)]
+pub struct Answers {
+    /// The build that began the stream, if one of them knows it.
+    pub build: Option<Build>,
+    /// How many of them don't.
+    pub unknowing: usize,
+}
+
 /// Asks other daemons which build began a stream, those first that were probably told, until one of them
 /// knows or [`ORIGIN_WAIT`] is over.
-pub async fn ask(context: &Context, attempt: u64) -> Option<Build> {
-    let mut found = None;
+pub async fn ask(context: &Context, attempt: u64) -> Answers {
+    let mut answers = Answers::default();
     let names = candidates(context, attempt);
     let count = names.len();
     let find = |name| find(context, name, attempt);
     let asked = call_in_turn(names, count, find, |answer| {
-        found = answer;
-        found.is_some()
+        answers.unknowing += usize::from(answer.is_none());
+        answers.build = answer;
+        answers.build.is_some()
     });
     // Late answers don't matter any more.
     let _ = time::timeout(ORIGIN_WAIT, asked).await;
-    found
+    answers
 }
 
 async fn find(context: &Context, name: String, attempt: u64) -> Option<Option<Build>> {
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         dialect::Refusal,
-        exchange,
+        exchange::{self, origin::REPLICAS},
         origin::{Entry, ORIGIN_WAIT},
         record,
         relay::{RETRY_AFTER, Relay},
@@ -20,7 +20,7 @@
     route::pool::name_hash,
 };
 
-/// Interval between checks for such news.
+/// Interval between checks whether another daemon has told the origin.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Age of the last confirmation above which this daemon may have missed a new build. In a fleet
@@ -116,11 +116,11 @@
         let ask = exchange::origin::ask(context, attempt);
         // The row is read after the call has arrived, so that it lists every build that may have begun the
         // stream.
-        let (told, is_listed) = tokio::join!(ask, record::read_builds(context, service));
-        if let Some(build) = told {
+        let (answers, is_listed) = tokio::join!(ask, record::read_builds(context, service));
+        if let Some(build) = answers.build {
             return Some((self.keep_origin(build), Source::Asked));
         }
-        if let Some(build) = self.find_only_build(is_listed) {
+        if let Some(build) = self.find_only_build(is_listed, answers.unknowing) {
             return Some((build, if is_listed { Source::OnlyBuild } else { Source::Assumed }));
         }
         if let Some(build) = record::read_origin(context, attempt).await {
@@ -151,16 +151,20 @@
     }
 
     /// The build of the service, if it had only one lately. `is_listed` tells whether the store has just
-    /// told which ones it had.
-    fn find_only_build(&self, is_listed: bool) -> Option<Build> {
+    /// told which ones it had, and `unknowing` how many other daemons have just answered that they don't know
+    /// the stream. Without the store, a daemon goes by what it knows only if it is in touch with most of the
+    /// others, since one that is cut off, or stood still, may have missed a build.
+    fn find_only_build(&self, is_listed: bool, unknowing: usize) -> Option<Build> {
         let (context, now) = (&self.context, self.context.now());
         let (service, attempt) = (self.call.service(), name_hash(self.call.stream_attempt()));
         let hash = name_hash(service.as_str());
         let rows = context.mirror.head(Topic::Upstreams).map(|it| now.since(it.confirmed_at));
-        let is_alone = context.members.count() == 1;
+        let daemons = context.members.count();
+        let is_in_touch =
+            unknowing >= REPLICAS.min(daemons - 1) && context.plan.load().daemons * 2 > daemons;
         let is_current = context.freshness.is_within(MAX_CONFIRMATION_AGE, now)
             && rows.is_some_and(|it| it < MAX_ROWS_AGE)
-            && (is_alone || context.peers.any_responsive(now));
+            && is_in_touch;
         let view = context.view.load();
         let mut origins = context.origins();
         let may_assume = is_current && origins.has_row(hash);
