Send no calls to registrations with the address of a daemon

On a public route the call would go round until its time is over. Found while looking at odd entries of the list of upstreams.

The view of the upstreams leaves out the addresses of registered daemons, for callers and for each other.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -270,11 +270,11 @@
     }
 
     /// Publishes the upstreams of the document's services. Another writer may register upstreams of others,
-    /// which are not to get any calls or orders.
+    /// which are not to get any calls or orders, or a daemon, which would pass the calls on to upstreams again.
     fn publish_view(&self, roster: &Roster) {
         let document = self.document.load();
         let is_known = |it: &Service| document.as_ref().is_none_or(|known| known.has_service(it));
-        let view = roster.view().limited_to(is_known);
+        let view = roster.view().limited_to(is_known).without_addresses(&self.members.addresses());
         for service in view.services() {
             brittle::pace_new(view.service(service), self.now());
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -314,6 +314,8 @@
         }
         Topic::Fleet => {
             context.members.apply_rows(&delta);
+            // The address of a daemon that is new may be that of a registered upstream.
+            context.change_roster(|_| ());
             bar::apply_rows(context, &delta);
             // A daemon that starts serves calls as soon as it knows the others.
             if previous.is_none() {
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -10,6 +10,7 @@
 use tracing::{info, warn};
 
 use crate::{
+    collections::Set,
     gateway::{
         context::Context,
         exchange::wire::{FIRST_PROTOCOL, PROTOCOL},
@@ -113,6 +114,11 @@
         Some(members[index].1.peer)
     }
 
+    /// All addresses of daemons.
+    pub fn addresses(&self) -> Set<SocketAddr> {
+        self.0.load().iter().flat_map(|(_, it)| [it.caller, it.peer]).collect()
+    }
+
     /// All registrations, sorted by name.
     pub fn all(&self) -> Arc<Vec<(String, Member)>> {
         self.0.load_full()
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -14,7 +14,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    collections::Map,
+    collections::{Map, Set},
     gateway::gauge::Health,
     kernel::{
         clock::Time,
@@ -116,6 +116,14 @@
         self
     }
 
+    /// The view without the upstreams whose addresses are `taken`.
+    pub fn without_addresses(mut self, taken: &Set<SocketAddr>) -> View {
+        for endpoints in self.services.values_mut() {
+            endpoints.retain(|it| !taken.contains(&it.record.address));
+        }
+        self
+    }
+
     /// Builds of the upstreams of a service, the draining ones included.
     pub fn builds(&self, service: &Service) -> &[Build] {
         self.builds.get(service).map_or(&[], Vec::as_slice)
