Review case 1: a tenant that becomes no_sharing leaves its parts to others

A request of a tenant that may share leaves parts of its prompt at a runner. The operator then sets no_sharing for that tenant. Five seconds after the store's confirmation, requests of another tenant still carry the same cache salt and use these parts (WALL).

--- /dev/null
+++ b/review/kit/cases.rs
@@ -0,0 +1,271 @@
+//! The cases.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    Record, give_up,
+    http::{self, Answer},
+    process::{self, Daemon, Folder, Runner},
+    runner::EVENTS,
+    store::Store,
+};
+
+/// Plays a case; returns how the rule was broken.
+pub fn play(name: &str, record: &Record, has_trouble: bool) -> Vec<String> {
+    match name {
+        "wall" => wall(record, has_trouble),
+        "order" => order(record, has_trouble),
+        _ => give_up("no such case"),
+    }
+}
+
+/// A tenant of the configuration.
+fn tenant(name: &str, key: &str, no_sharing: bool) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"keys\":[\"{key}\"],\"priority\":1,\"no_sharing\":{no_sharing}}}"
+    )
+}
+
+/// A configuration with the routes of a small installation.
+fn configuration(version: u64, tenants: &[String]) -> String {
+    let route = |name: &str,
+                 service: &str,
+                 kind: &str,
+                 timeout: u32,
+                 target: u32,
+                 priority: u32,
+                 attempts: u32,
+                 resumable: bool| {
+        format!(
+            "{{\"name\":\"r-{name}\",\"host\":\"wiki.example\",\"prefix\":\"/{name}/\",\"kind\":\"{kind}\",\
+             \"timeout_ms\":{timeout},\"target_latency_ms\":{target},\"priority\":{priority},\
+             \"service\":\"{service}\",\"max_attempts\":{attempts},\"public\":false,\"sticky\":{},\
+             \"resumable\":{resumable},\"target_gap_ms\":500}}",
+            kind == "stream"
+        )
+    };
+    format!(
+        "{{\"version\":{version},\"routes\":[{},{},{}],\"services\":[\
+         {{\"name\":\"assistente\",\"health_path\":\"/healthz\",\"max_conns\":360,\"protocol\":\"h1\",\"tls\":false,\
+         \"engine\":{{\"slots\":64,\"kv_capacity_tokens\":115005,\"kv_token_bytes\":18432,\"link_mbps\":370000.0,\
+         \"models\":[{{\"name\":\"m0\"}}]}}}},\
+         {{\"name\":\"wiki-app\",\"health_path\":\"/healthz\",\"max_conns\":100,\"protocol\":\"h1\",\"tls\":false}}],\
+         \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\
+         \"idle_timeout_ms\":15000}},\"tenants\":[{}]}}",
+        route("tag", "assistente", "stream", 5_000, 600, 1, 1, false),
+        route("ask", "assistente", "stream", 15_000, 500, 0, 2, true),
+        route("save", "wiki-app", "unsafe", 600, 100, 2, 1, false),
+        tenants.join(",")
+    )
+}
+
+/// The entry of a model runner.
+fn entry(address: SocketAddr, state: &str, sequence: u64) -> String {
+    format!(
+        "{{\"service\":\"assistente\",\"address\":\"{address}\",\"zone\":\"sala-a\",\"version\":\"v1\",\"slots\":64,\
+         \"state\":\"{state}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"born\":1780000000000,\
+         \"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence}}}"
+    )
+}
+
+/// Store, operator, runners and daemons of a small installation.
+struct Scene {
+    store: Arc<Store>,
+    runners: Vec<Runner>,
+    daemons: Vec<Daemon>,
+    _folder: Folder,
+}
+
+impl Scene {
+    fn start(
+        record: &Record,
+        tenants: &[String],
+        runners: usize,
+        daemons: usize,
+        behaviour: &str,
+    ) -> Scene {
+        let ips = process::free_ips(daemons + 1);
+        let folder = Folder::new();
+        let (store, address) = Store::start(&ips[daemons]);
+        store.put("op", "config", &configuration(1, tenants));
+        store.put("op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
+        record.line(&format!(
+            "the operator writes configuration 1 with tenants [{}]",
+            tenants.join(",")
+        ));
+        let mut all = Vec::new();
+        for number in 1..=runners {
+            let runner = Runner::start(&format!("i-{number}"), &ips[daemons], behaviour);
+            store.put("servers", &runner.process.name, &entry(runner.address, "ready", 1));
+            record.line(&format!("runner {} at {}", runner.process.name, runner.address));
+            all.push(runner);
+        }
+        let start = |number: usize| Daemon::start(&folder.0, number + 1, &ips[number], address);
+        let daemons: Vec<Daemon> = (0..daemons).map(start).collect();
+        process::wait_until_ready(&daemons);
+        record.line(&format!("{} daemons are ready", daemons.len()));
+        Scene { store, runners: all, daemons, _folder: folder }
+    }
+
+    /// Writes down what the runners printed, and returns it.
+    fn runs(&self, record: &Record) -> Vec<String> {
+        let mut lines = Vec::new();
+        for runner in &self.runners {
+            lines.extend(runner.process.lines.lock().unwrap().iter().skip(1).cloned());
+        }
+        for line in lines.iter().filter(|it| !it.contains(" wrote for ")) {
+            record.line(&format!("runner {line}"));
+        }
+        lines
+    }
+}
+
+/// A request of a caller for a model.
+fn prompt(path: &str, attempt: &str, key: &str, parts: &str, deadline_ms: u32) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: wiki.example\r\nX-Tealturn-Request-Attempt: {attempt}\r\n\
+         X-Tealturn-Model: m0\r\nX-Tealturn-Token-Count: 1460,80\r\nX-Tealturn-Prompt-Prefix: {parts}\r\n\
+         X-Tealturn-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n"
+    )
+}
+
+fn send(record: &Record, daemon: &Daemon, head: &str, attempt: &str) -> Answer {
+    record.line(&format!("client sends {attempt} to {}", daemon.process.name));
+    let answer = http::call(daemon.front, head, "a question", Duration::from_secs(20));
+    record.line(&format!(
+        "client gets for {attempt} status {} of {} bytes, complete: {}",
+        answer.status,
+        answer.body.len(),
+        answer.complete
+    ));
+    answer
+}
+
+/// What of the runners' lines shows that a request used KV cache that a request of another tenant made, where one of
+/// the two is among those that share with nobody.
+fn shared_walls(runs: &[String], alone: &[&str]) -> Vec<String> {
+    let tenant = |text: &str| {
+        let (_, rest) = text.split_once("tenant=").unwrap_or_default();
+        rest.split(" part=")
+            .next()
+            .and_then(|it| it.split(" salt=").next())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let mut broken = Vec::new();
+    for line in runs {
+        let Some((user, maker)) = line.split_once(" made by ") else { continue };
+        let (user, maker) = (tenant(user), tenant(maker));
+        if user != maker && [&user, &maker].iter().any(|it| alone.contains(&it.as_str())) {
+            broken.push(format!("WALL: {line}"));
+        }
+    }
+    broken
+}
+
+/// WALL: a tenant is made `no_sharing` by a change of the configuration. What its requests made before must
+/// serve no other tenant from then on.
+fn wall(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = |is_alone| {
+        vec![tenant("clinic", "key-clinic", is_alone), tenant("notary", "key-notary", false)]
+    };
+    let scene = Scene::start(record, &tenants(false), 1, 3, "short");
+    let shared = "5c1e07a2:800,91bd3f06:410";
+    let [first, second, third] = &scene.daemons[..] else { give_up("three daemons") };
+    let ask = |daemon: &Daemon, attempt: &str, key: &str, own: &str| {
+        let head = prompt("/ask/1", attempt, key, &format!("{shared},{own}:250"), 15_000);
+        if send(record, daemon, &head, attempt).status != 200 {
+            give_up("a request was not served");
+        }
+    };
+    ask(first, "a1", "key-clinic", "aaaa0001");
+    let before = scene.runs(record).len();
+    let mut alone = Vec::new();
+    if has_trouble {
+        scene.store.put("op", "config", &configuration(2, &tenants(true)));
+        record.line(
+            "the operator writes configuration 2: the clinic is no_sharing; the store confirms it",
+        );
+        alone.push("clinic");
+    }
+    // The configuration applies everywhere after `config_apply_ms`, which is 2 s.
+    thread::sleep(Duration::from_secs(5));
+    ask(second, "b1", "key-notary", "bbbb0001");
+    ask(third, "b2", "key-notary", "bbbb0002");
+    ask(first, "b3", "key-notary", "bbbb0003");
+    // The clinic's own next request shows that the change is in force.
+    ask(second, "a2", "key-clinic", "aaaa0002");
+    let runs = scene.runs(record);
+    shared_walls(&runs[before..], &alone)
+}
+
+/// ORDER: a runner leaves, and is gone 2 s after its notice while it answers streams that have neither a length nor
+/// chunks. The streams must go on elsewhere, or be seen to be broken.
+fn order(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = [tenant("notary", "key-notary", false)];
+    let mut scene = Scene::start(record, &tenants, 4, 1, "long");
+    let front = scene.daemons[0].front;
+    let started = Instant::now();
+    let answers: Arc<Mutex<Vec<(String, Answer)>>> = Arc::default();
+    // The parts are the same, so that one runner gets all of these.
+    let calls: Vec<_> = [("/ask/1", "s1", 15_000), ("/tag/1", "s2", 5_000)]
+        .into_iter()
+        .map(|(path, attempt, deadline)| {
+            let head = prompt(
+                path,
+                attempt,
+                "key-notary",
+                "5c1e07a2:800,91bd3f06:410,aaaa0001:250",
+                deadline,
+            );
+            record.line(&format!("client sends {attempt} to {path}"));
+            let answers = answers.clone();
+            thread::spawn(move || {
+                let answer = http::call(front, &head, "a question", Duration::from_secs(20));
+                answers.lock().unwrap().push((attempt.to_owned(), answer));
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let busy: Vec<usize> = (0..scene.runners.len())
+        .filter(|it| !scene.runners[*it].process.lines_with(" runs ").is_empty())
+        .collect();
+    let [leaving] = busy[..] else { give_up("the requests are not at one runner") };
+    let (name, address) =
+        (scene.runners[leaving].process.name.clone(), scene.runners[leaving].address);
+    scene.store.put("servers", &name, &entry(address, "draining", 2));
+    record.line(&format!("runner {name} reports draining; the store confirms it"));
+    thread::sleep(Duration::from_millis(2_000));
+    if has_trouble {
+        scene.runners[leaving].process.kill();
+        record.line(&format!("runner {name} is gone, 2 s after its notice"));
+    }
+    for call in calls {
+        let _ = call.join();
+    }
+    record.line(&format!("all answered after {:.1} s", started.elapsed().as_secs_f64()));
+    let runs = scene.runs(record);
+    let mut broken = Vec::new();
+    for (attempt, answer) in answers.lock().unwrap().iter() {
+        let events = answer.text().matches("id: ").count();
+        let made = runs.iter().filter(|it| it.contains(&format!(" wrote for {attempt} "))).count();
+        let (status, complete) = (answer.status, answer.complete);
+        let text = format!(
+            "{attempt}: status {status}, {events} of {EVENTS} events, complete: {complete}, {made} events were made"
+        );
+        record.line(&format!("client gets for {text}"));
+        scene.daemons[0].log(record, attempt);
+        if status == 200 && complete && events < EVENTS {
+            broken.push(format!("ORDER: {text}"));
+        }
+        if !has_trouble && events < EVENTS {
+            give_up("a stream broke off without a disruption");
+        }
+    }
+    broken
+}
