Review case 3: without tenants left, requests with any key run

The operator takes the only tenant away with its key: the configuration's list of tenants is empty then. From revoke_ms on, all daemons serve requests with the key that was taken away (CONFIG), and with one that no configuration ever held (ROUTE), since an empty list of tenants counts as none asked for.

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -20,6 +20,7 @@
     match name {
         "wall" => wall(record, has_trouble),
         "order" => order(record, has_trouble),
+        "keys" => keys(record, has_trouble),
         _ => give_up("no such case"),
     }
 }
@@ -269,3 +270,40 @@
     }
     broken
 }
+
+/// CONFIG and ROUTE: the operator takes the last tenant away. Its key, and one that no configuration ever held, must
+/// not let requests run from `revoke_ms` on.
+fn keys(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = [tenant("clinic", "key-clinic", false)];
+    let scene = Scene::start(record, &tenants, 1, 3, "short");
+    let parts = "5c1e07a2:800,91bd3f06:410,aaaa0001:250";
+    let ask = |daemon: &Daemon, attempt: &str, key: &str| {
+        send(record, daemon, &prompt("/ask/1", attempt, key, parts, 15_000), attempt).status
+    };
+    if ask(&scene.daemons[0], "before-clinic", "key-clinic") != 200 {
+        give_up("a request with a good key was not served");
+    }
+    if ask(&scene.daemons[0], "before-nobody", "key-nobody") != 401 {
+        give_up("a request with an unknown key was not answered 401");
+    }
+    if has_trouble {
+        scene.store.put("op", "config", &configuration(2, &[]));
+        record.line("the operator writes configuration 2 with tenants []; the store confirms it");
+    }
+    // `revoke_ms` is 5 s, counted from the confirmation.
+    thread::sleep(Duration::from_millis(6_500));
+    for (number, daemon) in scene.daemons.iter().enumerate() {
+        ask(daemon, &format!("after-clinic-{}", number + 1), "key-clinic");
+        ask(daemon, &format!("after-nobody-{}", number + 1), "key-nobody");
+    }
+    let runs = scene.runs(record);
+    let mut broken = Vec::new();
+    for line in runs.iter().filter(|it| it.contains(" runs ")) {
+        if line.contains(" after-nobody-") {
+            broken.push(format!("ROUTE: the key was never held: {line}"));
+        } else if has_trouble && line.contains(" after-clinic-") {
+            broken.push(format!("CONFIG: the key was taken away: {line}"));
+        }
+    }
+    broken
+}
