Review case 4: an incomplete entry of another writer is used

Another writer replaces the entry of a model runner by one that lacks three fields and names the service wiki-app. It names no runner to use, but until the runner writes its own entry again, the daemon sends it requests that only wiki-app may run, and it runs them (ROUTE).

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -21,6 +21,7 @@
         "wall" => wall(record, has_trouble),
         "order" => order(record, has_trouble),
         "keys" => keys(record, has_trouble),
+        "entry" => foreign_entry(record, has_trouble),
         _ => give_up("no such case"),
     }
 }
@@ -307,3 +308,67 @@
     }
     broken
 }
+
+/// ROUTE: another writer replaces the entry of a model runner by one that lacks fields and names another service. It
+/// names no runner to use, so the model runner must run no request of that service.
+fn foreign_entry(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = [tenant("notary", "key-notary", false)];
+    let scene = Scene::start(record, &tenants, 2, 1, "short");
+    let [model, plain] = &scene.runners[..] else { give_up("two runners") };
+    let plain_entry = |sequence: u64| {
+        format!(
+            "{{\"service\":\"wiki-app\",\"address\":\"{}\",\"zone\":\"sala-a\",\"version\":\"v1\",\
+             \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1780000000000,\
+             \"sequence\":{sequence}}}",
+            plain.address
+        )
+    };
+    let beat = |sequence: u64| {
+        scene.store.put("servers", &model.process.name, &entry(model.address, "ready", sequence));
+        scene.store.put("servers", &plain.process.name, &plain_entry(sequence));
+    };
+    beat(2);
+    record.line(&format!(
+        "{} is of assistente, {} of wiki-app",
+        model.process.name, plain.process.name
+    ));
+    thread::sleep(Duration::from_millis(1_200));
+    let foreign = format!(
+        "{{\"service\":\"wiki-app\",\"address\":\"{}\",\"zone\":\"sala-a\",\"version\":\"v1\",\
+         \"slots\":6,\"state\":\"ready\"}}",
+        model.address
+    );
+    // Runners write their entries each 1.2 s, whatever another writer does.
+    for sequence in 3..8 {
+        beat(sequence);
+        thread::sleep(Duration::from_millis(200));
+        if has_trouble && sequence == 4 {
+            scene.store.put("servers", &model.process.name, &foreign);
+            record.line(&format!(
+                "another writer writes {foreign} at servers/{}",
+                model.process.name
+            ));
+        }
+        let begun = Instant::now();
+        for number in 0.. {
+            let left = Duration::from_millis(1_000).saturating_sub(begun.elapsed());
+            if left.is_zero() {
+                break;
+            }
+            let attempt = format!("w{sequence}-{number}");
+            let head = format!(
+                "POST /save/1 HTTP/1.1\r\nHost: wiki.example\r\nX-Tealturn-Request-Attempt: {attempt}\r\n\
+                 X-Tealturn-Deadline-Ms: 600\r\nAuthorization: Bearer key-notary\r\n"
+            );
+            send(record, &scene.daemons[0], &head, &attempt);
+            thread::sleep(left.min(Duration::from_millis(50)));
+        }
+    }
+    let runs = scene.runs(record);
+    let misplaced = runs.iter().filter(|it| {
+        it.starts_with(&format!("{} runs ", model.process.name)) && it.contains(" /save/1 ")
+    });
+    misplaced
+        .map(|it| format!("ROUTE: a runner of assistente ran a request of wiki-app: {it}"))
+        .collect()
+}
