--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -22,6 +22,7 @@
         "order" => order(record, has_trouble),
         "keys" => keys(record, has_trouble),
         "entry" => foreign_entry(record, has_trouble),
+        "drill" => drill(record, has_trouble),
         _ => give_up("no such case"),
     }
 }
@@ -309,23 +310,32 @@
     broken
 }
 
+/// The entry of a runner of the plain service.
+fn plain_entry(address: SocketAddr, sequence: u64) -> String {
+    format!(
+        "{{\"service\":\"wiki-app\",\"address\":\"{address}\",\"zone\":\"sala-a\",\"version\":\"v1\",\
+         \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1780000000000,\
+         \"sequence\":{sequence}}}"
+    )
+}
+
+/// A request of a caller that may run once.
+fn save(attempt: &str) -> String {
+    format!(
+        "POST /save/1 HTTP/1.1\r\nHost: wiki.example\r\nX-Tealturn-Request-Attempt: {attempt}\r\n\
+         X-Tealturn-Deadline-Ms: 600\r\nAuthorization: Bearer key-notary\r\n"
+    )
+}
+
 /// ROUTE: another writer replaces the entry of a model runner by one that lacks fields and names another service. It
 /// names no runner to use, so the model runner must run no request of that service.
 fn foreign_entry(record: &Record, has_trouble: bool) -> Vec<String> {
     let tenants = [tenant("notary", "key-notary", false)];
     let scene = Scene::start(record, &tenants, 2, 1, "short");
     let [model, plain] = &scene.runners[..] else { give_up("two runners") };
-    let plain_entry = |sequence: u64| {
-        format!(
-            "{{\"service\":\"wiki-app\",\"address\":\"{}\",\"zone\":\"sala-a\",\"version\":\"v1\",\
-             \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1780000000000,\
-             \"sequence\":{sequence}}}",
-            plain.address
-        )
-    };
     let beat = |sequence: u64| {
         scene.store.put("servers", &model.process.name, &entry(model.address, "ready", sequence));
-        scene.store.put("servers", &plain.process.name, &plain_entry(sequence));
+        scene.store.put("servers", &plain.process.name, &plain_entry(plain.address, sequence));
     };
     beat(2);
     record.line(&format!(
@@ -356,11 +366,7 @@
                 break;
             }
             let attempt = format!("w{sequence}-{number}");
-            let head = format!(
-                "POST /save/1 HTTP/1.1\r\nHost: wiki.example\r\nX-Tealturn-Request-Attempt: {attempt}\r\n\
-                 X-Tealturn-Deadline-Ms: 600\r\nAuthorization: Bearer key-notary\r\n"
-            );
-            send(record, &scene.daemons[0], &head, &attempt);
+            send(record, &scene.daemons[0], &save(&attempt), &attempt);
             thread::sleep(left.min(Duration::from_millis(50)));
         }
     }
@@ -372,3 +378,88 @@
         .map(|it| format!("ROUTE: a runner of assistente ran a request of wiki-app: {it}"))
         .collect()
 }
+
+/// DRAIN: a runner leaves, which the daemon reads from the store. Then the store comes back from a copy that still
+/// has the runner's entry, in a drill. The runner must get no requests from `drain_ms` after its leaving on.
+fn drill(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = [tenant("notary", "key-notary", false)];
+    let mut scene = Scene::start(record, &tenants, 4, 1, "slow");
+    let runners: Vec<_> =
+        scene.runners.iter().map(|it| (it.process.name.clone(), it.address)).collect();
+    let beat = |store: &Store, runners: &[(String, SocketAddr)], sequence: u64| {
+        for (name, address) in runners {
+            store.put("servers", name, &plain_entry(*address, sequence));
+        }
+    };
+    beat(&scene.store, &runners, 2);
+    thread::sleep(Duration::from_millis(1_200));
+    beat(&scene.store, &runners, 3);
+    let copy = scene.store.copy();
+    record.line("a copy of the store is made");
+    thread::sleep(Duration::from_millis(1_200));
+    beat(&scene.store, &runners, 4);
+    thread::sleep(Duration::from_millis(800));
+    let left = Instant::now();
+    scene.store.drop_row("servers", "i-1");
+    record.line("runner i-1 leaves: its entry is removed; the store confirms it");
+    // In milliseconds after that. The runners that stay write their entries each 1.2 s, and at once when the store is
+    // back; i-1 serves for 4.2 s.
+    let beats: Vec<u64> = match has_trouble {
+        true => vec![400, 1_050, 2_250, 3_450, 4_650],
+        false => vec![400, 1_600, 2_800, 4_000],
+    };
+    let (away, back, gone, end) = (700, 1_000, 4_200, 5_000);
+    let front = scene.daemons[0].front;
+    let mut calls = Vec::new();
+    let mut passed = 0;
+    for number in 0.. {
+        let now = left.elapsed().as_millis() as u64;
+        let is_due = |at: u64| passed < at && at <= now;
+        if has_trouble && is_due(away) {
+            scene.store.go_away();
+            record.line("the store is away");
+        }
+        if has_trouble && is_due(back) {
+            scene.store.come_back(copy.clone());
+            record.line("the store is back from the copy; the operator writes its rows again");
+            scene.store.put("op", "config", &configuration(1, &tenants));
+            scene.store.put("op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
+        }
+        for (count, _) in beats.iter().enumerate().filter(|(_, at)| is_due(**at)) {
+            beat(&scene.store, &runners[1..], 5 + count as u64);
+        }
+        if is_due(gone) {
+            scene.runners[0].process.kill();
+            scene.store.drop_row("servers", "i-1");
+            record.line("runner i-1 has left; it has no entry");
+        }
+        if now >= end {
+            break;
+        }
+        passed = now;
+        let attempt = format!("d{number}");
+        let sent = left.elapsed();
+        calls.push(thread::spawn(move || {
+            let answer = http::call(front, &save(&attempt), "a page", Duration::from_secs(5));
+            (attempt, sent, answer.status)
+        }));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let answers: Vec<_> = calls.into_iter().filter_map(|it| it.join().ok()).collect();
+    let runs = scene.runs(record);
+    let mut broken = Vec::new();
+    for (attempt, sent, status) in answers {
+        let run = runs.iter().find(|it| it.contains(&format!(" runs {attempt} ")));
+        let by = run.and_then(|it| it.split(' ').next()).unwrap_or("nobody");
+        let text = format!(
+            "{attempt} was sent {:.3} s after i-1 had left, run by {by}, answered {status}",
+            sent.as_secs_f64()
+        );
+        record.line(&text);
+        // `drain_ms` is 2 s.
+        if by == "i-1" && sent > Duration::from_millis(2_000) {
+            broken.push(format!("DRAIN: {text}"));
+        }
+    }
+    broken
+}
--- a/review/kit/runner.rs
+++ b/review/kit/runner.rs
@@ -80,6 +80,9 @@
             self.name
         );
         if header("x-tealturn-model") == "-" {
+            if self.behaviour == "slow" {
+                thread::sleep(PAUSE);
+            }
             return http::reply(stream, "200 OK", &head, "saved");
         }
         self.stream(stream, &head, &attempt, header("last-event-id").parse().unwrap_or(0))
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -21,10 +21,14 @@
     version: u64,
 }
 
-#[derive(Default)]
-struct Rows {
+/// All rows.
+#[derive(Clone, Default)]
+pub struct Rows {
     rows: BTreeMap<Key, Row>,
     version: u64,
+    /// How often the store has come back from a copy.
+    era: u64,
+    is_away: bool,
 }
 
 pub struct Store {
@@ -65,17 +69,52 @@
         self.changed.notify_all();
     }
 
+    /// A copy of all rows.
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().unwrap().clone()
+    }
+
+    /// Answers no call until it comes back.
+    pub fn go_away(&self) {
+        self.rows.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Comes back from a copy, in the next era.
+    pub fn come_back(&self, copy: Rows) {
+        let mut rows = self.rows.lock().unwrap();
+        *rows = Rows { era: rows.era + 1, is_away: false, ..copy };
+        self.changed.notify_all();
+    }
+
+    /// The era, and whether the store is away.
+    fn state(&self) -> (u64, bool) {
+        let rows = self.rows.lock().unwrap();
+        (rows.era, rows.is_away)
+    }
+
     fn answer(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<bool> {
+        let before = self.state();
+        if before.1 {
+            return Ok(false);
+        }
         let path = request.target.split('?').next().unwrap_or_default();
         let query = text::query(&request.target);
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (status, body) = match path {
             "/tealturn/rows-get" => ("200 OK", self.get(&field)),
-            "/tealturn/rows-feed" => ("200 OK", self.feed(&field)),
+            "/tealturn/rows-feed" => match self.feed(&field) {
+                Some(body) => ("200 OK", body),
+                None => ("410 Gone", "{}".to_owned()),
+            },
             "/tealturn/rows-tx" => self.transact(&String::from_utf8_lossy(&request.body)),
             _ => ("404 Not Found", "{}".to_owned()),
         };
-        http::reply(stream, status, "Content-Type: application/json\r\nStore-Era: 0\r\n", &body)
+        if self.state() != before {
+            return Ok(false);
+        }
+        let head = format!("Content-Type: application/json\r\nStore-Era: {}\r\n", before.0);
+        http::reply(stream, status, &head, &body)
     }
 
     fn now_ms(&self) -> u128 {
@@ -101,12 +140,17 @@
         )
     }
 
-    fn feed(&self, field: &dyn Fn(&str) -> String) -> String {
+    /// `None` if the store doesn't have that version.
+    fn feed(&self, field: &dyn Fn(&str) -> String) -> Option<String> {
         let (table, after) = (field("table"), field("after").parse::<u64>().unwrap_or(0));
         let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0).min(30_000));
         let until = Instant::now() + wait;
         let mut rows = self.rows.lock().unwrap();
+        let era = rows.era;
         loop {
+            if after > rows.version || rows.era != era || rows.is_away {
+                return None;
+            }
             let is_new = |((t, _, _), row): &(&Key, &Row)| *t == table && row.version > after;
             let mut new: Vec<_> = rows.rows.iter().filter(is_new).collect();
             let left = until.saturating_duration_since(Instant::now());
@@ -114,10 +158,10 @@
                 new.sort_by_key(|(_, row)| row.version);
                 let texts: Vec<_> = new.iter().map(|(key, row)| row_text(key, row)).collect();
                 let (version, now) = (rows.version, self.now_ms());
-                return format!(
+                return Some(format!(
                     "{{\"rows\":[{}],\"row_version\":{version},\"now_ms\":{now}}}",
                     texts.join(",")
-                );
+                ));
             }
             rows = self.changed.wait_timeout(rows, left).unwrap().0;
         }
