--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -23,6 +23,7 @@
         "keys" => keys(record, has_trouble),
         "entry" => foreign_entry(record, has_trouble),
         "versions" => versions(record, has_trouble),
+        "drill" => drill(record, has_trouble),
         _ => give_up("no such case"),
     }
 }
@@ -470,3 +471,89 @@
     // More than two such streams break the rule.
     if joined.len() > 2 { joined } else { Vec::new() }
 }
+
+/// DRAIN: a runner leaves, which the daemon reads from the store. Then the store comes back from a copy that still
+/// has the runner's entry, in a drill. The runner must get no requests from `drain_ms` after its leaving on.
+fn drill(record: &Record, has_trouble: bool) -> Vec<String> {
+    let tenants = [tenant("notary", "key-notary", false)];
+    let mut scene = Scene::start(record, &tenants, 4, 1, "slow");
+    let runners: Vec<_> =
+        scene.runners.iter().map(|it| (it.process.name.clone(), it.address)).collect();
+    let beat = |store: &Store, runners: &[(String, SocketAddr)], sequence: u64| {
+        for (name, address) in runners {
+            store.put("servers", name, &plain_entry(*address, sequence));
+        }
+    };
+    beat(&scene.store, &runners, 2);
+    thread::sleep(Duration::from_millis(1_200));
+    beat(&scene.store, &runners, 3);
+    let copy = scene.store.copy();
+    record.line("a copy of the store is made");
+    thread::sleep(Duration::from_millis(1_200));
+    beat(&scene.store, &runners, 4);
+    thread::sleep(Duration::from_millis(800));
+    let left = Instant::now();
+    http::call(runners[0].1, "POST /leave HTTP/1.1\r\nHost: x\r\n", "", Duration::from_secs(1));
+    scene.store.drop_row("servers", "i-1");
+    record.line("runner i-1 leaves: its entry is removed; the store confirms it");
+    // In milliseconds after that. The runners that stay write their entries each 1.2 s, and at once when the store is
+    // back; i-1 serves for 4.2 s.
+    let beats: Vec<u64> = match has_trouble {
+        true => vec![400, 1_050, 2_250, 3_450, 4_650],
+        false => vec![400, 1_600, 2_800, 4_000],
+    };
+    let (away, back, gone, end) = (700, 1_000, 4_200, 5_000);
+    let front = scene.daemons[0].front;
+    let mut calls = Vec::new();
+    let mut passed = 0;
+    for number in 0.. {
+        let now = left.elapsed().as_millis() as u64;
+        let is_due = |at: u64| passed < at && at <= now;
+        if has_trouble && is_due(away) {
+            scene.store.go_down();
+            record.line("the store is down");
+        }
+        if has_trouble && is_due(back) {
+            scene.store.come_back(copy.clone());
+            record.line("the store is back from the copy; the operator writes its rows again");
+            scene.store.put("op", "config", &configuration(1, &tenants));
+            scene.store.put("op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
+        }
+        for (count, _) in beats.iter().enumerate().filter(|(_, at)| is_due(**at)) {
+            beat(&scene.store, &runners[1..], 5 + count as u64);
+        }
+        if is_due(gone) {
+            scene.runners[0].process.kill();
+            scene.store.drop_row("servers", "i-1");
+            record.line("runner i-1 has left; it has no entry");
+        }
+        if now >= end {
+            break;
+        }
+        passed = now;
+        let attempt = format!("d{number}");
+        let sent = left.elapsed();
+        calls.push(thread::spawn(move || {
+            let answer = http::call(front, &save(&attempt), "a page", Duration::from_secs(5));
+            (attempt, sent, answer.status)
+        }));
+        thread::sleep(Duration::from_millis(20));
+    }
+    let answers: Vec<_> = calls.into_iter().filter_map(|it| it.join().ok()).collect();
+    let runs = scene.runs(record);
+    let mut broken = Vec::new();
+    for (attempt, sent, status) in answers {
+        let run = runs.iter().find(|it| it.contains(&format!(" runs {attempt} ")));
+        let by = run.and_then(|it| it.split(' ').next()).unwrap_or("nobody");
+        let text = format!(
+            "{attempt} was sent {:.3} s after i-1 had left, run by {by}, answered {status}",
+            sent.as_secs_f64()
+        );
+        record.line(&text);
+        // `drain_ms` is 2 s.
+        if by == "i-1" && sent > Duration::from_millis(2_000) {
+            broken.push(format!("DRAIN: {text}"));
+        }
+    }
+    broken
+}
--- a/review/kit/runner.rs
+++ b/review/kit/runner.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io::{self, Write},
     net::{TcpListener, TcpStream},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -20,6 +23,7 @@
 struct Runner {
     name: String,
     behaviour: String,
+    is_leaving: AtomicBool,
     /// The attempt and the tenant that made a cached part, by salt, model and the parts up to it.
     cache: Mutex<BTreeMap<(String, String, String), (String, String)>>,
 }
@@ -30,8 +34,12 @@
     let address = if ip.contains(':') { ip.to_owned() } else { format!("{ip}:0") };
     let listener = TcpListener::bind(address).expect("a free port");
     say(&listener.local_addr().expect("bound").to_string());
-    let runner =
-        Runner { name: name.to_owned(), behaviour: behaviour.to_owned(), cache: Mutex::default() };
+    let runner = Runner {
+        name: name.to_owned(),
+        behaviour: behaviour.to_owned(),
+        is_leaving: AtomicBool::default(),
+        cache: Mutex::default(),
+    };
     http::serve(listener, move |request, stream| runner.answer(request, stream));
     loop {
         thread::sleep(Duration::from_secs(60));
@@ -49,22 +57,29 @@
         let path = request.target.split('?').next().unwrap_or_default();
         let header = |name: &str| request.head.header(name).unwrap_or("-").to_owned();
         match path {
+            // The script tells the runner to leave.
+            "/leave" => {
+                self.is_leaving.store(true, Ordering::SeqCst);
+                return http::reply(stream, "200 OK", "", "");
+            }
             "/healthz" => {
-                let id = format!("X-Tealturn-Instance-Id: {}\r\n", self.name);
-                return http::reply(stream, "200 OK", &id, "");
+                let id = format!("X-Tealturn-Instance-Id: {}\r\n{}", self.name, self.leaving());
+                let status = if self.leaving().is_empty() { "200 OK" } else { "503 Leaving" };
+                return http::reply(stream, status, &id, "");
             }
             "/tealturn/report" => {
                 let body = "{\"stage\":\"both\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\
                             \"busy\":false,\"sequence\":0,\"queued\":0,\"running\":0,\"kv_used\":0,\
                             \"kv_total\":115005,\"handles\":0}";
-                return http::reply(stream, "200 OK", "Content-Type: application/json\r\n", body);
+                let head = format!("Content-Type: application/json\r\n{}", self.leaving());
+                return http::reply(stream, "200 OK", &head, body);
             }
             _ => {}
         }
         let (attempt, expected) =
             (header("x-tealturn-request-attempt"), header("x-tealturn-expect-instance"));
         if expected != "-" && expected != self.name {
-            let head = format!("X-Tealturn-Request-Attempt: {attempt}\r\n");
+            let head = format!("X-Tealturn-Request-Attempt: {attempt}\r\n{}", self.leaving());
             return http::reply(stream, "421 Misdirected Request", &head, "");
         }
         let (tenant, salt) = (header("x-tealturn-tenant"), header("x-tealturn-cache-salt"));
@@ -76,10 +91,14 @@
             header("x-tealturn-prompt-prefix")
         ));
         self.use_cache(request, &attempt, &tenant, &salt);
+        if self.behaviour == "slow" {
+            thread::sleep(PAUSE);
+        }
         let head = format!(
             "X-Tealturn-Request-Attempt: {attempt}\r\nX-Tealturn-Server-Seal: {}.{attempt}\r\n\
-             X-Tealturn-Server-Load: 1,0,64\r\n",
-            self.name
+             X-Tealturn-Server-Load: 1,0,64\r\n{}",
+            self.name,
+            self.leaving()
         );
         if header("x-tealturn-model") == "-" {
             return http::reply(stream, "200 OK", &head, "saved");
@@ -87,6 +106,11 @@
         self.stream(stream, &head, &attempt, header("last-event-id").parse().unwrap_or(0))
     }
 
+    /// What all answers of a runner that leaves say.
+    fn leaving(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::SeqCst) { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
     /// Reads the prompt: takes the leading parts that are kept under the same text, and keeps the others.
     fn use_cache(&self, request: &Request, attempt: &str, tenant: &str, salt: &str) {
         let Some(parts) = request.head.header("x-tealturn-prompt-prefix") else { return };
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -21,11 +21,14 @@
     version: u64,
 }
 
-#[derive(Default)]
-struct Rows {
+/// All rows.
+#[derive(Clone, Default)]
+pub struct Rows {
     rows: BTreeMap<Key, Row>,
     version: u64,
     is_down: bool,
+    /// How often the store has come back from a copy.
+    era: u64,
 }
 
 pub struct Store {
@@ -63,6 +66,27 @@
         self.changed.notify_all();
     }
 
+    /// A copy of all rows.
+    pub fn copy(&self) -> Rows {
+        self.rows.lock().unwrap().clone()
+    }
+
+    /// Comes back from a copy, in the next era.
+    pub fn come_back(&self, copy: Rows) {
+        let mut rows = self.rows.lock().unwrap();
+        *rows = Rows { era: rows.era + 1, is_down: false, ..copy };
+        self.changed.notify_all();
+    }
+
+    /// Drops a row.
+    pub fn drop_row(&self, table: &str, key: &str) {
+        let mut rows = self.rows.lock().unwrap();
+        rows.version += 1;
+        let row = Row { value: None, version: rows.version };
+        rows.rows.insert((table.to_owned(), String::new(), key.to_owned()), row);
+        self.changed.notify_all();
+    }
+
     /// Is back as it was.
     pub fn be_back(&self) {
         self.rows.lock().unwrap().is_down = false;
@@ -72,20 +96,26 @@
         let path = request.target.split('?').next().unwrap_or_default();
         let query = text::query(&request.target);
         let field = |name: &str| query.get(name).cloned().unwrap_or_default();
-        let down = ("503 Service Unavailable", "{}".to_owned());
-        let (status, body) = match path {
-            _ if self.is_down() => down,
+        let before = self.state();
+        let (mut status, mut body) = match path {
+            _ if before.0 => Default::default(),
             "/tealturn/rows-get" => ("200 OK", self.get(&field)),
-            "/tealturn/rows-feed" => self.feed(&field).map_or(down, |it| ("200 OK", it)),
+            "/tealturn/rows-feed" => self.feed(&field),
             "/tealturn/rows-tx" => self.transact(&String::from_utf8_lossy(&request.body)),
             _ => ("404 Not Found", "{}".to_owned()),
         };
-        let head = "Content-Type: application/json\r\nStore-Era: 0\r\n";
-        http::reply(stream, status, head, &body)
+        let (is_down, era) = self.state();
+        if is_down || (is_down, era) != before {
+            (status, body) = ("503 Service Unavailable", "{}".to_owned());
+        }
+        let head = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+        http::reply(stream, status, &head, &body)
     }
 
-    fn is_down(&self) -> bool {
-        self.rows.lock().unwrap().is_down
+    /// Whether the store is down, and its era.
+    fn state(&self) -> (bool, u64) {
+        let rows = self.rows.lock().unwrap();
+        (rows.is_down, rows.era)
     }
 
     fn now_ms(&self) -> u128 {
@@ -111,15 +141,15 @@
         )
     }
 
-    /// `None` if the store goes down.
-    fn feed(&self, field: &dyn Fn(&str) -> String) -> Option<String> {
+    fn feed(&self, field: &dyn Fn(&str) -> String) -> (&'static str, String) {
         let (table, after) = (field("table"), field("after").parse::<u64>().unwrap_or(0));
         let wait = Duration::from_millis(field("wait_ms").parse().unwrap_or(0).min(30_000));
         let until = Instant::now() + wait;
         let mut rows = self.rows.lock().unwrap();
+        let era = rows.era;
         loop {
-            if rows.is_down {
-                return None;
+            if rows.is_down || rows.era != era || after > rows.version {
+                return ("410 Gone", "{}".to_owned());
             }
             let is_new = |((t, _, _), row): &(&Key, &Row)| *t == table && row.version > after;
             let mut new: Vec<_> = rows.rows.iter().filter(is_new).collect();
@@ -128,10 +158,10 @@
                 new.sort_by_key(|(_, row)| row.version);
                 let texts: Vec<_> = new.iter().map(|(key, row)| row_text(key, row)).collect();
                 let (version, now) = (rows.version, self.now_ms());
-                return Some(format!(
-                    "{{\"rows\":[{}],\"row_version\":{version},\"now_ms\":{now}}}",
-                    texts.join(",")
-                ));
+                let rows = texts.join(",");
+                let body =
+                    format!("{{\"rows\":[{rows}],\"row_version\":{version},\"now_ms\":{now}}}");
+                return ("200 OK", body);
             }
             rows = self.changed.wait_timeout(rows, left).unwrap().0;
         }
