--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -1,7 +1,6 @@
 //! The cases.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -69,10 +68,11 @@
 }
 
 /// The entry of a model runner.
-fn entry(address: SocketAddr, state: &str, sequence: u64) -> String {
+fn entry(runner: &Runner, state: &str, sequence: u64) -> String {
+    let (address, born) = (runner.address, runner.born);
     format!(
         "{{\"service\":\"assistente\",\"address\":\"{address}\",\"zone\":\"sala-a\",\"version\":\"v1\",\"slots\":64,\
-         \"state\":\"{state}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"born\":1780000000000,\
+         \"state\":\"{state}\",\"cold_remaining_ms\":0,\"stage\":\"both\",\"born\":{born},\
          \"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence}}}"
     )
 }
@@ -105,7 +105,7 @@
         let mut all = Vec::new();
         for number in 1..=runners {
             let runner = Runner::start(&format!("i-{number}"), &ips[daemons], behaviour);
-            store.put("servers", &runner.process.name, &entry(runner.address, "ready", 1));
+            store.put("servers", &runner.process.name, &entry(&runner, "ready", 1));
             record.line(&format!("runner {} at {}", runner.process.name, runner.address));
             all.push(runner);
         }
@@ -240,9 +240,8 @@
         .filter(|it| !scene.runners[*it].process.lines_with(" runs ").is_empty())
         .collect();
     let [leaving] = busy[..] else { give_up("the requests are not at one runner") };
-    let (name, address) =
-        (scene.runners[leaving].process.name.clone(), scene.runners[leaving].address);
-    scene.store.put("servers", &name, &entry(address, "draining", 2));
+    let name = scene.runners[leaving].process.name.clone();
+    scene.store.put("servers", &name, &entry(&scene.runners[leaving], "draining", 2));
     record.line(&format!("runner {name} reports draining; the store confirms it"));
     thread::sleep(Duration::from_millis(2_000));
     if has_trouble {
@@ -312,10 +311,11 @@
 }
 
 /// The entry of a runner of the plain service.
-fn plain_entry(address: SocketAddr, sequence: u64) -> String {
+fn plain_entry(runner: &Runner, sequence: u64) -> String {
+    let (address, born) = (runner.address, runner.born);
     format!(
         "{{\"service\":\"wiki-app\",\"address\":\"{address}\",\"zone\":\"sala-a\",\"version\":\"v1\",\
-         \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":1780000000000,\
+         \"slots\":6,\"state\":\"ready\",\"cold_remaining_ms\":0,\"born\":{born},\
          \"sequence\":{sequence}}}"
     )
 }
@@ -335,8 +335,8 @@
     let scene = Scene::start(record, &tenants, 2, 1, "short");
     let [model, plain] = &scene.runners[..] else { give_up("two runners") };
     let beat = |sequence: u64| {
-        scene.store.put("servers", &model.process.name, &entry(model.address, "ready", sequence));
-        scene.store.put("servers", &plain.process.name, &plain_entry(plain.address, sequence));
+        scene.store.put("servers", &model.process.name, &entry(model, "ready", sequence));
+        scene.store.put("servers", &plain.process.name, &plain_entry(plain, sequence));
     };
     beat(2);
     record.line(&format!(
@@ -386,10 +386,9 @@
     let tenants = [tenant("notary", "key-notary", false)];
     let mut scene = Scene::start(record, &tenants, 4, 1, "v1");
     let ip = scene.runners[0].address.ip().to_string();
-    let registration = |address: SocketAddr, version: &str, born: u64, sequence: u64| {
-        let entry = entry(address, "ready", sequence);
-        let entry = entry.replace("\"version\":\"v1\"", &format!("\"version\":\"{version}\""));
-        entry.replace("\"born\":1780000000000", &format!("\"born\":{born}"))
+    let registration = |runner: &Runner, version: &str, sequence: u64| {
+        let entry = entry(runner, "ready", sequence);
+        entry.replace("\"version\":\"v1\"", &format!("\"version\":\"{version}\""))
     };
     // The routes are public, since requests with keys are served for a few seconds only while the store is down. All
     // have one priority.
@@ -401,7 +400,7 @@
         let name = format!("i-{}", index + 1);
         scene.runners[index] = Runner::start(&name, &ip, "v2");
         let address = scene.runners[index].address;
-        scene.store.put("servers", &name, &registration(address, "v2", 1_785_000_000_000, 2));
+        scene.store.put("servers", &name, &registration(&scene.runners[index], "v2", 2));
         record.line(&format!("runner {name} at {address} has version v2, the first two have v1"));
     }
     thread::sleep(Duration::from_millis(1_500));
@@ -442,8 +441,8 @@
         wait_until(7_000);
         scene.store.be_back();
         for index in [0, 1] {
-            let (name, address) = (format!("i-{}", index + 1), scene.runners[index].address);
-            scene.store.put("servers", &name, &registration(address, "v2", 1_790_000_000_000, 1));
+            let name = format!("i-{}", index + 1);
+            scene.store.put("servers", &name, &registration(&scene.runners[index], "v2", 1));
         }
         record.line("the store is back; the runners write their entries");
     }
@@ -477,23 +476,26 @@
 fn drill(record: &Record, has_trouble: bool) -> Vec<String> {
     let tenants = [tenant("notary", "key-notary", false)];
     let mut scene = Scene::start(record, &tenants, 4, 1, "slow");
-    let runners: Vec<_> =
-        scene.runners.iter().map(|it| (it.process.name.clone(), it.address)).collect();
-    let beat = |store: &Store, runners: &[(String, SocketAddr)], sequence: u64| {
-        for (name, address) in runners {
-            store.put("servers", name, &plain_entry(*address, sequence));
+    let beat = |store: &Store, runners: &[Runner], sequence: u64| {
+        for runner in runners {
+            store.put("servers", &runner.process.name, &plain_entry(runner, sequence));
         }
     };
-    beat(&scene.store, &runners, 2);
+    beat(&scene.store, &scene.runners, 2);
     thread::sleep(Duration::from_millis(1_200));
-    beat(&scene.store, &runners, 3);
+    beat(&scene.store, &scene.runners, 3);
     let copy = scene.store.copy();
     record.line("a copy of the store is made");
     thread::sleep(Duration::from_millis(1_200));
-    beat(&scene.store, &runners, 4);
+    beat(&scene.store, &scene.runners, 4);
     thread::sleep(Duration::from_millis(800));
     let left = Instant::now();
-    http::call(runners[0].1, "POST /leave HTTP/1.1\r\nHost: x\r\n", "", Duration::from_secs(1));
+    http::call(
+        scene.runners[0].address,
+        "POST /leave HTTP/1.1\r\nHost: x\r\n",
+        "",
+        Duration::from_secs(1),
+    );
     scene.store.drop_row("servers", "i-1");
     record.line("runner i-1 leaves: its entry is removed; the store confirms it");
     // In milliseconds after that. The runners that stay write their entries each 1.2 s, and at once when the store is
@@ -520,7 +522,7 @@
             scene.store.put("op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
         }
         for (count, _) in beats.iter().enumerate().filter(|(_, at)| is_due(**at)) {
-            beat(&scene.store, &runners[1..], 5 + count as u64);
+            beat(&scene.store, &scene.runners[1..], 5 + count as u64);
         }
         if is_due(gone) {
             scene.runners[0].process.kill();
--- a/review/kit/process.rs
+++ b/review/kit/process.rs
@@ -177,6 +177,8 @@
 pub struct Runner {
     pub process: Process,
     pub address: SocketAddr,
+    /// The Unix millisecond of its start.
+    pub born: u64,
 }
 
 impl Runner {
@@ -189,7 +191,9 @@
         loop {
             let first = process.lines.lock().unwrap().first().cloned();
             if let Some(line) = first {
-                return Runner { address: line.parse().expect("an address"), process };
+                let (address, born) = line.split_once(' ').expect("two words");
+                let address = address.parse().expect("an address");
+                return Runner { address, born: born.parse().expect("a number"), process };
             }
             if Instant::now() > until {
                 crate::give_up("a runner did not start");
--- a/review/kit/runner.rs
+++ b/review/kit/runner.rs
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::http::{self, Request};
@@ -23,6 +23,8 @@
 struct Runner {
     name: String,
     behaviour: String,
+    /// The Unix millisecond of its start.
+    born: u128,
     is_leaving: AtomicBool,
     /// The attempt and the tenant that made a cached part, by salt, model and the parts up to it.
     cache: Mutex<BTreeMap<(String, String, String), (String, String)>>,
@@ -33,10 +35,12 @@
     // An address has the port of an earlier process.
     let address = if ip.contains(':') { ip.to_owned() } else { format!("{ip}:0") };
     let listener = TcpListener::bind(address).expect("a free port");
-    say(&listener.local_addr().expect("bound").to_string());
+    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis());
+    say(&format!("{} {born}", listener.local_addr().expect("bound")));
     let runner = Runner {
         name: name.to_owned(),
         behaviour: behaviour.to_owned(),
+        born,
         is_leaving: AtomicBool::default(),
         cache: Mutex::default(),
     };
@@ -68,11 +72,14 @@
                 return http::reply(stream, status, &id, "");
             }
             "/tealturn/report" => {
-                let body = "{\"stage\":\"both\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\
-                            \"busy\":false,\"sequence\":0,\"queued\":0,\"running\":0,\"kv_used\":0,\
-                            \"kv_total\":115005,\"handles\":0}";
+                let body = format!(
+                    "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\
+                     \"busy\":false,\"sequence\":0,\"queued\":0,\"running\":0,\"kv_used\":0,\
+                     \"kv_total\":115005,\"handles\":0,\"born\":{}}}",
+                    self.born
+                );
                 let head = format!("Content-Type: application/json\r\n{}", self.leaving());
-                return http::reply(stream, "200 OK", &head, body);
+                return http::reply(stream, "200 OK", &head, &body);
             }
             _ => {}
         }
