Make the records and the controls of the review stand by themselves

Records are in the order of events, with a legend, and say what each request carried. Without the change, case 1 has the tenant no_sharing from the start, so that the same check can fail; case 3 wants its good key served; the runner of case 2 says that it leaves.

--- a/review/kit/cases.rs
+++ b/review/kit/cases.rs
@@ -118,14 +118,7 @@
 
     /// Writes down what the runners printed, and returns it.
     fn runs(&self, record: &Record) -> Vec<String> {
-        let mut lines = Vec::new();
-        for runner in &self.runners {
-            lines.extend(runner.process.lines.lock().unwrap().iter().skip(1).cloned());
-        }
-        for line in lines.iter().filter(|it| !it.contains(" wrote for ")) {
-            record.line(&format!("runner {line}"));
-        }
-        lines
+        self.runners.iter().flat_map(|it| it.runs(record)).collect()
     }
 }
 
@@ -139,7 +132,15 @@
 }
 
 fn send(record: &Record, daemon: &Daemon, head: &str, attempt: &str) -> Answer {
-    record.line(&format!("client sends {attempt} to {}", daemon.process.name));
+    let lines = head.lines();
+    let told: Vec<_> = lines
+        .enumerate()
+        .filter(|(number, it)| {
+            *number == 0 || it.starts_with("Authorization") || it.contains("Prompt-Prefix")
+        })
+        .map(|(_, it)| it)
+        .collect();
+    record.line(&format!("client sends {attempt} to {}: {}", daemon.process.name, told.join("; ")));
     let answer = http::call(daemon.front, head, "a question", Duration::from_secs(20));
     record.line(&format!(
         "client gets for {attempt} status {} of {} bytes, complete: {}",
@@ -178,7 +179,8 @@
     let tenants = |is_alone| {
         vec![tenant("clinic", "key-clinic", is_alone), tenant("notary", "key-notary", false)]
     };
-    let scene = Scene::start(record, &tenants(false), 1, 3, "short");
+    // Without the disruption the clinic is `no_sharing` from the start.
+    let scene = Scene::start(record, &tenants(!has_trouble), 1, 3, "short");
     let shared = "5c1e07a2:800,91bd3f06:410";
     let [first, second, third] = &scene.daemons[..] else { give_up("three daemons") };
     let ask = |daemon: &Daemon, attempt: &str, key: &str, own: &str| {
@@ -189,13 +191,11 @@
     };
     ask(first, "a1", "key-clinic", "aaaa0001");
     let before = scene.runs(record).len();
-    let mut alone = Vec::new();
     if has_trouble {
         scene.store.put("op", "config", &configuration(2, &tenants(true)));
         record.line(
             "the operator writes configuration 2: the clinic is no_sharing; the store confirms it",
         );
-        alone.push("clinic");
     }
     // The configuration applies everywhere after `config_apply_ms`, which is 2 s.
     thread::sleep(Duration::from_secs(5));
@@ -205,7 +205,7 @@
     // The clinic's own next request shows that the change is in force.
     ask(second, "a2", "key-clinic", "aaaa0002");
     let runs = scene.runs(record);
-    shared_walls(&runs[before..], &alone)
+    shared_walls(&runs[before..], &["clinic"])
 }
 
 /// ORDER: a runner leaves, and is gone 2 s after its notice while it answers streams that have neither a length nor
@@ -241,6 +241,8 @@
         .collect();
     let [leaving] = busy[..] else { give_up("the requests are not at one runner") };
     let name = scene.runners[leaving].process.name.clone();
+    let leave = "POST /leave HTTP/1.1\r\nHost: x\r\n";
+    http::call(scene.runners[leaving].address, leave, "", Duration::from_secs(1));
     scene.store.put("servers", &name, &entry(&scene.runners[leaving], "draining", 2));
     record.line(&format!("runner {name} reports draining; the store confirms it"));
     thread::sleep(Duration::from_millis(2_000));
@@ -295,7 +297,10 @@
     // `revoke_ms` is 5 s, counted from the confirmation.
     thread::sleep(Duration::from_millis(6_500));
     for (number, daemon) in scene.daemons.iter().enumerate() {
-        ask(daemon, &format!("after-clinic-{}", number + 1), "key-clinic");
+        let status = ask(daemon, &format!("after-clinic-{}", number + 1), "key-clinic");
+        if !has_trouble && status != 200 {
+            give_up("a request with a good key was not served");
+        }
         ask(daemon, &format!("after-nobody-{}", number + 1), "key-nobody");
     }
     let runs = scene.runs(record);
@@ -432,10 +437,10 @@
             wait_until(at);
             let (name, address) = (format!("i-{}", index + 1), scene.runners[index].address);
             scene.runners[index].process.kill();
-            old.push(scene.runners[index].process.lines.clone());
             record.line(&format!("runner {name} crashes"));
             wait_until(at + 1_000);
-            scene.runners[index] = Runner::start(&name, &address.to_string(), "v2");
+            let back = Runner::start(&name, &address.to_string(), "v2");
+            old.push(std::mem::replace(&mut scene.runners[index], back));
             record.line(&format!("runner {name} is back under its name, with version v2"));
         }
         wait_until(7_000);
@@ -447,10 +452,8 @@
         record.line("the store is back; the runners write their entries");
     }
     let answers: Vec<_> = calls.into_iter().filter_map(|it| it.join().ok()).collect();
-    for lines in old {
-        for line in lines.lock().unwrap().iter().filter(|it| it.contains(" runs ")) {
-            record.line(&format!("runner {line}"));
-        }
+    for runner in &old {
+        runner.runs(record);
     }
     scene.runs(record);
     let mut joined = Vec::new();
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -11,27 +11,61 @@
 mod text;
 
 use std::{
-    fs::File,
-    io::Write,
-    sync::Mutex,
+    sync::{LazyLock, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
+/// When the program started.
+static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// Seconds since the start of the program.
+pub fn now() -> f64 {
+    STARTED.elapsed().as_secs_f64()
+}
+
+/// What every record begins with.
+const LEGEND: &str = "\
+Each line begins with the seconds since the start of the script. \"runner i-1 runs A\": i-1 begins to run the request with the
+attempt A; its method, path, X-Tealturn-Tenant, X-Tealturn-Cache-Salt, Last-Event-Id and X-Tealturn-Prompt-Prefix follow (- if
+absent). \"uses for A ... part=P made by B\": for A it uses the cached part P, which the request B left there. \"client gets\":
+what came back; complete tells whether the body was ended properly. BROKEN names the rule and what breaks it.
+";
+
 /// What was sent, answered and run.
 pub struct Record {
-    file: Mutex<File>,
-    started: Instant,
+    path: String,
+    lines: Mutex<Vec<(f64, String)>>,
 }
 
 impl Record {
     fn new(path: &str) -> Record {
-        Record { file: Mutex::new(process::create(path)), started: Instant::now() }
+        Record { path: path.to_owned(), lines: Mutex::default() }
     }
 
+    /// Writes down what happens now.
     pub fn line(&self, text: &str) {
-        let at = self.started.elapsed().as_secs_f64();
-        let _ = writeln!(self.file.lock().unwrap(), "{at:8.3} {text}");
+        self.line_at(now(), text);
+    }
+
+    /// Writes down what happened then; the same line only once.
+    pub fn line_at(&self, at: f64, text: &str) {
+        let line = (at, text.to_owned());
+        let mut lines = self.lines.lock().unwrap();
+        if !lines.contains(&line) {
+            lines.push(line);
+        }
+    }
+
+    /// Writes the file, in the order of events.
+    fn finish(&self) {
+        let mut lines = self.lines.lock().unwrap();
+        lines.sort_by(|left, right| left.0.total_cmp(&right.0));
+        let lines = lines.iter().map(|(at, text)| format!("{at:8.3} {text}\n"));
+        let text = format!("{LEGEND}{}", lines.collect::<String>());
+        if let Err(error) = std::fs::write(&self.path, text) {
+            eprintln!("{}: {error}", self.path);
+        }
     }
 }
 
@@ -48,6 +82,7 @@
     match words[1..] {
         ["runner", name, ip, behaviour] => runner::run(name, ip, behaviour),
         ["case", name, path] => {
+            let _ = now();
             let record = Record::new(path);
             let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
             record.line(&format!("case {name}, with the disruption: {has_trouble}"));
@@ -71,7 +106,7 @@
                     2
                 }
             };
-            thread::sleep(Duration::from_millis(50));
+            record.finish();
             std::process::exit(code);
         }
         _ => {
--- a/review/kit/process.rs
+++ b/review/kit/process.rs
@@ -1,7 +1,7 @@
 //! The processes that a case starts: daemons as the deploy file runs them, and runners.
 
 use std::{
-    fs::{self, File},
+    fs,
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
@@ -53,6 +53,8 @@
     pub name: String,
     child: Child,
     pub lines: Arc<Mutex<Vec<String>>>,
+    /// When they came, in seconds since the start of the program.
+    pub times: Arc<Mutex<Vec<f64>>>,
 }
 
 impl Process {
@@ -61,13 +63,15 @@
         let mut child = command.spawn().unwrap_or_else(|error| crate::give_up(&error.to_string()));
         let output = child.stdout.take().expect("piped");
         let lines = Arc::new(Mutex::new(Vec::new()));
-        let kept = lines.clone();
+        let times = Arc::new(Mutex::new(Vec::new()));
+        let (kept, came) = (lines.clone(), times.clone());
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
+                came.lock().unwrap().push(crate::now());
                 kept.lock().unwrap().push(line);
             }
         });
-        Process { name: name.to_owned(), child, lines }
+        Process { name: name.to_owned(), child, lines, times }
     }
 
     /// SIGKILL.
@@ -152,10 +156,14 @@
         http::call(self.ready, head, "", Duration::from_secs(1)).status == 200
     }
 
-    /// What the daemon logged of a request.
+    /// Writes down what the daemon logged of a request.
     pub fn log(&self, record: &Record, attempt: &str) {
-        for line in self.process.lines_with(&format!("\"{attempt}\"")) {
-            record.line(&format!("{} logs {line}", self.process.name));
+        let (lines, times) =
+            (self.process.lines.lock().unwrap(), self.process.times.lock().unwrap());
+        for (line, at) in lines.iter().zip(times.iter()) {
+            if line.contains(&format!("\"{attempt}\"")) {
+                record.line_at(*at, &format!("{} logs {line}", self.process.name));
+            }
         }
     }
 }
@@ -182,6 +190,18 @@
 }
 
 impl Runner {
+    /// Writes down what the runner printed, but for each event that it wrote; returns all of it.
+    pub fn runs(&self, record: &Record) -> Vec<String> {
+        let (lines, times) =
+            (self.process.lines.lock().unwrap(), self.process.times.lock().unwrap());
+        for (line, at) in lines.iter().zip(times.iter()).skip(1) {
+            if !line.contains(" wrote for ") {
+                record.line_at(*at, &format!("runner {line}"));
+            }
+        }
+        lines.iter().skip(1).cloned().collect()
+    }
+
     pub fn start(name: &str, ip: &str, behaviour: &str) -> Runner {
         let program = std::env::current_exe().expect("a path");
         let mut command = Command::new(program);
@@ -202,8 +222,3 @@
         }
     }
 }
-
-/// Keeps the text of a case's record.
-pub fn create(path: &str) -> File {
-    File::create(path).unwrap_or_else(|error| crate::give_up(&format!("{path}: {error}")))
-}
