Give workspaces that share another salt when one of them is isolated

Cause: the salt of all that share was MODEL.VERSION. whoever belonged to them. A workspace that left the group got a salt of its own, but what it had cached stayed under the one that the others went on to use. Besides, the owner was that of the configuration under which a call had arrived, so that a call that is sent again after the change had the old salt.

The group's salt now names the workspaces outside of it, so that a part under it was made by none of those that any user of the salt is walled from, whatever the order of configurations. It follows from the document alone: daemons agree without a word, also those that start later. A property test plays random orders with daemons one document behind. The salt is that of the document in force when a request is sent. Dots in models and names no longer let two owners have one salt, and names that no header can hold no longer leave the salt out.

What it costs: the group's cache is empty once whenever the set of isolated workspaces changes (docs/design/salts.md).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -45,6 +45,7 @@
 pub mod rollout;
 pub mod room;
 pub mod roster;
+pub mod salt;
 pub mod settings;
 pub mod store;
 pub mod stream;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -148,15 +148,6 @@
         text.extend_from_slice(&self.body);
         Fingerprint::new(workspace, &text)
     }
-
-    /// The salt under which engines cache the prompt. It differs between model versions, and
-    /// between an isolated workspace and all others.
-    pub fn cache_salt(&self, version: Version) -> Option<String> {
-        let prompt = self.head.prompt.as_ref()?;
-        let isolated = self.tenant.as_ref().filter(|it| it.isolated);
-        let owner = isolated.map_or("", |it| it.workspace.as_str());
-        Some(format!("{}.{version}.{owner}", prompt.model))
-    }
 }
 
 /// What a call that is passed on to another daemon states, in addition to what the caller sent.
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     collections::{Map, Set},
-    gateway::quota::Quota,
+    gateway::{
+        quota::Quota,
+        salt::{Owner, Owners},
+    },
     kernel::id::{Service, Workspace},
     route::pool::name_hash,
 };
@@ -150,6 +153,7 @@
     hosts: Map<String, Vec<Arc<Route>>>,
     keys: Map<String, Arc<Tenant>>,
     quotas: Map<u64, Quota>,
+    owners: Owners,
     services: Map<Service, Settings>,
     kv_stores: Vec<KvStore>,
     engine_tokens: u64,
@@ -182,6 +186,8 @@
         }
         let has_tenants = !parts.tenants.is_empty();
         let (mut keys, mut quotas) = (Map::default(), Map::default());
+        let isolated = parts.tenants.iter().filter(|(tenant, _)| tenant.isolated);
+        let owners = Owners::new(&isolated.map(|(it, _)| it.workspace.clone()).collect());
         for (tenant, tenant_keys) in parts.tenants {
             quotas.extend(tenant.quota.map(|it| (name_hash(tenant.workspace.as_str()), it)));
             let tenant = Arc::new(tenant);
@@ -197,6 +203,7 @@
             hosts,
             keys,
             quotas,
+            owners,
             services: services.collect(),
             kv_stores,
             engine_tokens,
@@ -225,6 +232,18 @@
         self.keys.get(key)
     }
 
+    /// Whose cached prompts a call of a workspace may use. A call that began while its workspace was
+    /// isolated keeps to its own.
+    pub fn cache_owner(&self, tenant: Option<&Tenant>) -> Arc<Owner> {
+        let owner = self.owners.of(tenant.map(|it| &it.workspace));
+        match tenant {
+            Some(it) if it.isolated && !owner.is_isolated() => {
+                Arc::new(Owner::isolated(&it.workspace))
+            }
+            _ => owner.clone(),
+        }
+    }
+
     /// The quota of the workspace whose name has this hash.
     pub fn quota(&self, workspace: u64) -> Option<Quota> {
         self.quotas.get(&workspace).copied()
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,9 +45,10 @@
 pub struct Query<'a> {
     /// The prompt; `None` for a call to a plain service.
     pub prompt: Option<&'a Prompt>,
-    /// The number of an isolated workspace, whose cached prompts no other workspace shares, or 0
-    /// for the shared cache.
+    /// The number of the [`Owner`](crate::gateway::salt::Owner) whose cached prompts it may use.
     pub cache_owner: u64,
+    /// Whether that is an isolated workspace, whose cached prompts no other workspace shares.
+    pub is_isolated: bool,
     /// Upstreams where an attempt of this call failed.
     pub excluded: &'a [Upstream],
     /// The build that began the stream which the upstream continues; `None` if any may take the
@@ -70,13 +71,6 @@
     pub random: u64,
 }
 
-impl Query<'_> {
-    /// Whether the prompt's workspace shares its cached prompts with no other.
-    fn is_isolated(&self) -> bool {
-        self.cache_owner != 0
-    }
-}
-
 /// The result of a placement decision.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -268,7 +262,7 @@
             let available_depth = source.as_ref().map_or(depth, |(_, it)| *it).max(depth);
             // Parts that nobody asks for again would displace others in the stores.
             let is_single = query.kv_stores.len() <= 1;
-            let store = store.filter(|_| is_single || !query.is_isolated() || self.is_reused(keys));
+            let store = store.filter(|_| is_single || !query.is_isolated || self.is_reused(keys));
             let (source, available_depth) =
                 self.prefer_store(query, store, keys, source, available_depth);
             let cached = prefix_tokens(prompt, if is_held { depth } else { available_depth });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -338,12 +338,14 @@
     }
 
     fn dispatch(&self, choice: &Choice, time_left: Duration) -> Dispatch {
+        let (prompt, owner) = (self.call.head.prompt.as_ref(), self.cache_owner());
+        let salt = prompt.zip(choice.version).map(|(it, version)| owner.salt(&it.model, version));
         Dispatch {
             upstream: choice.endpoint.name.clone(),
             incarnation: choice.endpoint.record.incarnation,
             time_left,
             version: choice.version,
-            cache_salt: choice.version.and_then(|it| self.call.cache_salt(it)),
+            cache_salt: salt,
             fetch_from: choice.source.as_ref().map(Source::address),
             save_to: choice.save_to.map(|it| it.address),
             last_event: self.last_event.clone(),
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -21,6 +21,7 @@
         relay::{RESPONSE_MARGIN, RETRY_AFTER, Relay, turn::Turn},
         room::engine::{Engines, Room},
         roster::Endpoint,
+        salt::Owner,
         topology::FULL_MESH_DAEMONS,
     },
     kernel::{clock::Time, id::Service},
@@ -167,9 +168,11 @@
             Some((turn, _)) => turn.limit,
             None => self.running_limit_tokens(call.service(), self.can_meet_objective(now)),
         };
+        let owner = self.cache_owner();
         Query {
             prompt: call.head.prompt.as_ref(),
-            cache_owner: self.cache_owner(),
+            cache_owner: owner.hash(),
+            is_isolated: owner.is_isolated(),
             excluded: &self.excluded,
             build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
@@ -294,10 +297,12 @@
         Ok(Some(Reservation::new(context, choice, prompt, self.fingerprint)))
     }
 
-    /// The number of the workspace if it is isolated, or 0 for the shared prompt cache.
-    pub(super) fn cache_owner(&self) -> u64 {
-        let isolated = self.call.tenant.as_ref().filter(|it| it.isolated);
-        isolated.map_or(0, |it| name_hash(it.workspace.as_str()))
+    /// Whose cached prompts the call may use under the latest document, which may isolate other
+    /// workspaces than the one under which the call was accepted.
+    pub(super) fn cache_owner(&self) -> Arc<Owner> {
+        let document = self.context.document.load();
+        let tenant = self.call.tenant.as_deref();
+        document.as_ref().map(|it| it.cache_owner(tenant)).unwrap_or_default()
     }
 
     /// The memory of an engine of the service, in tokens; `None` if its upstreams are not engines.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -52,6 +52,8 @@
 mod roster;
 #[path = "gateway/rows.rs"]
 mod rows;
+#[path = "gateway/salt.rs"]
+mod salt;
 #[path = "gateway/scene.rs"]
 mod scene;
 #[path = "gateway/shutdown.rs"]
--- a/tests/gateway/brittle.rs
+++ b/tests/gateway/brittle.rs
@@ -290,6 +290,7 @@
         let query = Query {
             prompt: caller.prompt.as_ref(),
             cache_owner: 0,
+            is_isolated: false,
             excluded: &caller.rejecting,
             build: None,
             old_version_grace: Duration::from_secs(10),
--- a/tests/gateway/place.rs
+++ b/tests/gateway/place.rs
@@ -35,6 +35,7 @@
     Query {
         prompt: Some(prompt),
         cache_owner: 0,
+        is_isolated: false,
         excluded: &[],
         build: None,
         old_version_grace: Duration::from_secs(10),
@@ -180,7 +181,8 @@
         for (index, uses_store) in case.uses_store.into_iter().enumerate() {
             let prompt = prompt(7, index as u64);
             let query = query_with_store(&prompt, &peers, &stores);
-            let query = Query { cache_owner: case.cache_owner, ..query };
+            let is_isolated = case.cache_owner != 0;
+            let query = Query { cache_owner: case.cache_owner, is_isolated, ..query };
             // The engine that holds the prompt is unavailable the second time, so it is read again.
             let engines = &engines[index..=index];
             let choice = send(&mut placer, &query, engines);
--- a/tests/gateway/room/fleet.rs
+++ b/tests/gateway/room/fleet.rs
@@ -499,6 +499,7 @@
         let query = Query {
             prompt: Some(&prompt),
             cache_owner: 0,
+            is_isolated: false,
             excluded: &[],
             build: None,
             old_version_grace: Duration::from_secs(10),
--- a/tests/gateway/stale.rs
+++ b/tests/gateway/stale.rs
@@ -74,6 +74,7 @@
             let query = Query {
                 prompt: Some(&prompt),
                 cache_owner: 0,
+                is_isolated: false,
                 excluded: &[],
                 build: None,
                 old_version_grace: Duration::from_secs(12),
