Accept no key once the last workspace is taken away

Of the same kind: a document without settings of services counted all of them as known, so that upstreams of any service got probes and load orders; it knows those of its routes only. The stand-in of the operator in the simulated fleets relied on that, and names its service now.

An installation that never had workspaces stays open.

--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -128,8 +128,8 @@
     pub services: Vec<Settings>,
     /// Limits for callers.
     pub limits: Limits,
-    /// Workspaces with their keys.
-    pub tenants: Vec<(Tenant, Vec<String>)>,
+    /// Workspaces with their keys; `None` if calls need no keys. Without any workspace, no key is valid.
+    pub tenants: Option<Vec<(Tenant, Vec<String>)>>,
 }
 
 /// Why a document is invalid.
@@ -157,7 +157,7 @@
     services: Map<Service, Settings>,
     kv_stores: Vec<KvStore>,
     engine_tokens: u64,
-    has_tenants: bool,
+    requires_keys: bool,
     prioritised: Set<Service>,
     resumable: Set<Service>,
 }
@@ -184,11 +184,12 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
         }
-        let has_tenants = !parts.tenants.is_empty();
+        let requires_keys = parts.tenants.is_some();
+        let tenants = parts.tenants.unwrap_or_default();
         let (mut keys, mut quotas) = (Map::default(), Map::default());
-        let isolated = parts.tenants.iter().filter(|(tenant, _)| tenant.isolated);
+        let isolated = tenants.iter().filter(|(tenant, _)| tenant.isolated);
         let owners = Owners::new(&isolated.map(|(it, _)| it.workspace.clone()).collect());
-        for (tenant, tenant_keys) in parts.tenants {
+        for (tenant, tenant_keys) in tenants {
             quotas.extend(tenant.quota.map(|it| (name_hash(tenant.workspace.as_str()), it)));
             let tenant = Arc::new(tenant);
             keys.extend(tenant_keys.into_iter().map(|key| (key, tenant.clone())));
@@ -207,7 +208,7 @@
             services: services.collect(),
             kv_stores,
             engine_tokens,
-            has_tenants,
+            requires_keys,
             prioritised,
             resumable,
         })
@@ -222,9 +223,9 @@
         routes.iter().find(|it| path.starts_with(&it.prefix))
     }
 
-    /// Whether calls on a route need a key; none do if the document has no workspaces.
+    /// Whether calls on a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
-        self.has_tenants && !route.public
+        self.requires_keys && !route.public
     }
 
     /// Returns the workspace that owns a key.
@@ -249,14 +250,11 @@
         self.quotas.get(&workspace).copied()
     }
 
-    /// Whether a service is in the document, with settings or as the backend of a route. All are if the
-    /// document has no settings of services.
+    /// Whether a service is in the document, with settings or as the backend of a route.
     pub fn has_service(&self, name: &Service) -> bool {
         let mut backends =
             self.hosts.values().flatten().flat_map(|it| &it.backends).map(|(service, _)| service);
-        self.services.is_empty()
-            || self.services.contains_key(name)
-            || backends.any(|it| it == name)
+        self.services.contains_key(name) || backends.any(|it| it == name)
     }
 
     /// Returns all KV stores.
--- a/tests/gateway/document.rs
+++ b/tests/gateway/document.rs
@@ -36,10 +36,45 @@
             header_bytes: 16_384,
             idle: Duration::from_secs(15),
         },
-        tenants: vec![(tenant, vec!["key-1".to_owned(), "key-2".to_owned()])],
+        tenants: Some(vec![(tenant, vec!["key-1".to_owned(), "key-2".to_owned()])]),
     }
 }
 
+/// Guards against an open door once the last workspace is taken away, and against a closed one where
+/// calls never needed keys (issue 51, case 3).
+#[test]
+fn a_document_without_any_workspace_accepts_no_key_and_one_without_the_list_needs_none() {
+    struct Case {
+        name: &'static str,
+        tenants: Option<Vec<(Tenant, Vec<String>)>>,
+        needs_key: bool,
+        accepts: bool,
+    }
+    let given = parts(Vec::new()).tenants;
+    let keyless = given.clone().map(|it| it.into_iter().map(|(it, _)| (it, Vec::new())).collect());
+    for case in [
+        Case { name: "a workspace", tenants: given, needs_key: true, accepts: true },
+        Case { name: "one without keys", tenants: keyless, needs_key: true, accepts: false },
+        Case { name: "no workspace", tenants: Some(Vec::new()), needs_key: true, accepts: false },
+        Case { name: "no list", tenants: None, needs_key: false, accepts: false },
+    ] {
+        let routes = vec![route("keyed", "/wiki/")];
+        let parts = document::Parts { tenants: case.tenants, ..parts(routes) };
+        let document = Document::new(parts).expect("valid");
+        let route = document.route("wiki.example", "/wiki/x").expect("a route");
+        assert_eq!(document.needs_key(route), case.needs_key, "{}", case.name);
+        assert_eq!(document.tenant("key-1").is_some(), case.accepts, "{}", case.name);
+    }
+}
+
+/// Guards against orders to upstreams of services that the document doesn't have.
+#[test]
+fn a_document_without_settings_of_services_has_those_of_its_routes_only() {
+    let document = Document::new(parts(vec![route("any", "/wiki/")])).expect("valid");
+    let has = |name: &str| document.has_service(&Service::from(name));
+    assert!(has("old") && has("new") && !has("other"));
+}
+
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     struct Case {
--- a/tests/gateway/salt.rs
+++ b/tests/gateway/salt.rs
@@ -21,7 +21,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: Limits { body_bytes: 1, header_bytes: 1, idle: Duration::from_secs(1) },
-        tenants: tenants.collect(),
+        tenants: Some(tenants.collect()),
     })
     .expect("a valid document")
 }
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -175,9 +175,13 @@
         let parts = document::Parts {
             version: named.and_then(|it| it.parse().ok()).unwrap_or(row.version),
             routes: Vec::new(),
-            services: Vec::new(),
+            services: vec![document::Settings {
+                name: Service::from(scene::SERVICE),
+                capacity_tokens: None,
+                kv_store: None,
+            }],
             limits: Limits { body_bytes: 1, header_bytes: 1, idle: Duration::from_secs(1) },
-            tenants,
+            tenants: Some(tenants),
         };
         let document = Document::new(parts).map_err(|error| dialect::Error(error.to_string()))?;
         Ok(Directive::Document(Arc::new(document)))
