Begin only calls that can end before a planned stop does

Cause: only the controller knew when the grace ends. Nothing asked whether a call can end in time when it arrived, left a queue, was retried or passed on, and what was unfinished at the end went down with the process.

gateway::shutdown now decides before each send: a call that runs once is begun only if its deadline is before the end, one that may be repeated if three latency objectives fit in. Others are refused, not run, and may come back to another daemon at once. What is unfinished at the end is answered: 503 if no upstream can have begun it, 502 otherwise.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,7 +6,7 @@
 //! connects the gateway to it. The platform calls a workspace a tenant.
 //!
 //! [`document`], [`roster`], [`place`], [`origin`], [`budget`], [`limit`], [`permit`], [`quota`], [`crash`],
-//! [`freshness`], [`reach`], [`room`] and [`rollout`] make
+//! [`freshness`], [`reach`], [`room`], [`rollout`] and [`shutdown`] make
 //! decisions and perform no I/O. [`relay`] forwards calls, [`follow`] mirrors the contents of the store, and
 //! [`operate`] sends load orders to engines. The traits in [`dialect`] and [`store`] hide the
 //! external protocols.
@@ -47,6 +47,7 @@
 pub mod roster;
 pub mod salt;
 pub mod settings;
+pub mod shutdown;
 pub mod store;
 pub mod stream;
 pub mod topology;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -40,6 +40,7 @@
         room,
         roster::{self, Endpoint, Roster, View},
         settings::Settings,
+        shutdown::Shutdown,
         store::Store,
         topology::Plan,
     },
@@ -128,6 +129,9 @@
     pub rooms: Arc<room::service::Services>,
     /// Cancelled when a planned shutdown begins.
     pub leaving: CancellationToken,
+    /// Cancelled when unfinished calls are given up, shortly before the process ends.
+    pub closing: CancellationToken,
+    shutdown: OnceLock<Shutdown>,
     roster: Mutex<Roster>,
     placer: Mutex<Placer>,
     budget: Mutex<Budget>,
@@ -172,6 +176,8 @@
             rollout_news: Freshness::default(),
             rooms: Arc::default(),
             leaving: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            shutdown: OnceLock::new(),
             roster: Mutex::default(),
             placer: Mutex::new(placer),
             budget: Mutex::new(budget),
@@ -198,6 +204,17 @@
         self.document.load().is_some() && fresh && !self.leaving.is_cancelled()
     }
 
+    /// Begins a planned shutdown, in which calls may take until `ends_at`.
+    pub fn begin_shutdown(&self, ends_at: Time) {
+        self.shutdown.get_or_init(|| Shutdown { ends_at });
+        self.leaving.cancel();
+    }
+
+    /// The planned shutdown, if one has begun.
+    pub fn shutdown(&self) -> Option<&Shutdown> {
+        self.shutdown.get()
+    }
+
     /// Whether this daemon is cut off from the upstreams of a service.
     pub fn is_cut_off(&self, service: &Service) -> bool {
         self.cut_off.load().contains(service)
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -27,9 +27,12 @@
 const MAX_ACCEPT_RATIO: f64 = 0.6;
 
 /// Margin before the end of the grace period at which [`Controller::run`] stops waiting for calls
-/// to finish and returns in any case.
+/// to finish, answers the others and returns in any case.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
 
+/// The part of [`SHUTDOWN_RESERVE`] for answers to calls that are given up.
+const LAST_ANSWERS_WAIT: Duration = Duration::from_millis(150);
+
 /// A gateway with bound listeners.
 pub struct Controller {
     /// State shared by the tasks.
@@ -84,12 +87,16 @@
         info!(daemon = context.settings.daemon.as_str(), "gateway started");
         terminate.cancelled().await;
         info!("gateway is shutting down");
-        context.leaving.cancel();
         let grace = context.settings.grace.saturating_sub(SHUTDOWN_RESERVE);
+        context.begin_shutdown(context.now() + grace);
         let drain = accept_period(context.settings.grace, context.settings.address_lifetime);
         time::sleep(drain).await;
         stop_callers.cancel();
         let calls_unfinished = time::timeout(grace - drain, &mut caller_server).await.is_err();
+        if calls_unfinished {
+            context.closing.cancel();
+            let _ = time::timeout(LAST_ANSWERS_WAIT, caller_server).await;
+        }
         stop.cancel();
         info!(cut = calls_unfinished, "gateway stopped");
     }
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -44,6 +44,10 @@
 /// request body did not arrive in time.
 const UNCONFIRMED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The retry delay sent to callers whose call this daemon doesn't begin because it leaves. Another one
+/// may take it at once.
+pub const LEAVING_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Headers that are not forwarded: hop-by-hop ones, and those that govern the transfer of a body
 /// over one connection.
 const CONNECTION_HEADERS: &[header::HeaderName] = &[
@@ -75,7 +79,7 @@
         let context = &self.0;
         let mut hold = context.calls.hold();
         let mut response = match hold.resize(CALL_BYTES) {
-            true => match read(context, request).await {
+            true => match read_in_time(context, request).await {
                 Ok(call) => {
                     let response = relay::relay(context.clone(), call).await;
                     response.map(|it| hold.keep_body(it))
@@ -100,6 +104,14 @@
     }
 }
 
+/// Reads and validates a request, unless the daemon closes before it has arrived.
+async fn read_in_time(context: &Context, request: Request<Incoming>) -> Result<Call, Refusal> {
+    tokio::select! {
+        call = read(context, request) => call,
+        () = context.closing.cancelled() => Err(Refusal::NotRun(LEAVING_RETRY_AFTER)),
+    }
+}
+
 /// Reads and validates a request.
 async fn read(context: &Context, request: Request<Incoming>) -> Result<Call, Refusal> {
     let received = context.now();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -21,11 +21,12 @@
         call::{Call, Dispatch},
         context::Context,
         dialect::Refusal,
-        entry::end_to_end,
+        entry::{LEAVING_RETRY_AFTER, end_to_end},
         exchange::quota::{self, Charge},
         hold::Reservation,
         place::{self, Choice, Source},
         roster::Endpoint,
+        shutdown,
     },
     http::{
         client::{Answer, Reuse},
@@ -64,7 +65,7 @@
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Why nothing was sent to the selected upstream.
-const WITHHELD: &str = "the upstream left while the connection was being opened";
+const WITHHELD: &str = "the upstream or this daemon left while the connection was being opened";
 
 /// Why an answer without framing is not whole although its connection ended without an error.
 const CRASHED_AT_END: &str = "the upstream accepts no connections after the end of an answer whose \
@@ -112,6 +113,8 @@
     rejected_by: Vec<Upstream>,
     /// Failed attempts that may have executed the call.
     executions: u32,
+    /// Whether an attempt that has not failed may have executed the call.
+    is_sent: bool,
     /// Failed attempts that did not execute the call, including those without a connection.
     rejections: u32,
     /// Attempts, counted when their upstream is selected, including those without a connection.
@@ -138,12 +141,13 @@
         rejecting: Vec::new(),
         rejected_by: Vec::new(),
         executions,
+        is_sent: false,
         rejections: 0,
         sends: executions,
         connect_failures: 0,
         charge: None,
     };
-    match active.obtain().await {
+    match active.obtain_in_time().await {
         Ok((reservation, answer)) => active.deliver(reservation, answer).await,
         Err(refusal) => active.refuse(refusal),
     }
@@ -190,6 +194,29 @@
         }
     }
 
+    /// Obtains an answer, unless the daemon closes before there is one.
+    async fn obtain_in_time(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
+        let closing = self.context.closing.clone();
+        tokio::select! {
+            obtained = self.obtain() => obtained,
+            () = closing.cancelled() => Err(match self.is_sent || self.executions > 0 {
+                true => Refusal::Lost,
+                false => Refusal::NotRun(LEAVING_RETRY_AFTER),
+            }),
+        }
+    }
+
+    /// Whether the call may be sent to an upstream although a planned shutdown may have begun.
+    fn may_begin(&self, now: Time) -> bool {
+        let (call, route) = (&self.call, &self.call.route);
+        let call = shutdown::Call {
+            deadline: call.deadline,
+            is_repeatable: route.kind.is_repeatable(),
+            latency_objective: route.latency_objective,
+        };
+        self.context.shutdown().is_none_or(|it| it.may_begin(&call, now))
+    }
+
     /// Obtains an answer from an upstream, or through another daemon if this one is cut off.
     async fn obtain(&mut self) -> Result<(Reservation, Box<Answer>), Refusal> {
         if !self.is_cut_off() {
@@ -321,10 +348,12 @@
     /// Sends the call. An attempt that is given up before its answer counts as executed.
     async fn send_charged(&mut self, reservation: &Reservation) -> Outcome {
         self.charge.iter_mut().for_each(Charge::executed);
+        self.is_sent = true;
         let outcome = self.send(reservation).await;
         if matches!(outcome, Outcome::Unreachable(_) | Outcome::Withheld | Outcome::NotExecuted(_))
         {
             self.charge.iter_mut().for_each(Charge::rejected);
+            self.is_sent = false;
         }
         outcome
     }
@@ -387,7 +416,7 @@
         let may_reuse = call.route.kind.is_repeatable()
             && !self.rejected_by.contains(&reservation.choice.endpoint.name);
         let reuse = if may_reuse { Reuse::Allowed } else { Reuse::Forbidden };
-        let may_send = || !reservation.is_leaving();
+        let may_send = || !reservation.is_leaving() && self.may_begin(context.now());
         let request_sent = context.client.send_if(address, request, reuse, may_send);
         let sent = tokio::select! {
             sent = time::timeout(attempt_timeout, request_sent) => sent,
@@ -526,8 +555,12 @@
             let is_framed = answer.is_framed();
             let headers = self.caller_headers(&reservation, &answer);
             let time_left = self.call.deadline.since(self.context.now());
-            let read = self.read_whole(&reservation, *answer);
-            match time::timeout(time_left, read).await {
+            let read = time::timeout(time_left, self.read_whole(&reservation, *answer));
+            let read = tokio::select! {
+                read = read => read,
+                () = self.context.closing.cancelled() => return self.refuse(Refusal::Lost),
+            };
+            match read {
                 Ok(Ok(body)) => {
                     if status.is_server_error() {
                         reservation.choice.endpoint.health.record_failure(self.context.now());
@@ -558,7 +591,7 @@
             }
             self.executions += 1;
             self.excluded.push(reservation.choice.endpoint.name.clone());
-            (reservation, answer) = match self.obtain().await {
+            (reservation, answer) = match self.obtain_in_time().await {
                 Ok(found) => found,
                 Err(refusal) => return self.refuse(refusal),
             };
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -12,6 +12,7 @@
         call::Prompt,
         dialect::Refusal,
         document::Document,
+        entry::LEAVING_RETRY_AFTER,
         exchange::permit,
         hold::Reservation,
         message::{News, Update},
@@ -123,6 +124,18 @@
         if now + min_time >= call.deadline {
             return Err(if self.executions > 0 { Refusal::TimedOut } else { self.no_upstream() });
         }
+        if !self.may_begin(now) {
+            counter!("tealturn_calls_leaving_total").increment(1);
+            info!(
+                attempt = call.head.attempt,
+                runs = self.executions,
+                "call not begun: it may be unfinished when this daemon ends"
+            );
+            return Err(match self.executions {
+                0 => Refusal::NotRun(LEAVING_RETRY_AFTER),
+                _ => Refusal::Lost,
+            });
+        }
         // The confirmation may expire while the call waits or between attempts, and a key that was
         // revoked since then must not be accepted.
         let is_confirmed = context.freshness.is_within(context.settings.revocation, now);
--- a/src/gateway/relay/forward.rs
+++ b/src/gateway/relay/forward.rs
@@ -70,10 +70,12 @@
                 "cut off from the upstreams, passing the call on"
             );
             let reservation = self.reserve_helper(&helper);
+            self.is_sent = true;
             let failure = match self.forward_once(&reservation).await {
                 Ok(answer) => return Ok((reservation, answer)),
                 Err(failure) => failure,
             };
+            self.is_sent = !matches!(failure, Failure::Unreachable(_) | Failure::Refused(_));
             let reason = match &failure {
                 Failure::Unreachable(reason) | Failure::Lost(reason) => reason,
                 Failure::Refused(_) => "refused",
