Bound the memory of the store's answers

Cause: the store's answers have memory of their own, so that upstreams can't keep them away, and its bound was the default of the client, 64 MiB for one answer.

The changes of a long gap may have more; the topic is then listed by pages.

--- a/src/error.rs
+++ b/src/error.rs
@@ -36,6 +36,20 @@
         /// The error on the connection, or that the response timed out.
         reason: String,
     },
+    /// The body of a response exceeds what may be held in memory. The remote process may have
+    /// received and executed the request.
+    #[error(
+        "the body of the response from {address} is longer than the {limit} bytes that one may \
+         have, or than what {used} bytes of others leave"
+    )]
+    Oversized {
+        /// The remote address.
+        address: SocketAddr,
+        /// The maximum length of a body in bytes.
+        limit: usize,
+        /// Bytes held for all responses.
+        used: usize,
+    },
     /// The remote process returned an HTTP status other than 2xx where a 2xx status was expected.
     #[error("{address} returned status {status}, expected 2xx: {body}")]
     Status {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -231,7 +231,11 @@
                 info!(topic = ?self.topic, "changes are no longer available; listing the topic again");
                 self.must_list = true;
             }
-            Err(failure) => self.back_off(&failure, requested_at, is_watcher).await,
+            Err(failure) => {
+                // Pages of a listing are smaller than the changes of a long gap.
+                self.must_list |= matches!(failure, store::Error::Oversized(_));
+                self.back_off(&failure, requested_at, is_watcher).await;
+            }
         }
     }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -131,6 +131,10 @@
     /// The outcome is unknown: the call may have taken effect, or may still do so.
     #[error("no response from the store: {0}")]
     Lost(String),
+    /// The response is too large to be held in memory. Like [`Error::Lost`], the call may have taken
+    /// effect.
+    #[error("the response of the store is too large: {0}")]
+    Oversized(String),
     /// The requested changes have been compacted away.
     #[error("the requested changes have been compacted")]
     Compacted,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -187,11 +187,13 @@
     /// A client without connections whose answers take `bytes` of memory at most, all together. One of
     /// them may take an eighth of that.
     pub fn bounded(bytes: usize) -> Client {
-        Client {
-            memory: Memory::new(bytes),
-            max_answer_bytes: bytes / ANSWERS_PER_MEMORY,
-            ..Client::default()
-        }
+        Client::with_limits(bytes, bytes / ANSWERS_PER_MEMORY)
+    }
+
+    /// A client without connections whose answers take `bytes` of memory at most, all together, and
+    /// `answer_bytes` each.
+    pub fn with_limits(bytes: usize, answer_bytes: usize) -> Client {
+        Client { memory: Memory::new(bytes), max_answer_bytes: answer_bytes, ..Client::default() }
     }
 
     /// The memory that answers take.
@@ -316,23 +318,22 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NoResponse`] if the answer broke off, or if there is no memory for it.
+    /// [`Error::NoResponse`] if the answer broke off, [`Error::Oversized`] if there is no memory for
+    /// it.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
         let Answer { response, address, connection, .. } = answer;
         let kept = idle_time(&response);
-        let lost = |reason| Error::NoResponse { address, reason };
         let mut body = response.into_body();
         let mut whole = Buffer::new(self.memory.hold(), self.max_answer_bytes);
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| lost(error.to_string()))?;
+            let frame = frame.map_err(|error| {
+                let reason = error.to_string();
+                Error::NoResponse { address, reason }
+            })?;
             let Some(bytes) = frame.data_ref() else { continue };
             if !whole.push(bytes) {
                 let (limit, used) = (self.max_answer_bytes, self.memory.used());
-                let reason = format!(
-                    "the body is longer than the {limit} bytes that one may have, or than what \
-                     {used} bytes of others leave"
-                );
-                return Err(lost(reason));
+                return Err(Error::Oversized { address, limit, used });
             }
         }
         self.keep(address, connection, kept);
