--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -6,8 +6,8 @@
 
 use crate::kernel::clock::Time;
 
-/// The part of its time that a call which may be repeated must have left, as a multiple of its latency
-/// objective. Its caller can repeat it if it takes longer.
+/// The time that must be left for a call that may be repeated, as a multiple of its latency objective. Its
+/// caller can repeat it if it takes longer.
 const REPEATABLE_OBJECTIVES: u32 = 3;
 
 /// A planned shutdown.
