Tell where the operator's rows came from, and what the exchange spends on rows

Now the log line "operator rows received" names the source and the bytes, and metrics count the bytes of rows in messages, failed messages by stage, and the time to decode rows.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -358,6 +358,8 @@
             let outcome = if is_reachable { "answered" } else { "failed" };
             counter!("tealturn_exchange_calls_total", "outcome" => outcome).increment(1);
             if !is_reachable {
+                let stage = if connection.is_some() { "answer" } else { "connect" };
+                counter!("tealturn_exchange_failures_total", "stage" => stage).increment(1);
                 connection = None;
                 self.context.peers.record_failure(&self.name, self.context.now());
                 if self.link == Link::Spoke {
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use metrics::counter;
+
 use crate::{
     gateway::{
         context::Context,
@@ -10,7 +12,7 @@
             Target, Targets, Update, Usage,
         },
         peer::{Known, live_digest},
-        store::Topic,
+        store::{Row, Topic},
     },
     kernel::clock::Time,
     route::pool::name_hash,
@@ -157,6 +159,9 @@
         let Some(delta) = context.mirror.after(topic, position) else {
             continue;
         };
+        let bytes = delta.rows.iter().map(Row::bytes).sum::<usize>();
+        counter!("tealturn_exchange_row_bytes_total", "topic" => topic.name())
+            .increment(bytes as u64);
         let after = position.map(|it| it.version).filter(|_| !delta.full);
         missing.push(Rows { topic: index, after, rows: delta.rows });
     }
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -174,6 +174,8 @@
         context.eras.observe(head.position.era, context.now());
         let confirmed_at = echo.map_or(Time::default(), |it| head.confirmed_at.resolve(it));
         if let Some(rows) = message.rows.iter().find(|it| it.topic == index) {
+            let source = message.from.as_str();
+            follow::log_rows(topic, &rows.rows, source);
             follow::apply(context, topic, &rows.rows, rows.after, head.position, confirmed_at);
             continue;
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,9 +5,12 @@
 //! others get the rows through the [`exchange`](crate::gateway::exchange), with the time at which a
 //! watcher had asked for them, and ask the store themselves when that is too long ago.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use metrics::counter;
+use metrics::{counter, histogram};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tracing::{info, warn};
@@ -222,6 +225,7 @@
                     self.context.change_roster(|it| it.store_answered(self.context.now()));
                 }
                 let position = Position { era: page.era, version: page.version };
+                log_rows(self.topic, &page.rows, "store");
                 apply(&self.context, self.topic, &page.rows, after, position, requested_at);
                 if changed && self.topic != Topic::Operator {
                     time::sleep(self.batch_delay(is_in_turn)).await;
@@ -286,6 +290,14 @@
     }
 }
 
+/// Tells operators where changes of their rows came from: the store, or a daemon.
+pub fn log_rows(topic: Topic, rows: &[Row], source: &str) {
+    if topic == Topic::Operator && !rows.is_empty() {
+        let bytes = rows.iter().map(Row::bytes).sum::<usize>();
+        info!(rows = rows.len(), bytes, source, "operator rows received");
+    }
+}
+
 /// Applies rows that reflect the store up to `position`, and were current at `confirmed_at`. `after`
 /// is the transaction of the same era that they continue; `None` if they are all rows. Rows older
 /// than those that this daemon has, or of an era that has ended, are ignored.
@@ -345,6 +357,7 @@
 ) {
     let mut all_decoded = true;
     context.documents.enter(era);
+    let started_at = Instant::now();
     for row in delta.rows.iter().filter(|it| !it.removed) {
         match context.schema.decode_operator_row(row) {
             Ok(dialect::Directive::Document(document)) => {
@@ -362,6 +375,9 @@
             }
         }
     }
+    if !delta.rows.is_empty() {
+        histogram!("tealturn_document_seconds").record(started_at.elapsed());
+    }
     if all_decoded && context.documents.is_latest_stored() {
         context.freshness.confirm(confirmed_at);
     }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -24,6 +24,17 @@
 impl Topic {
     /// The topics whose rows all daemons have.
     pub const FOLLOWED: [Topic; 3] = [Topic::Operator, Topic::Upstreams, Topic::Fleet];
+
+    /// The topic as a label of metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Topic::Operator => "operator",
+            Topic::Upstreams => "upstreams",
+            Topic::Fleet => "fleet",
+            Topic::Leases => "leases",
+            Topic::Streams => "streams",
+        }
+    }
 }
 
 /// A versioned key-value pair.
@@ -39,6 +50,13 @@
     pub removed: bool,
 }
 
+impl Row {
+    /// Bytes of the key and the value, which make up nearly all that the row takes in a message.
+    pub fn bytes(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// Counts how often the store has come back from an older copy of itself. What was written after
 /// that copy is gone, and versions are given out again: they can be compared within one era only.
 #[derive(
