--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -112,6 +112,23 @@
     }
 }
 
+/// Whether a daemon should ask the store for a topic. It has waited since `started_at`.
+pub fn is_due(context: &Context, topic: Topic, started_at: Time, jitter: Duration) -> bool {
+    if context.plan.load().is_watcher {
+        return true;
+    }
+    let max_age = match topic {
+        Topic::Operator => context.settings.revocation.mul_f64(OPERATOR_MAX_AGE_SHARE).min(MAX_AGE),
+        _ => MAX_AGE,
+    };
+    let now = context.now();
+    match context.mirror.head(topic) {
+        Some(head) => now.since(head.confirmed_at) >= max_age + jitter,
+        None if topic == Topic::Fleet => true,
+        None => now.since(started_at) >= FIRST_ROWS_WAIT + jitter,
+    }
+}
+
 struct Follower {
     context: Arc<Context>,
     topic: Topic,
@@ -150,25 +167,7 @@
     async fn wait_until_due(&self) {
         let started_at = self.context.now();
         let jitter = AGE_JITTER.mul_f64(rand::random::<f64>());
-        let max_age = match self.topic {
-            Topic::Operator => {
-                self.context.settings.revocation.mul_f64(OPERATOR_MAX_AGE_SHARE).min(MAX_AGE)
-            }
-            _ => MAX_AGE,
-        };
-        loop {
-            if self.context.plan.load().is_watcher {
-                return;
-            }
-            let (now, head) = (self.context.now(), self.context.mirror.head(self.topic));
-            let is_due = match head {
-                Some(head) => now.since(head.confirmed_at) >= max_age + jitter,
-                None if self.topic == Topic::Fleet => true,
-                None => now.since(started_at) >= FIRST_ROWS_WAIT + jitter,
-            };
-            if is_due {
-                return;
-            }
+        while !is_due(&self.context, self.topic, started_at, jitter) {
             time::sleep(AGE_CHECK_INTERVAL).await;
         }
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,10 +16,14 @@
 mod freshness;
 #[path = "gateway/gauge.rs"]
 mod gauge;
+#[path = "gateway/large_document.rs"]
+mod large_document;
 #[path = "gateway/ledger.rs"]
 mod ledger;
 #[path = "gateway/limit.rs"]
 mod limit;
+#[path = "gateway/link.rs"]
+mod link;
 #[path = "gateway/memory.rs"]
 mod memory;
 #[path = "gateway/message.rs"]
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -42,7 +42,10 @@
     route::pool::name_hash,
 };
 
-use crate::scene;
+use crate::{
+    link::{Flow, Links},
+    scene,
+};
 
 /// Steps of virtual time.
 const STEP: Duration = Duration::from_millis(10);
@@ -61,9 +64,15 @@
 pub const TOLERANCE: Tolerance =
     Tolerance { window: Duration::from_secs(8), excess: 0.1, slack: 72_000.0 };
 
+/// The longest that a daemon which is no watcher puts off a question to the store.
+const AGE_JITTER: Duration = Duration::from_millis(700);
+
 /// Key of the row that names the latest version of the weights, as the only one.
 const WEIGHTS_KEY: &str = "weights";
 
+/// Stands at the end of a document that is larger than what it says.
+const PADDING: char = '#';
+
 /// The time of one VM: that of the simulation and an offset of its own.
 struct VmClock {
     now: Arc<AtomicU64>,
@@ -169,7 +178,7 @@
             return Ok(Directive::Weights(Model::from(scene::MODEL), Version(version)));
         }
         let text = row.value.as_deref().and_then(|it| std::str::from_utf8(it).ok());
-        let mut words = text.unwrap_or_default().split(' ');
+        let mut words = text.unwrap_or_default().trim_end_matches(PADDING).split(' ');
         let named = words.next();
         let tenants = words.map(|it| (tenant(it), Vec::new())).collect();
         let parts = document::Parts {
@@ -245,6 +254,26 @@
     is_frozen: bool,
 }
 
+/// What is on its way over links.
+enum Payload {
+    Request {
+        message: Message,
+        sent_at: Time,
+    },
+    Response {
+        message: Message,
+        sent_at: Time,
+    },
+    /// Rows of a topic for a daemon that asked for those after a transaction.
+    Rows {
+        topic: Topic,
+        rows: Vec<Row>,
+        after: Option<u64>,
+        position: Position,
+        asked_at: Time,
+    },
+}
+
 /// What the store held at a moment.
 pub struct Snapshot {
     rows: [Vec<Row>; 3],
@@ -264,6 +293,10 @@
     rows: [Vec<Row>; 3],
     position: Position,
     started: u64,
+    /// Messages take no time unless the links have a rate.
+    links: Option<Links<Payload>>,
+    /// Calls of daemons to others that failed, while links have a rate.
+    pub failed_calls: u64,
 }
 
 impl Fleet {
@@ -299,6 +332,8 @@
             rows: Default::default(),
             position: Position::default(),
             started: 0,
+            links: None,
+            failed_calls: 0,
             vms,
         };
         fleet.write(Topic::Operator, "document");
@@ -365,6 +400,23 @@
         self.write_value(Topic::Operator, "document", version.to_string().into_bytes());
     }
 
+    /// Writes a document of this version that takes this many bytes.
+    pub fn write_large_document(&mut self, version: u64, bytes: usize) {
+        let mut value = version.to_string().into_bytes();
+        value.resize(bytes.max(value.len()), PADDING as u8);
+        self.write_value(Topic::Operator, "document", value);
+    }
+
+    /// Gives the links of VMs a rate in bytes a second, from now on.
+    pub fn limit_links(&mut self, rate: impl Fn(usize) -> f64) {
+        self.links = Some(Links::new((0..self.vms.len()).map(rate).collect()));
+    }
+
+    /// The share of a processor core that a VM has, in thousandths.
+    pub fn cpu_millis(&self, index: usize) -> u32 {
+        self.vms[index].cpu_millis
+    }
+
     /// What the store holds, to be restored later.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot { rows: self.rows.clone(), version: self.position.version }
@@ -563,6 +615,7 @@
         let mut order: Vec<_> = (0..self.vms.len()).collect();
         order.shuffle(&mut self.rng);
         self.write_bars();
+        self.deliver();
         for index in order {
             if self.vms[index].is_frozen {
                 continue;
@@ -583,33 +636,62 @@
         }
         vm.retried_at = self.now;
         if let Some((name, _)) = exchange::unresponsive(&context) {
+            if self.links.is_some() {
+                return self.begin_call(index, &context, &name, Link::Peer);
+            }
             self.exchange(index, &context, &name, Link::Peer);
         }
     }
 
+    /// Whether a daemon that is no watcher asks the store. Where messages take no time, none has to.
+    fn asks_itself(&self, context: &Context, topic: Topic) -> bool {
+        self.links.is_some() && follow::is_due(context, topic, context.now(), AGE_JITTER)
+    }
+
+    /// Whether rows of the topic are on their way from the store to a daemon.
+    fn is_asking(&self, index: usize, topic: Topic) -> bool {
+        let Some(links) = &self.links else { return false };
+        links.flows().any(|flow| match flow.payload {
+            Payload::Rows { topic: asked, .. } => (flow.to, asked) == (index, topic),
+            _ => false,
+        })
+    }
+
     /// A watcher's long poll returns at once if a row changed.
     fn ask_store(&mut self, index: usize) {
         let vm = &self.vms[index];
         let Some(context) = vm.context.clone().filter(|_| !vm.is_cut && self.store_answers) else {
             return;
         };
-        if !context.plan.load().is_watcher {
-            return;
-        }
+        let is_watcher = context.plan.load().is_watcher;
         let is_due = self.now.since(vm.asked_at) >= STORE_INTERVAL;
         for topic in Topic::FOLLOWED {
+            if self.is_asking(index, topic) {
+                continue;
+            }
+            if !is_watcher && !self.asks_itself(&context, topic) {
+                continue;
+            }
             let known = context.mirror.head(topic).map(|it| it.position);
             // A copy of an earlier era is read anew.
             let known = known.filter(|it| it.era == self.position.era).map(|it| it.version);
             let rows = self.rows[topic as usize].iter();
             let rows: Vec<_> = rows.filter(|it| known.is_none_or(|v| it.version > v)).collect();
-            if rows.is_empty() && !is_due {
+            if rows.is_empty() && !is_due && is_watcher {
                 continue;
             }
             let rows: Vec<_> = rows.into_iter().cloned().collect();
+            if let Some(links) = &mut self.links {
+                // The store's answer is in base64.
+                let bytes = rows.iter().map(Row::bytes).sum::<usize>() as f64 * 4.0 / 3.0;
+                let (after, position, asked_at) = (known, self.position, context.now());
+                let payload = Payload::Rows { topic, rows, after, position, asked_at };
+                links.send(Flow { from: None, to: index, bytes, payload });
+                continue;
+            }
             follow::apply(&context, topic, &rows, known, self.position, context.now());
         }
-        if is_due {
+        if is_due && is_watcher {
             self.vms[index].asked_at = self.now;
         }
     }
@@ -638,6 +720,10 @@
         let due: Vec<_> = due.map(|(name, (link, _))| (name.clone(), *link)).collect();
         let Some(context) = self.vms[index].context.clone() else { return };
         for (name, link) in due {
+            if self.links.is_some() {
+                self.begin_call(index, &context, &name, link);
+                continue;
+            }
             let answered = self.exchange(index, &context, &name, link);
             let interval = match answered {
                 true => exchange::interval(&context.plan.load(), link),
@@ -681,6 +767,86 @@
         true
     }
 
+    /// Sends a message over links with a rate. The call stays open until it is answered or fails.
+    fn begin_call(&mut self, from: usize, context: &Context, to: &str, link: Link) {
+        let message = exchange::compose(context, to, link);
+        self.count(from, &message);
+        self.vms[from].traffic.calls += 1;
+        if let Some((_, at)) = self.vms[from].calls.get_mut(to) {
+            *at = Time(u64::MAX);
+        }
+        let (to, bytes) = (self.index(to), wire::to_bytes(&message).len());
+        let payload = Payload::Request { message, sent_at: self.now };
+        self.send(Flow { from: Some(from), to, bytes: bytes as f64, payload });
+    }
+
+    fn send(&mut self, flow: Flow<Payload>) {
+        self.links.as_mut().expect("links with a rate").send(flow);
+    }
+
+    /// Lets what is on its way move on by a step, and calls fail that took too long.
+    fn deliver(&mut self) {
+        let Some(links) = &mut self.links else { return };
+        let arrived = links.advance(STEP);
+        let now = self.now;
+        let late = links.remove(|flow| match &flow.payload {
+            Payload::Request { sent_at, .. } | Payload::Response { sent_at, .. } => {
+                now.since(*sent_at) >= TIMEOUT
+            }
+            Payload::Rows { .. } => false,
+        });
+        for flow in arrived {
+            self.arrive(flow);
+        }
+        for flow in late {
+            let (caller, called) = match flow.payload {
+                Payload::Request { .. } => (flow.from, flow.to),
+                Payload::Response { .. } => (Some(flow.to), flow.from.unwrap_or(flow.to)),
+                Payload::Rows { .. } => continue,
+            };
+            let Some(caller) = caller else { continue };
+            self.failed_calls += 1;
+            let name = self.vms[called].name.clone();
+            if let Some(context) = self.vms[caller].context.clone() {
+                context.peers.record_failure(&name, context.now());
+                self.vms[caller].planned_at = Time::default();
+                self.end_call(caller, &context, &name);
+            }
+        }
+    }
+
+    /// The next message of a call is due after the usual interval.
+    fn end_call(&mut self, caller: usize, context: &Context, called: &str) {
+        let Some((link, _)) = self.vms[caller].calls.get(called).copied() else { return };
+        let interval = exchange::interval(&context.plan.load(), link);
+        let at = self.now + interval.mul_f64(self.rng.random_range(0.75..1.25));
+        self.vms[caller].calls.insert(called.to_owned(), (link, at));
+    }
+
+    fn arrive(&mut self, flow: Flow<Payload>) {
+        let Some(context) = self.vms[flow.to].context.clone() else { return };
+        match flow.payload {
+            Payload::Rows { topic, rows, after, position, asked_at } => {
+                follow::apply(&context, topic, &rows, after, position, asked_at);
+            }
+            Payload::Request { message, sent_at } => {
+                exchange::take(&context, &message);
+                let response = exchange::compose(&context, &message.from, message.link.reversed());
+                self.count(flow.to, &message);
+                self.count(flow.to, &response);
+                self.vms[flow.to].traffic.calls += 1;
+                let (to, bytes) = (self.index(&message.from), wire::to_bytes(&response).len());
+                let payload = Payload::Response { message: response, sent_at };
+                self.send(Flow { from: Some(flow.to), to, bytes: bytes as f64, payload });
+            }
+            Payload::Response { message, .. } => {
+                self.count(flow.to, &message);
+                exchange::take(&context, &message);
+                self.end_call(flow.to, &context, &message.from);
+            }
+        }
+    }
+
     fn count(&mut self, index: usize, message: &Message) {
         self.vms[index].traffic.bytes += wire::to_bytes(message).len() as u64;
     }
