Fetch rows that are too large for a message between daemons

Callers were served by an old configuration for seconds after a new one had been confirmed (CONFIG), and calls with quotas got 429 for as long.

Cause: a message between daemons carried all rows that its receiver lacked. At 350 KB it doesn't arrive over a link of 10 Mbit/s within the timeout of an exchange when a hub sends it to all peers at once. The connection was closed, the peer counted as failed, hubs changed, and each next message brought the whole document again, to more peers: overload that feeds itself.

Now a message carries 16 KiB of rows at most. Of larger ones it carries a notice, which daemons pass on before they have the rows themselves, and each daemon reads them from the store, once. If the store doesn't answer it, it fetches them part by part from a daemon that has them. Peers that speak an earlier protocol get rows as before, since they know no other way.

Protocol 3 is recorded.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -24,7 +24,7 @@
         dialect::{Dialect, Engines, Notice, Schema},
         document::Document,
         era::Eras,
-        exchange::connection::Connections,
+        exchange::{connection::Connections, fetch::Notices},
         freshness::{Documents, Freshness},
         limit::Statement,
         member::Members,
@@ -101,6 +101,8 @@
     pub eras: Eras,
     /// The rows of the store's topics, passed on to other daemons.
     pub mirror: Mirror,
+    /// Rows that other daemons have and that are too large for their messages.
+    pub notices: Notices,
     /// Versions of documents, which tell whether the store has the latest one.
     pub documents: Documents,
     /// When the document was last confirmed to be the latest.
@@ -162,6 +164,7 @@
             document: ArcSwapOption::empty(),
             eras: Eras::default(),
             mirror: Mirror::default(),
+            notices: Notices::default(),
             documents: Documents::default(),
             freshness: Freshness::default(),
             view: ArcSwap::default(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -6,6 +6,7 @@
 
 mod compose;
 pub mod connection;
+pub mod fetch;
 pub mod origin;
 pub mod permit;
 pub mod quota;
@@ -24,8 +25,11 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use tracing::info;
 
-use self::wire::{Codec, FIRST_PROTOCOL, PROTOCOL};
 pub use self::{compose::compose, take::take};
+use self::{
+    fetch::{Part, Wanted},
+    wire::{Codec, FIRST_PROTOCOL, PROTOCOL},
+};
 use crate::{
     collections::Map,
     fleet::transport::{self, Transport},
@@ -90,6 +94,9 @@
 
     /// Tells which build began a stream, if this daemon knows it.
     async fn find_origin(attempt: u64) -> Option<Build>;
+
+    /// Returns a part of the rows that the caller lacks; `None` if this daemon doesn't have them.
+    async fn fetch_rows(wanted: Wanted) -> Option<Part>;
 }
 
 #[derive(Clone)]
@@ -121,6 +128,10 @@
     async fn find_origin(self, _: call::Context, attempt: u64) -> Option<Build> {
         self.0.origins().known(attempt, self.0.now())
     }
+
+    async fn fetch_rows(self, _: call::Context, wanted: Wanted) -> Option<Part> {
+        fetch::part(&self.0, &wanted)
+    }
 }
 
 /// Opens a connection to another daemon.
--- a/src/gateway/exchange/compose.rs
+++ b/src/gateway/exchange/compose.rs
@@ -7,12 +7,13 @@
 use crate::{
     gateway::{
         context::Context,
+        exchange::wire::FETCH_PROTOCOL,
         message::{
-            Age, Head, Limit, Link, Load, Message, News, Offset, Release, Rollout, Rows, Sighting,
-            Target, Targets, Update, Usage,
+            Age, Head, Limit, Link, Load, Message, News, Notice, Offset, Release, Rollout, Rows,
+            Sighting, Target, Targets, Update, Usage,
         },
         peer::{Known, live_digest},
-        store::{Row, Topic},
+        store::Topic,
     },
     kernel::clock::Time,
     route::pool::name_hash,
@@ -30,6 +31,10 @@
 /// Target versions of each model that are reported: an engine's weights are rarely older.
 const REPORTED_TARGETS: usize = 6;
 
+/// Bytes of rows that a message may carry. A hub sends a changed row to all its peers at once, and all
+/// of these messages must arrive within the timeout of an exchange, over the narrowest link.
+const MAX_ROW_BYTES: usize = 16 * 1024;
+
 /// Builds the message to the peer `name`; `link` is what this daemon is to it.
 pub fn compose(context: &Context, name: &str, link: Link) -> Message {
     let now = context.now();
@@ -52,6 +57,7 @@
             statuses: statuses.clone(),
         }));
     }
+    let (rows, withheld) = rows(context, name, &known);
     Message {
         from: own_name.to_owned(),
         incarnation: context.incarnation,
@@ -67,7 +73,7 @@
         live_digest: known.received_live,
         live: (!is_known).then_some(live),
         heads: Topic::FOLLOWED.map(|topic| head(context, topic, &known)),
-        rows: rows(context, &known),
+        rows,
         document: context.documents.known(),
         targets: targets(context, now),
         rollouts_digest,
@@ -79,6 +85,7 @@
             Link::Peer => context.quotas().balances(now),
             Link::Hub | Link::Spoke => Vec::new(),
         },
+        withheld,
     }
 }
 
@@ -144,28 +151,43 @@
     Some(Head { position: head.position, confirmed_at })
 }
 
-/// The rows that the peer lacks. Before its first message it is not known which.
-fn rows(context: &Context, known: &Known) -> Vec<Rows> {
-    let mut missing = Vec::new();
+/// The rows that the peer lacks, and notices of those that it must fetch. Before its first message
+/// it is not known which.
+fn rows(context: &Context, name: &str, known: &Known) -> (Vec<Rows>, Vec<Notice>) {
+    let (mut missing, mut withheld) = (Vec::new(), Vec::new());
     if *known == Known::default() {
-        return missing;
+        return (missing, withheld);
     }
+    let can_fetch = context.members.protocol(name).is_some_and(|it| it >= FETCH_PROTOCOL);
+    let mut room = if can_fetch { MAX_ROW_BYTES } else { usize::MAX };
     for (index, topic) in Topic::FOLLOWED.into_iter().enumerate() {
         let position = known.positions[index];
         let head = context.mirror.head(topic).map(|it| it.position);
+        // It is passed on at once, since the rows take this daemon a while, too.
+        let notice = context.notices.get(topic, head.max(position));
+        if let Some(notice) = notice.filter(|it| can_fetch && it.holder != name) {
+            withheld.push(notice);
+            continue;
+        }
         if head <= position {
             continue;
         }
+        let lack = context.mirror.lack(topic, position).unwrap_or_default();
+        if lack.bytes > room {
+            let holder = context.settings.daemon.as_str().to_owned();
+            withheld.push(Notice { topic: index, until: lack.until, holder });
+            continue;
+        }
         let Some(delta) = context.mirror.after(topic, position) else {
             continue;
         };
-        let bytes = delta.rows.iter().map(Row::bytes).sum::<usize>();
+        room -= lack.bytes;
         counter!("tealturn_exchange_row_bytes_total", "topic" => topic.name())
-            .increment(bytes as u64);
+            .increment(lack.bytes as u64);
         let after = position.map(|it| it.version).filter(|_| !delta.full);
         missing.push(Rows { topic: index, after, rows: delta.rows });
     }
-    missing
+    (missing, withheld)
 }
 
 fn targets(context: &Context, now: Time) -> Vec<Targets> {
--- a/src/gateway/exchange/take.rs
+++ b/src/gateway/exchange/take.rs
@@ -52,6 +52,11 @@
         take_limits(context, message, echo);
     }
     take_rows(context, message, echo);
+    for notice in &message.withheld {
+        if let Some(topic) = Topic::FOLLOWED.get(notice.topic) {
+            context.notices.record(*topic, notice);
+        }
+    }
 }
 
 /// Takes updates, and keeps them to be passed on.
--- a/src/gateway/exchange/wire.rs
+++ b/src/gateway/exchange/wire.rs
@@ -1,7 +1,8 @@
 //! How calls between daemons are laid out.
 //!
 //! Protocol 1 is `bincode` of the types as `serde` derives it. It can't be extended: a field that is added to
-//! one of them carries `#[serde(skip)]`. Protocol 2 is laid out in [`record`]. Two daemons agree on the newest
+//! one of them carries `#[serde(skip)]`. Protocol 2 is laid out in [`record`]; protocol 3 adds rows
+//! that are fetched. Two daemons agree on the newest
 //! protocol that both speak when a connection opens, see [`transport`](crate::fleet::transport).
 
 pub mod first;
@@ -33,7 +34,10 @@
 };
 
 /// The newest protocol that this build speaks.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
+
+/// The first protocol whose speakers fetch rows that are too large for a message.
+pub const FETCH_PROTOCOL: u32 = 3;
 
 /// The protocol of daemons that don't name theirs.
 pub const FIRST_PROTOCOL: u32 = 1;
@@ -100,6 +104,7 @@
     4 = ReturnQuota(grant),
     5 = KeepOrigin(entry),
     6 = FindOrigin(attempt),
+    7 = FetchRows(wanted),
 }
 
 /// Encodes and decodes the frames of one connection.
--- a/src/gateway/exchange/wire/record.rs
+++ b/src/gateway/exchange/wire/record.rs
@@ -12,11 +12,14 @@
     fleet::fact,
     gateway::{
         cache, crash,
-        exchange::wire::value::{Fields, Value, Written},
+        exchange::{
+            fetch,
+            wire::value::{Bytes, Fields, Value, Written},
+        },
         gauge::Outcomes,
         message::{
-            Head, Limit, Link, Load, Message, News, Release, Rollout, Rows, Sighting, Target,
-            Targets, Update, Usage,
+            Head, Limit, Link, Load, Message, News, Notice, Release, Rollout, Rows, Sighting,
+            Target, Targets, Update, Usage,
         },
         origin, permit, quota, rollout,
         store::{Position, Row},
@@ -127,6 +130,7 @@
         limits = Vec::new(),
         builds = Vec::new(),
         balances = Vec::new(),
+        withheld = Vec::new(),
     }
     Load { engine, calls, tokens, memory, outcomes }
     Outcomes { calls, failures }
@@ -156,6 +160,9 @@
     quota::Quota { rate, burst, unit }
     quota::Grant { workspace, amount, incarnation }
     quota::Denial { retry_after, balance }
+    Notice { topic, until, holder }
+    fetch::Wanted { topic, after, offset }
+    fetch::Part { position, full, digest, total, bytes }
 }
 
 choice! {
@@ -253,16 +260,3 @@
         Ok(row)
     }
 }
-
-/// The value of a row.
-struct Bytes(Vec<u8>);
-
-impl Value for Bytes {
-    fn write(&self, to: &mut Encoder<Vec<u8>>) -> Written {
-        to.bytes(&self.0)?.ok()
-    }
-
-    fn read(from: &mut Decoder<'_>) -> Result<Bytes, Error> {
-        from.bytes().map(|it| Bytes(it.to_vec()))
-    }
-}
--- a/src/gateway/exchange/wire/value.rs
+++ b/src/gateway/exchange/wire/value.rs
@@ -7,6 +7,7 @@
     decode::{Decoder, Error},
     encode::{self, Encoder},
 };
+use serde::{Deserialize, Serialize};
 
 use crate::{
     gateway::{
@@ -265,3 +266,17 @@
         Ok(pair)
     }
 }
+
+/// Bytes in one piece, other than a list of numbers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Bytes(pub Vec<u8>);
+
+impl Value for Bytes {
+    fn write(&self, to: &mut Encoder<Vec<u8>>) -> Written {
+        to.bytes(&self.0)?.ok()
+    }
+
+    fn read(from: &mut Decoder<'_>) -> Result<Bytes, Error> {
+        from.bytes().map(|it| Bytes(it.to_vec()))
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -3,7 +3,8 @@
 //!
 //! In a large fleet only a few daemons, the watchers, ask the store as long as all goes well. The
 //! others get the rows through the [`exchange`](crate::gateway::exchange), with the time at which a
-//! watcher had asked for them, and ask the store themselves when that is too long ago.
+//! watcher had asked for them, and ask the store themselves when that is too long ago, or when the rows
+//! are too large for messages; see [`fetch`](crate::gateway::exchange::fetch).
 
 use std::{
     sync::Arc,
@@ -69,6 +70,10 @@
 /// exchange fails.
 const MAX_AGE: Duration = Duration::from_millis(9_000);
 
+/// Minimum time between two reads of rows that are too large for messages, so that documents in quick
+/// succession are read together.
+const FETCH_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time that a daemon which is no watcher waits for the first rows of a topic from its hub.
 const FIRST_ROWS_WAIT: Duration = Duration::from_millis(800);
 
@@ -121,8 +126,13 @@
         Topic::Operator => context.settings.revocation.mul_f64(OPERATOR_MAX_AGE_SHARE).min(MAX_AGE),
         _ => MAX_AGE,
     };
-    let now = context.now();
-    match context.mirror.head(topic) {
+    let (now, head) = (context.now(), context.mirror.head(topic));
+    if context.notices.get(topic, head.map(|it| it.position)).is_some()
+        && now.since(started_at) >= FETCH_PAUSE
+    {
+        return true;
+    }
+    match head {
         Some(head) => now.since(head.confirmed_at) >= max_age + jitter,
         None if topic == Topic::Fleet => true,
         None => now.since(started_at) >= FIRST_ROWS_WAIT + jitter,
@@ -144,6 +154,9 @@
         self.wait_for_members().await;
         loop {
             self.wait_until_due().await;
+            if self.failures > 0 && exchange::fetch::fetch(&self.context, self.topic).await {
+                continue;
+            }
             self.poll().await;
         }
     }
@@ -285,6 +298,9 @@
         };
         let delay = (RETRY_DELAY_MIN * 2_u32.pow(self.failures.min(8))).min(max_delay);
         self.failures += 1;
+        if exchange::fetch::fetch(&self.context, self.topic).await {
+            return;
+        }
         time::sleep(delay.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
 }
--- a/src/gateway/member.rs
+++ b/src/gateway/member.rs
@@ -114,6 +114,13 @@
         Some(members[index].1.peer)
     }
 
+    /// The newest protocol that a daemon speaks; `None` if it is not registered.
+    pub fn protocol(&self, name: &str) -> Option<u32> {
+        let members = self.0.load();
+        let index = members.binary_search_by(|(it, _)| it.as_str().cmp(name)).ok()?;
+        Some(members[index].1.protocol)
+    }
+
     /// All addresses of daemons.
     pub fn addresses(&self) -> Set<SocketAddr> {
         self.0.load().iter().flat_map(|(_, it)| [it.caller, it.peer]).collect()
--- a/src/gateway/message.rs
+++ b/src/gateway/message.rs
@@ -130,6 +130,17 @@
     pub rows: Vec<Row>,
 }
 
+/// Tells of rows that are too large for a message; see [`fetch`](crate::gateway::exchange::fetch).
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Notice {
+    /// Index in [`Topic::FOLLOWED`](crate::gateway::store::Topic::FOLLOWED).
+    pub topic: usize,
+    /// The transaction that wrote the latest of them.
+    pub until: Position,
+    /// A daemon that has them, which need not be the sender.
+    pub holder: String,
+}
+
 /// Versions of a model's weights that the operator set.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Targets {
@@ -297,4 +308,7 @@
     pub builds: Vec<Release>,
     /// Quotas of workspaces from which the sender has granted amounts recently, told from hub to hub.
     pub balances: Vec<quota::Balance>,
+    /// Rows that the receiver lacks and that are too large for a message.
+    #[serde(skip)]
+    pub withheld: Vec<Notice>,
 }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -38,6 +38,15 @@
     pub rows: Vec<Row>,
 }
 
+/// How much an older copy lacks.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Lack {
+    /// Bytes of the missing rows, as [`Row::bytes`] counts them.
+    pub bytes: usize,
+    /// The transaction that wrote the latest one.
+    pub until: Position,
+}
+
 /// Copies of all topics that are followed.
 #[derive(Debug, Default)]
 pub struct Mirror(Mutex<[Copy; Topic::FOLLOWED.len()]>);
@@ -74,16 +83,24 @@
     /// Rows that a copy up to `position` lacks; all if it is `None` or of another era. Returns
     /// `None` if the topic was never read here.
     pub fn after(&self, topic: Topic, position: Option<Position>) -> Option<Delta> {
+        self.copy(topic, |copy| {
+            let (full, rows) = copy.missing(position)?;
+            Some(Delta { full, restored: false, rows: rows.cloned().collect() })
+        })
+    }
+
+    /// What a copy up to `position` lacks; `None` if that is nothing.
+    pub fn lack(&self, topic: Topic, position: Option<Position>) -> Option<Lack> {
         self.copy(topic, |copy| {
             let era = copy.head?.position.era;
-            let version = position.filter(|it| it.era == era).map(|it| it.version);
-            let full = version.is_none_or(|it| it < copy.complete_after);
-            let is_missing = |row: &&Row| match full {
-                true => !row.removed,
-                false => version.is_some_and(|it| row.version > it),
-            };
-            let rows = copy.rows.values().filter(is_missing).cloned().collect();
-            Some(Delta { full, restored: false, rows })
+            let (_, rows) = copy.missing(position)?;
+            let mut lack: Option<Lack> = None;
+            for row in rows {
+                let lack = lack.get_or_insert_default();
+                lack.bytes += row.bytes();
+                lack.until = lack.until.max(Position { era, version: row.version });
+            }
+            lack
         })
     }
 
@@ -99,6 +116,21 @@
 }
 
 impl Copy {
+    /// The rows that a copy up to `position` lacks, and whether these are all; `None` without a copy.
+    fn missing(
+        &self,
+        position: Option<Position>,
+    ) -> Option<(bool, impl Iterator<Item = &Row> + use<'_>)> {
+        let era = self.head?.position.era;
+        let version = position.filter(|it| it.era == era).map(|it| it.version);
+        let full = version.is_none_or(|it| it < self.complete_after);
+        let is_missing = move |row: &&Row| match full {
+            true => !row.removed,
+            false => version.is_some_and(|it| row.version > it),
+        };
+        Some((full, self.rows.values().filter(is_missing)))
+    }
+
     fn merge(
         &mut self,
         rows: &[Row],
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,8 @@
 mod crashing;
 #[path = "gateway/document.rs"]
 mod document;
+#[path = "gateway/fetch.rs"]
+mod fetch;
 #[path = "gateway/freshness.rs"]
 mod freshness;
 #[path = "gateway/gauge.rs"]
--- a/tests/gateway/peer.rs
+++ b/tests/gateway/peer.rs
@@ -38,6 +38,7 @@
         builds: Vec::new(),
         limits: Vec::new(),
         sightings: Vec::new(),
+        withheld: Vec::new(),
     }
 }
 
--- a/tests/gateway/simulation.rs
+++ b/tests/gateway/simulation.rs
@@ -643,9 +643,14 @@
         }
     }
 
-    /// Whether a daemon that is no watcher asks the store. Where messages take no time, none has to.
+    /// Whether a daemon that is no watcher asks the store. Where messages take no time, it has to only for
+    /// rows that are too large for them.
     fn asks_itself(&self, context: &Context, topic: Topic) -> bool {
-        self.links.is_some() && follow::is_due(context, topic, context.now(), AGE_JITTER)
+        if self.links.is_some() {
+            return follow::is_due(context, topic, Time::default(), AGE_JITTER);
+        }
+        let position = context.mirror.head(topic).map(|it| it.position);
+        context.notices.get(topic, position).is_some()
     }
 
     /// Whether rows of the topic are on their way from the store to a daemon.
--- a/tests/gateway/upgrade.rs
+++ b/tests/gateway/upgrade.rs
@@ -12,7 +12,11 @@
 use tealturn::{
     fleet::transport::{self, Transport},
     gateway::{
-        exchange::{Exchange, ExchangeClient, ExchangeRequest, ExchangeResponse, wire::Codec},
+        exchange::{
+            Exchange, ExchangeClient, ExchangeRequest, ExchangeResponse,
+            fetch::{Part, Wanted},
+            wire::Codec,
+        },
         message::Message,
         origin,
         permit::{self, Verdict},
@@ -55,6 +59,10 @@
     async fn find_origin(self, _: call::Context, attempt: u64) -> Option<Build> {
         Some(Build::from(&*attempt.to_string()))
     }
+
+    async fn fetch_rows(self, _: call::Context, _: Wanted) -> Option<Part> {
+        None
+    }
 }
 
 /// The transport of a client and of a server of production commit ce03f73.
--- a/tests/gateway/wire.rs
+++ b/tests/gateway/wire.rs
@@ -78,7 +78,7 @@
 fn frames_of_each_released_protocol_are_read_and_written_as_recorded() {
     for protocol in FIRST_PROTOCOL..=PROTOCOL {
         let is_written = protocol == FIRST_PROTOCOL || protocol == PROTOCOL;
-        for sample in SAMPLES {
+        for sample in SAMPLES.iter().filter(|it| it.since <= protocol) {
             let name = format!("protocol {protocol}, {}", sample.name);
             let (call, answer) =
                 (client_frame((sample.request)()), server_frame((sample.response)()));
--- a/tests/gateway/wire_samples.rs
+++ b/tests/gateway/wire_samples.rs
@@ -6,11 +6,15 @@
     fleet::board::{Fact, Key, Value},
     gateway::{
         cache, crash,
-        exchange::{ExchangeRequest, ExchangeResponse},
+        exchange::{
+            ExchangeRequest, ExchangeResponse,
+            fetch::{Part, Wanted},
+            wire::value::Bytes,
+        },
         gauge::Outcomes,
         message::{
-            Age, Head, Limit, Link, Load, Message, News, Offset, Release, Rollout, Rows, Sighting,
-            Target, Targets, Update, Usage,
+            Age, Head, Limit, Link, Load, Message, News, Notice, Offset, Release, Rollout, Rows,
+            Sighting, Target, Targets, Update, Usage,
         },
         origin,
         permit::{self, Purpose},
@@ -27,6 +31,8 @@
 /// A call and its answer.
 pub struct Sample {
     pub name: &'static str,
+    /// The first protocol that has it.
+    pub since: u32,
     pub request: fn() -> ExchangeRequest,
     pub response: fn() -> ExchangeResponse,
 }
@@ -34,11 +40,13 @@
 pub const SAMPLES: &[Sample] = &[
     Sample {
         name: "exchange",
+        since: 1,
         request: || ExchangeRequest::Exchange { message: full() },
         response: || ExchangeResponse::Exchange(empty()),
     },
     Sample {
         name: "permit",
+        since: 1,
         request: || ExchangeRequest::Permit {
             ask: permit::Ask {
                 upstream: u64::MAX - 1,
@@ -51,6 +59,7 @@
     },
     Sample {
         name: "permit-granted",
+        since: 1,
         request: || ExchangeRequest::Permit {
             ask: permit::Ask {
                 upstream: 3,
@@ -63,6 +72,7 @@
     },
     Sample {
         name: "quota",
+        since: 1,
         request: || ExchangeRequest::Quota {
             ask: quota::Ask {
                 workspace: 1 << 60,
@@ -75,6 +85,7 @@
     },
     Sample {
         name: "quota-denied",
+        since: 1,
         request: || ExchangeRequest::Quota {
             ask: quota::Ask {
                 workspace: 1 << 60,
@@ -92,30 +103,72 @@
     },
     Sample {
         name: "return-quota",
+        since: 1,
         request: || ExchangeRequest::ReturnQuota { grant: GRANT },
         response: || ExchangeResponse::ReturnQuota(()),
     },
     Sample {
         name: "keep-origin",
+        since: 1,
         request: || ExchangeRequest::KeepOrigin { entry: origin_entry() },
         response: || ExchangeResponse::KeepOrigin(()),
     },
     Sample {
         name: "find-origin",
+        since: 1,
         request: || ExchangeRequest::FindOrigin { attempt: 77 },
         response: || ExchangeResponse::FindOrigin(Some(Build::from("v2"))),
     },
     Sample {
         name: "find-origin-unknown",
+        since: 1,
         request: || ExchangeRequest::FindOrigin { attempt: 78 },
         response: || ExchangeResponse::FindOrigin(None),
     },
+    Sample {
+        name: "exchange-withheld",
+        since: 3,
+        request: || ExchangeRequest::Exchange {
+            message: Message { withheld: vec![notice()], ..full() },
+        },
+        response: || ExchangeResponse::Exchange(empty()),
+    },
+    Sample {
+        name: "fetch-rows",
+        since: 3,
+        request: || ExchangeRequest::FetchRows {
+            wanted: Wanted { topic: 2, after: Some(POSITION), offset: 70_000 },
+        },
+        response: || {
+            ExchangeResponse::FetchRows(Some(Part {
+                position: POSITION,
+                full: true,
+                digest: u64::MAX,
+                total: 70_003,
+                bytes: Bytes(vec![1, 2, 255]),
+            }))
+        },
+    },
+    Sample {
+        name: "fetch-rows-unknown",
+        since: 3,
+        request: || ExchangeRequest::FetchRows {
+            wanted: Wanted { topic: 0, after: None, offset: 0 },
+        },
+        response: || ExchangeResponse::FetchRows(None),
+    },
 ];
 
+const POSITION: Position = Position { era: Era(1), version: 41 };
+
 const INCARNATION: Incarnation = Incarnation(1_700_000_000_000_000);
 
 const GRANT: Grant = Grant { workspace: 1 << 60, amount: 9_190, incarnation: INCARNATION };
 
+fn notice() -> Notice {
+    Notice { topic: 0, until: POSITION, holder: "daemon-3".to_owned() }
+}
+
 fn origin_entry() -> origin::Entry {
     origin::Entry { attempt: 77, service: 5, build: Build::from("v2") }
 }
@@ -155,6 +208,7 @@
         limits: Vec::new(),
         builds: Vec::new(),
         balances: Vec::new(),
+        withheld: Vec::new(),
     }
 }
 
@@ -200,7 +254,7 @@
         removed: false,
     };
     let removed = Row { key: "barred/1f".to_owned(), value: None, version: 41, removed: true };
-    let head = Head { position: Position { era: Era(1), version: 41 }, confirmed_at: offset() };
+    let head = Head { position: POSITION, confirmed_at: offset() };
     Message {
         from: "daemon-1".to_owned(),
         incarnation: INCARNATION,
@@ -254,5 +308,6 @@
         }],
         builds: vec![Release { service: 5, build: Build::from("v1"), age: age() }],
         balances: vec![Balance { workspace: 1 << 60, granted: -4, balance: 100 }],
+        withheld: Vec::new(),
     }
 }
