Read an answer of the store for as long as it arrives

Callers would be served by an old configuration where the document is large and the link narrow: a read of the store had 1.5 s for the whole answer, and began from nothing after that. A document with 4,200 routes takes 1.4 MB in base64, 1.1 s of an idle link of 10 Mbit/s.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -321,11 +321,24 @@
     /// [`Error::NoResponse`] if the answer broke off, [`Error::Oversized`] if there is no memory for
     /// it.
     pub async fn finish(&self, answer: Answer) -> Result<Bytes> {
+        self.finish_unless_stalled(answer, Duration::MAX).await
+    }
+
+    /// The same, unless no byte arrives for `stall`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::finish`]; [`Error::NoResponse`] also if the answer stalled.
+    pub async fn finish_unless_stalled(&self, answer: Answer, stall: Duration) -> Result<Bytes> {
         let Answer { response, address, connection, .. } = answer;
         let kept = idle_time(&response);
         let mut body = response.into_body();
         let mut whole = Buffer::new(self.memory.hold(), self.max_answer_bytes);
-        while let Some(frame) = body.frame().await {
+        let stalled = |_| {
+            let reason = format!("the body stalled for {stall:?}");
+            Error::NoResponse { address, reason }
+        };
+        while let Some(frame) = time::timeout(stall, body.frame()).await.map_err(stalled)? {
             let frame = frame.map_err(|error| {
                 let reason = error.to_string();
                 Error::NoResponse { address, reason }
