--- a/review/kit-2/forgotten.rs
+++ b/review/kit-2/forgotten.rs
@@ -132,7 +132,9 @@
             scene.register(&runner, "ready", 1);
             runners.push(runner);
             // The new one starts first, then the old one drains.
-            scene.register(&runners[usize::from(number)], "draining", 2);
+            let old = &mut runners[usize::from(number)];
+            old.announce_leaving();
+            scene.register(old, "draining", 2);
         }
         thread::sleep(STABLE.saturating_sub(started.elapsed()));
     } else {
--- a/review/kit-2/runner.rs
+++ b/review/kit-2/runner.rs
@@ -5,7 +5,10 @@
     io::{BufReader, Write},
     net::{TcpListener, TcpStream},
     process::ExitCode,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -41,6 +44,7 @@
     id: String,
     version: String,
     manner: Manner,
+    is_leaving: AtomicBool,
 }
 
 /// One piece of a stream.
@@ -53,17 +57,21 @@
         return ExitCode::from(2);
     };
     let (id, version) = (id.to_owned(), version.to_owned());
-    let runner = Arc::new(Runner { id, version, manner });
+    let runner = Arc::new(Runner { id, version, manner, is_leaving: AtomicBool::new(false) });
     println!("listening");
+    let shared = runner.clone();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let runner = runner.clone();
+            let runner = shared.clone();
             thread::spawn(move || runner.serve(stream));
         }
     });
     // It ends with its parent, which holds the other end of its standard input.
     let mut line = String::new();
     while std::io::stdin().read_line(&mut line).is_ok_and(|it| it > 0) {
+        if line.trim() == "leave" {
+            runner.is_leaving.store(true, Ordering::Relaxed);
+        }
         line.clear();
     }
     ExitCode::SUCCESS
@@ -125,6 +133,8 @@
             count.split(',').nth(1).and_then(|it| it.trim().parse().ok()).unwrap_or(1);
         let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         println!("run {attempt} after {after}");
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
         let pause = Duration::from_millis(self.manner.answer_ms / pieces.max(1));
         let prompt = request.header("x-tealturn-prompt-prefix").unwrap_or_default();
         let parts: Vec<_> = prompt.split(',').filter_map(|it| it.split(':').next()).collect();
@@ -138,7 +148,7 @@
             if self.manner.is_chunked { "Transfer-Encoding: chunked" } else { "Connection: close" };
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n\
-             X-Tealturn-Request-Attempt: {attempt}\r\nX-Tealturn-Server-Seal: {}.{attempt}\r\n\
+             {leaving}X-Tealturn-Request-Attempt: {attempt}\r\nX-Tealturn-Server-Seal: {}.{attempt}\r\n\
              X-Tealturn-Weight-Versions: 1\r\n\r\n",
             self.id
         );
--- a/review/kit-2/scene.rs
+++ b/review/kit-2/scene.rs
@@ -2,7 +2,7 @@
 
 use std::{
     env, fs,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Write},
     net::{IpAddr, Ipv4Addr, TcpListener},
     path::PathBuf,
     process::{Child, ChildStdin, Command, Stdio},
@@ -60,7 +60,7 @@
 pub struct Runner {
     process: Child,
     /// The process ends when this is closed.
-    _input: ChildStdin,
+    input: ChildStdin,
     pub id: String,
     pub address: String,
     pub version: String,
@@ -165,7 +165,7 @@
         started.recv_timeout(STARTUP).map_err(|_| format!("{id} doesn't listen"))?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let version = version.to_owned();
-        Ok(Runner { process, _input: input, id, address, version, born })
+        Ok(Runner { process, input, id, address, version, born })
     }
 
     /// Writes the entry of a runner.
@@ -209,6 +209,11 @@
         self.process.try_wait().is_ok_and(|it| it.is_some())
     }
 
+    /// Makes it say in all its answers that it leaves.
+    pub fn announce_leaving(&mut self) {
+        let _ = self.input.write_all(b"leave\n");
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.process.kill();
