Let streams go on that are older than a build which came after their daemons died

All are refused with 503 although engines of their build serve.

Cause: while a service has one build, nobody is told which build began a stream, and once a second one is listed a stream that nobody knows may be of either. Nothing bounded who may have begun one at the new build, so that its absence from all tables told nothing. The log has the reason `unknown_build` for each refusal, and neither `absent_build` nor "no upstream selected".

Fix: a daemon process writes a claim in the store before it begins streams at a build that came beside an earlier one; until then, resumable streams begin at builds that are open to it. A stream that no daemon and no row knows began at the unclaimed build, unless a process that claims another one is gone or didn't answer. Asked for an origin, daemons now name their process (protocol 4), so that one which has started since doesn't speak for its predecessor. A claim outlives its process, so a stream that a lost daemon began at the new build just before its end is still refused. Nothing is concluded after the store came back from an older copy, or while a daemon of an older protocol is registered.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -28,6 +28,7 @@
 pub use self::{compose::compose, take::take};
 use self::{
     fetch::{Part, Wanted},
+    origin::Lookup,
     wire::{Codec, FIRST_PROTOCOL, PROTOCOL},
 };
 use crate::{
@@ -97,6 +98,9 @@
 
     /// Returns a part of the rows that the caller lacks; `None` if this daemon doesn't have them.
     async fn fetch_rows(wanted: Wanted) -> Option<Part>;
+
+    /// Tells which build began a stream, if this daemon knows it, and which process answers.
+    async fn look_up_origin(attempt: u64) -> Lookup;
 }
 
 #[derive(Clone)]
@@ -132,6 +136,11 @@
     async fn fetch_rows(self, _: call::Context, wanted: Wanted) -> Option<Part> {
         fetch::part(&self.0, &wanted)
     }
+
+    async fn look_up_origin(self, _: call::Context, attempt: u64) -> Lookup {
+        let build = self.0.origins().known(attempt, self.0.now());
+        Lookup { incarnation: self.0.incarnation, build }
+    }
 }
 
 /// Opens a connection to another daemon.
--- a/src/gateway/exchange/origin.rs
+++ b/src/gateway/exchange/origin.rs
@@ -9,17 +9,18 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::FuturesUnordered};
+use serde::{Deserialize, Serialize};
 use tokio::{sync::oneshot, time};
 use tracing::info;
 
 use crate::{
     gateway::{
         context::Context,
-        exchange::ExchangeClient,
+        exchange::{ExchangeClient, wire::CLAIM_PROTOCOL},
         origin::{Entry, ORIGIN_WAIT},
         topology::FULL_MESH_DAEMONS,
     },
-    kernel::id::Build,
+    kernel::id::{Build, Incarnation},
 };
 
 /// Number of daemons that are told of a stream directly.
@@ -79,25 +80,48 @@
     context.connections.call(address, ANSWER_TIMEOUT, make).await
 }
 
+/// What a daemon knows of the origin of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lookup {
+    /// The process that answers; 0 for daemons that don't claim builds.
+    pub incarnation: Incarnation,
+    /// The build that began the stream, if the daemon knows it.
+    pub build: Option<Build>,
+}
+
 /// What other daemons have answered.
 #[derive(Debug, Default)]
 pub struct Answers {
     /// The build that began the stream, if one of them knows it.
     pub build: Option<Build>,
-    /// How many of them don't.
-    pub unknowing: usize,
+    /// Those that don't know it, and their processes.
+    pub unknowing: Vec<(String, Incarnation)>,
+}
+
+impl Answers {
+    /// The process of a daemon that doesn't know the stream, if it has answered.
+    pub fn unknowing_process(&self, daemon: &str) -> Option<Incarnation> {
+        let mut unknowing = self.unknowing.iter();
+        unknowing.find(|(name, _)| name == daemon).map(|(_, incarnation)| *incarnation)
+    }
 }
 
 /// Asks other daemons which build began a stream, those first that were probably told, until one of them
 /// knows or [`ORIGIN_WAIT`] is over.
 pub async fn ask(context: &Context, attempt: u64) -> Answers {
+    ask_daemons(context, candidates(context, attempt), attempt).await
+}
+
+/// Asks these daemons which build began a stream, until one of them knows or [`ORIGIN_WAIT`] is over.
+pub async fn ask_daemons(context: &Context, names: Vec<String>, attempt: u64) -> Answers {
     let mut answers = Answers::default();
-    let names = candidates(context, attempt);
     let count = names.len();
     let find = |name| find(context, name, attempt);
-    let asked = call_in_turn(names, count, find, |answer| {
-        answers.unknowing += usize::from(answer.is_none());
-        answers.build = answer;
+    let asked = call_in_turn(names, count, find, |(name, lookup)| {
+        match lookup.build {
+            Some(build) => answers.build = Some(build),
+            None => answers.unknowing.push((name, lookup.incarnation)),
+        }
         answers.build.is_some()
     });
     // Late answers don't matter any more.
@@ -105,11 +129,18 @@
     answers
 }
 
-async fn find(context: &Context, name: String, attempt: u64) -> Option<Option<Build>> {
+async fn find(context: &Context, name: String, attempt: u64) -> Option<(String, Lookup)> {
     let address = context.members.peer_address(&name)?;
-    let make =
-        |client: ExchangeClient, call| async move { client.find_origin(call, attempt).await };
-    context.connections.call(address, ANSWER_TIMEOUT, make).await
+    let names_process = context.members.protocol(&name).is_some_and(|it| it >= CLAIM_PROTOCOL);
+    let make = |client: ExchangeClient, call| async move {
+        if names_process {
+            return client.look_up_origin(call, attempt).await;
+        }
+        let build = client.find_origin(call, attempt).await?;
+        Ok(Lookup { incarnation: Incarnation::default(), build })
+    };
+    let lookup = context.connections.call(address, ANSWER_TIMEOUT, make).await?;
+    Some((name, lookup))
 }
 
 /// Calls daemons, [`REPLICAS`] at a time, until `count` have answered or `is_done` says so of an answer.
--- a/src/gateway/exchange/wire.rs
+++ b/src/gateway/exchange/wire.rs
@@ -2,7 +2,7 @@
 //!
 //! Protocol 1 is `bincode` of the types as `serde` derives it. It can't be extended: a field that is added to
 //! one of them carries `#[serde(skip)]`. Protocol 2 is laid out in [`record`]; protocol 3 adds rows
-//! that are fetched. Two daemons agree on the newest
+//! that are fetched, protocol 4 answers about origins that name the process. Two daemons agree on the newest
 //! protocol that both speak when a connection opens, see [`transport`](crate::fleet::transport).
 
 pub mod first;
@@ -34,11 +34,15 @@
 };
 
 /// The newest protocol that this build speaks.
-pub const PROTOCOL: u32 = 3;
+pub const PROTOCOL: u32 = 4;
 
 /// The first protocol whose speakers fetch rows that are too large for a message.
 pub const FETCH_PROTOCOL: u32 = 3;
 
+/// The first protocol whose speakers claim builds before they begin streams there, and name their process when
+/// they are asked for an origin.
+pub const CLAIM_PROTOCOL: u32 = 4;
+
 /// The protocol of daemons that don't name theirs.
 pub const FIRST_PROTOCOL: u32 = 1;
 
@@ -105,6 +109,7 @@
     5 = KeepOrigin(entry),
     6 = FindOrigin(attempt),
     7 = FetchRows(wanted),
+    8 = LookUpOrigin(attempt),
 }
 
 /// Encodes and decodes the frames of one connection.
--- a/src/gateway/exchange/wire/record.rs
+++ b/src/gateway/exchange/wire/record.rs
@@ -14,6 +14,7 @@
         cache, crash,
         exchange::{
             fetch,
+            origin::Lookup,
             wire::value::{Bytes, Fields, Value, Written},
         },
         gauge::Outcomes,
@@ -163,6 +164,7 @@
     Notice { topic, until, holder }
     fetch::Wanted { topic, after, offset }
     fetch::Part { position, full, digest, total, bytes }
+    Lookup { incarnation, build = None }
 }
 
 choice! {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -353,7 +353,7 @@
                 exchange::update_plan(context);
             }
         }
-        Topic::Leases | Topic::Streams => {}
+        Topic::Leases | Topic::Streams | Topic::Claims => {}
     }
     if previous.is_some() && !delta.rows.is_empty() {
         context.urgent.notify_one();
--- a/src/gateway/origin.rs
+++ b/src/gateway/origin.rs
@@ -7,8 +7,10 @@
 //! event a few directly (see [`exchange::origin`](crate::gateway::exchange::origin)).
 //!
 //! All daemons may be killed at once, and builds come and go meanwhile. So the store keeps which builds
-//! each service had ([`ledger`]) and, while there are several, the origins of streams ([`log`]).
+//! each service had ([`ledger`]) and, while there are several, the origins of streams ([`log`]) and which
+//! daemons may have begun some at the later builds ([`claim`]).
 
+pub mod claim;
 mod ledger;
 pub mod log;
 pub mod row;
@@ -73,6 +75,8 @@
     builds: Map<u64, Map<Build, Time>>,
     /// What the store has of the builds of each service.
     ledgers: Map<u64, ledger::Ledger>,
+    /// The builds of each service that the store has as claimed by this process.
+    claims: Map<u64, claim::Claimed>,
     /// What the store has, or is to have, of the streams through this daemon.
     log: log::Log,
 }
--- a/src/gateway/origin/ledger.rs
+++ b/src/gateway/origin/ledger.rs
@@ -17,6 +17,20 @@
     listed: Vec<Build>,
     /// Those of the listed builds that have had upstreams ever since. The row may have lost the others.
     verified: Vec<Build>,
+    /// The one of several listed builds that daemons don't claim; `None` if they claim none.
+    unclaimed: Option<Build>,
+}
+
+impl Ledger {
+    /// Whether the row was complete in this era or a later one.
+    pub(super) fn reaches(&self, era: Era) -> bool {
+        self.era >= era
+    }
+
+    /// Whether streams may begin at the build only once it is claimed.
+    pub(super) fn requires_claim(&self, build: &Build) -> bool {
+        self.listed.len() > 1 && self.unclaimed.as_ref().is_some_and(|it| it != build)
+    }
 }
 
 impl Table {
@@ -48,13 +62,15 @@
         false
     }
 
-    /// The row that must replace the one that the store has, if it must be replaced.
+    /// The row that must replace the one that the store has, if it must be replaced. `all_claim` tells whether
+    /// all daemons claim builds.
     pub fn row_to_write(
         &self,
         service: u64,
         row: Option<&row::Builds>,
         era: Era,
         registered: &[Build],
+        all_claim: bool,
         now: Time,
     ) -> Option<row::Builds> {
         let recent = self.recent_builds(service, registered, now);
@@ -74,14 +90,23 @@
         };
         // Another daemon may be about to take a build off that is back. Then its write must fail.
         let must_touch = registered.iter().any(|it| is_back(&it));
-        let is_written = !is_incomplete(row, era) && builds == listed && !must_touch;
-        (!is_written).then_some(row::Builds { era, builds })
+        let mut wanted = row::Builds { era, builds, unclaimed: None };
+        if wanted.builds.len() > 1 && all_claim && !was_lost {
+            wanted.unclaimed = row.and_then(row::Builds::unclaimed).cloned();
+            wanted.unclaimed = wanted.unclaimed().cloned();
+        }
+        let is_same = row
+            .is_some_and(|it| (&it.builds, it.unclaimed()) == (&wanted.builds, wanted.unclaimed()));
+        let is_empty = row.is_none() && wanted.builds.is_empty();
+        let is_written = !is_incomplete(row, era) && (is_same || is_empty) && !must_touch;
+        (!is_written).then_some(wanted)
     }
 
     /// Records that the store has this row.
     pub fn note_row(&mut self, service: u64, row: row::Builds, registered: &[Build]) {
         let verified = row.builds.iter().filter(|it| registered.contains(it)).cloned().collect();
-        let ledger = Ledger { era: row.era, listed: row.builds, verified };
+        let unclaimed = row.unclaimed().cloned();
+        let ledger = Ledger { era: row.era, listed: row.builds, verified, unclaimed };
         self.ledgers.insert(service, ledger);
     }
 
@@ -90,15 +115,27 @@
         self.ledgers.contains_key(&service)
     }
 
-    /// Whether the row of a service surely lists a build. `era` is the latest one of the store.
+    /// Whether the row of a service surely lists a build, and the store has the claim of this process if one
+    /// is required. `era` is the latest one of the store.
     pub fn is_listed(&self, service: u64, build: &Build, era: Era) -> bool {
-        let ledger = self.ledgers.get(&service);
-        ledger.is_some_and(|it| it.era >= era && it.verified.contains(build))
+        let Some(ledger) = self.ledgers.get(&service) else {
+            return false;
+        };
+        let is_open = !ledger.requires_claim(build) || self.is_claimed(service, build, era);
+        ledger.reaches(era) && ledger.verified.contains(build) && is_open
     }
 
     /// Whether the row of a service must be read, and may have to be written: it may lack a build of an
-    /// upstream, or lists one that nobody has used for a while.
-    pub fn is_row_due(&mut self, service: u64, registered: &[Build], era: Era, now: Time) -> bool {
+    /// upstream, lists one that nobody has used for a while, or says that all daemons claim builds although
+    /// some don't.
+    pub fn is_row_due(
+        &mut self,
+        service: u64,
+        registered: &[Build],
+        era: Era,
+        all_claim: bool,
+        now: Time,
+    ) -> bool {
         let Some(ledger) = self.ledgers.get_mut(&service) else {
             return !registered.is_empty();
         };
@@ -108,6 +145,7 @@
         ledger.era < era
             || registered.iter().any(|it| !ledger.verified.contains(it))
             || ledger.listed.iter().any(|it| !recent.contains(it))
+            || (!all_claim && ledger.listed.len() > 1 && ledger.unclaimed.is_some())
     }
 }
 
--- a/src/gateway/peer.rs
+++ b/src/gateway/peer.rs
@@ -326,6 +326,11 @@
         inner.heard.iter().filter(|(it, at)| **it != own && now.since(**at) < age).count()
     }
 
+    /// Whether a daemon was heard of within `age`, directly or through peers.
+    pub fn is_heard(&self, name: &str, age: Duration, now: Time) -> bool {
+        self.lock().heard.get(&name_hash(name)).is_some_and(|at| now.since(*at) < age)
+    }
+
     /// Updates of this daemon and its peers.
     pub fn updates(&self) -> MutexGuard<'_, Updates> {
         self.updates.lock().unwrap_or_else(|it| it.into_inner())
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -1,6 +1,8 @@
 //! Keeps in the store which builds services had and which ones began their streams, and looks them up
 //! there. What must be written is decided in [`origin`](crate::gateway::origin).
 
+pub mod claim;
+
 use std::{sync::Arc, time::Duration};
 
 use metrics::counter;
@@ -12,6 +14,7 @@
     collections::Map,
     gateway::{
         context::Context,
+        exchange::wire::CLAIM_PROTOCOL,
         origin::{LIFETIME, log::Due, row},
         store::{self, Batch, Era, MAX_BATCH_ROWS, Outcome, Row, Topic, Write},
     },
@@ -71,22 +74,40 @@
                 has_failed = true;
             }
         }
+        for (service, builds) in claim::due(context) {
+            if let Err(failure) = claim::write(context, &service, builds).await {
+                let service = service.as_str();
+                warn!(service, %failure, "failed to claim builds of a service; retrying");
+                has_failed = true;
+            }
+        }
         if has_failed {
             time::sleep(RETRY_DELAY).await;
         }
     }
 }
 
+/// Whether all daemons claim builds before they begin streams there; `None` if this one doesn't know the others
+/// yet.
+fn all_claim(context: &Context) -> Option<bool> {
+    context.mirror.head(Topic::Fleet)?;
+    let members = context.members.all();
+    Some(members.iter().all(|(_, it)| it.protocol >= CLAIM_PROTOCOL))
+}
+
 /// The services whose streams may be resumed and whose rows must be read or written.
 fn due_services(context: &Context) -> Vec<Service> {
     let (view, document) = (context.view.load(), context.document.load());
-    let (Some(document), Some(era)) = (document.as_ref(), context.eras.latest()) else {
+    let (Some(document), Some(era), Some(all_claim)) =
+        (document.as_ref(), context.eras.latest(), all_claim(context))
+    else {
         return Vec::new();
     };
     let (mut origins, now) = (context.origins(), context.now());
     let mut due = Vec::new();
     for service in view.services().filter(|it| document.is_resumable(it)) {
-        if origins.is_row_due(name_hash(service.as_str()), view.builds(service), era, now) {
+        let hash = name_hash(service.as_str());
+        if origins.is_row_due(hash, view.builds(service), era, all_claim, now) {
             due.push(service.clone());
         }
     }
@@ -103,8 +124,10 @@
         learn(context, service, listed.as_ref(), era);
         let view = context.view.load();
         let registered = view.builds(service);
+        let (all_claim, now) = (all_claim(context).unwrap_or(false), context.now());
+        let listed_row = listed.as_ref();
         let wanted =
-            context.origins().row_to_write(hash, listed.as_ref(), era, registered, context.now());
+            context.origins().row_to_write(hash, listed_row, era, registered, all_claim, now);
         let Some(wanted) = wanted else {
             context.origins().note_row(hash, listed.unwrap_or_default(), registered);
             return Ok(());
@@ -120,6 +143,7 @@
                 info!(
                     service = service.as_str(),
                     ?builds,
+                    unclaimed = wanted.unclaimed().map(Build::as_str),
                     era = era.0,
                     "builds of a service recorded"
                 );
@@ -145,7 +169,8 @@
 /// The builds in the row of a service. Nobody knows those in a row that can't be read.
 fn decode_builds(row: Option<&Row>, era: Era) -> Option<row::Builds> {
     let decoded = decode(row?);
-    Some(decoded.unwrap_or_else(|| row::Builds { era, builds: vec![row::lost_builds()] }))
+    let lost = || row::Builds { era, builds: vec![row::lost_builds()], unclaimed: None };
+    Some(decoded.unwrap_or_else(lost))
 }
 
 fn decode<T: serde::de::DeserializeOwned>(row: &Row) -> Option<T> {
@@ -177,18 +202,20 @@
     }
 }
 
-/// Reads which builds a service had; returns whether the store has told all of them.
-pub async fn read_builds(context: &Context, service: &Service) -> bool {
-    let Some((era, row)) = get(context, &row::Builds::key(service)).await else {
-        return false;
-    };
-    learn(context, service, decode_builds(row.as_ref(), era).as_ref(), era)
+/// Reads which builds a service had; `None` if the store has not told all of them.
+pub async fn read_builds(context: &Context, service: &Service) -> Option<row::Builds> {
+    let (era, row) = get(context, &row::Builds::key(service)).await?;
+    let row = decode_builds(row.as_ref(), era);
+    learn(context, service, row.as_ref(), era).then(|| row.unwrap_or_default())
 }
 
-/// Reads which build began a stream.
-pub async fn read_origin(context: &Context, attempt: u64) -> Option<Build> {
+/// Reads which build began a stream; `None` if the store didn't tell whether it knows.
+pub async fn read_origin(context: &Context, attempt: u64) -> Option<Option<Build>> {
     let (_, row) = get(context, &row::Stream::key(attempt)).await?;
-    decode::<row::Stream>(&row?).map(|it| it.build)
+    match row {
+        Some(row) => decode::<row::Stream>(&row).map(|it| Some(it.build)),
+        None => Some(None),
+    }
 }
 
 /// Reads a row while a caller waits; `None` if the store doesn't answer in time.
@@ -239,22 +266,24 @@
 
 /// Removes rows of streams that other daemons have left behind.
 async fn sweep(context: &Context) {
-    let mut seen: Map<String, Time> = Map::default();
+    let (mut seen, mut claims) = (Map::default(), Map::default());
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         if context.plan.load().rank > 0 {
-            seen.clear();
+            (seen, claims) = (Map::default(), Map::default());
             continue;
         }
         if let Err(failure) = sweep_once(context, &mut seen).await {
             info!(%failure, "rows of streams not swept");
         }
+        if let Err(failure) = claim::sweep(context, &mut claims).await {
+            info!(%failure, "claims of builds not swept");
+        }
     }
 }
 
 /// Removes the rows that were seen longer than [`LIFETIME`] ago.
 async fn sweep_once(context: &Context, seen: &mut Map<String, Time>) -> Result<(), store::Error> {
-    let now = context.now();
     let mut keys = Vec::new();
     let mut after = None;
     loop {
@@ -266,6 +295,18 @@
             break;
         }
     }
+    remove_expired(context, Topic::Streams, keys, seen).await
+}
+
+/// Removes the rows with these keys that were first seen longer than [`LIFETIME`] ago. `seen` has when that
+/// was.
+async fn remove_expired(
+    context: &Context,
+    topic: Topic,
+    keys: Vec<String>,
+    seen: &mut Map<String, Time>,
+) -> Result<(), store::Error> {
+    let now = context.now();
     let before = std::mem::take(seen);
     for key in keys {
         let first = before.get(&key).copied().unwrap_or(now);
@@ -276,7 +317,7 @@
         left.push(key);
     }
     for removals in left.chunks(MAX_BATCH_ROWS) {
-        let batch = Batch { topic: Topic::Streams, puts: Vec::new(), removals: removals.to_vec() };
+        let batch = Batch { topic, puts: Vec::new(), removals: removals.to_vec() };
         context.store.write_all(&batch).await?;
     }
     Ok(())
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,6 +5,7 @@
 mod pump;
 mod resumption;
 mod turn;
+mod unclaimed;
 
 use std::{sync::Arc, time::Duration};
 
--- a/src/gateway/relay/admit.rs
+++ b/src/gateway/relay/admit.rs
@@ -25,7 +25,10 @@
         salt::Owner,
         topology::FULL_MESH_DAEMONS,
     },
-    kernel::{clock::Time, id::Service},
+    kernel::{
+        clock::Time,
+        id::{Service, Upstream},
+    },
     route::pool::name_hash,
 };
 
@@ -172,6 +175,7 @@
     fn query<'a>(
         &'a self,
         document: Option<&'a Document>,
+        excluded: &'a [Upstream],
         peers: &'a Totals,
         turn: Option<(Turn, &'a Engines)>,
         now: Time,
@@ -186,7 +190,7 @@
             prompt: call.head.prompt.as_ref(),
             cache_owner: owner.hash(),
             is_isolated: owner.is_isolated(),
-            excluded: &self.excluded,
+            excluded,
             build: self.origin.as_ref(),
             old_version_grace: context.settings.weights_deadline,
             running_limit_tokens,
@@ -212,20 +216,25 @@
         let peers = context.peers.peer_load(now);
         let engines = turn.map(|it| (it, context.rooms.observe(&peers, self.fleet(now), now)));
         let document = context.document.load();
+        let view = context.view.load();
+        let upstreams = view.service(service);
+        let withheld = self.withheld(upstreams);
+        let excluded = [&self.excluded[..], &withheld].concat();
         let query = self.query(
             document.as_deref(),
+            &excluded,
             &peers,
             engines.as_ref().map(|(turn, it)| (*turn, &**it)),
             now,
         );
-        let view = context.view.load();
-        let upstreams = view.service(service);
         let choice = context.placer().choose(&query, upstreams, &progress, now);
         match choice {
             Ok(choice) => Ok(Selection::Chosen(choice)),
             Err(place::Error::Full) => Ok(Selection::Full),
             Err(place::Error::Limited(until)) => Ok(Selection::Limited(until)),
-            Err(place::Error::Closed) if self.may_reopen(upstreams) => Ok(Selection::Full),
+            Err(place::Error::Closed) if !withheld.is_empty() || self.may_reopen(upstreams) => {
+                Ok(Selection::Full)
+            }
             Err(reason) => {
                 let service = service.as_str();
                 info!(
@@ -255,7 +264,7 @@
         let (now, service) = (context.now(), call.service());
         let peers = context.peers.peer_load(now);
         let document = context.document.load_full();
-        let query = self.query(document.as_deref(), &peers, None, now);
+        let query = self.query(document.as_deref(), &self.excluded, &peers, None, now);
         if self.sends == 0 {
             context.budget().record_call(service, now);
         }
--- a/src/gateway/relay/resumption.rs
+++ b/src/gateway/relay/resumption.rs
@@ -32,7 +32,7 @@
 
 /// How a daemon came to know which build began a stream.
 #[derive(Clone, Copy, Debug)]
-enum Source {
+pub(super) enum Source {
     /// It saw the stream begin, or was told.
     Known,
     /// Another daemon knew it.
@@ -41,6 +41,8 @@
     Recorded,
     /// The store lists no other build that the service had lately.
     OnlyBuild,
+    /// No process that may have begun it at another build knows it.
+    Unclaimed,
     /// It is the only recent build of the service that this daemon knows of. The store didn't answer.
     Assumed,
 }
@@ -52,6 +54,7 @@
             Source::Asked => "asked",
             Source::Recorded => "recorded",
             Source::OnlyBuild => "only_build",
+            Source::Unclaimed => "unclaimed",
             Source::Assumed => "assumed",
         }
     }
@@ -116,15 +119,22 @@
         let ask = exchange::origin::ask(context, attempt);
         // The row is read after the call has arrived, so that it lists every build that may have begun the
         // stream.
-        let (answers, is_listed) = tokio::join!(ask, record::read_builds(context, service));
+        let (answers, listed) = tokio::join!(ask, record::read_builds(context, service));
         if let Some(build) = answers.build {
             return Some((self.keep_origin(build), Source::Asked));
         }
-        if let Some(build) = self.find_only_build(is_listed, answers.unknowing) {
+        let is_listed = listed.is_some();
+        if let Some(build) = self.find_only_build(is_listed, answers.unknowing.len()) {
             return Some((build, if is_listed { Source::OnlyBuild } else { Source::Assumed }));
         }
-        if let Some(build) = record::read_origin(context, attempt).await {
-            return Some((self.keep_origin(build), Source::Recorded));
+        match record::read_origin(context, attempt).await {
+            Some(Some(build)) => return Some((self.keep_origin(build), Source::Recorded)),
+            Some(None) => {
+                if let Some(found) = self.find_unclaimed(listed.as_ref(), answers).await {
+                    return Some(found);
+                }
+            }
+            None => {}
         }
         loop {
             if let Some(build) = self.known_origin() {
@@ -143,7 +153,7 @@
     }
 
     /// Remembers which build began the stream, as others know.
-    fn keep_origin(&self, build: Build) -> Build {
+    pub(super) fn keep_origin(&self, build: Build) -> Build {
         let (context, service) = (&self.context, name_hash(self.call.service().as_str()));
         let entry = Entry { attempt: name_hash(self.call.stream_attempt()), service, build };
         context.origins().keep(&entry, context.now());
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -19,6 +19,8 @@
     Leases,
     /// Which builds services had, and which ones began their streams; read on demand.
     Streams,
+    /// At which builds of services daemons may have begun streams; read on demand.
+    Claims,
 }
 
 impl Topic {
@@ -33,6 +35,7 @@
             Topic::Fleet => "fleet",
             Topic::Leases => "leases",
             Topic::Streams => "streams",
+            Topic::Claims => "claims",
         }
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,10 @@
 mod budget;
 #[path = "gateway/cache.rs"]
 mod cache;
+#[path = "gateway/claim.rs"]
+mod claim;
+#[path = "gateway/claim_random.rs"]
+mod claim_random;
 #[path = "gateway/crash.rs"]
 mod crash;
 #[path = "gateway/crashing.rs"]
--- a/tests/gateway/ledger.rs
+++ b/tests/gateway/ledger.rs
@@ -22,7 +22,7 @@
 }
 
 fn row(era: u64, names: &[&str]) -> row::Builds {
-    row::Builds { era: Era(era), builds: builds(names) }
+    row::Builds { era: Era(era), builds: builds(names), unclaimed: None }
 }
 
 /// Guards against daemons that take the only build in view for the only one that a service had: they
@@ -39,6 +39,8 @@
         is_complete: bool,
         found: Option<&'static str>,
         written: Option<&'static [&'static str]>,
+        /// The build in the written row that daemons don't claim.
+        unclaimed: Option<&'static str>,
     }
     let usual = Case {
         what: "one build",
@@ -48,6 +50,7 @@
         is_complete: true,
         found: Some("v1"),
         written: None,
+        unclaimed: None,
     };
     for case in [
         Case { what: "first start", stored: None, written: Some(&["v1"]), ..usual },
@@ -56,6 +59,7 @@
             registered: &["v2"],
             found: None,
             written: Some(&["v1", "v2"]),
+            unclaimed: Some("v1"),
             ..usual
         },
         Case { what: "one of two left", stored: Some((0, &["v1", "v2"])), found: None, ..usual },
@@ -91,8 +95,9 @@
         assert_eq!(is_complete, case.is_complete, "{}", case.what);
         let found = table.find(STREAM, SERVICE, &registered, true, START);
         assert_eq!(found, case.found.map(Build::from), "{}", case.what);
-        let written = table.row_to_write(SERVICE, stored, era, &registered, START);
-        let expected = case.written.map(|names| row(case.era, names));
+        let written = table.row_to_write(SERVICE, stored, era, &registered, true, START);
+        let unclaimed = case.unclaimed.map(Build::from);
+        let expected = case.written.map(|names| row::Builds { unclaimed, ..row(case.era, names) });
         assert_eq!(written, expected, "{}", case.what);
     }
 }
@@ -105,11 +110,11 @@
     let full = row(0, &["v1", "v2"]);
     table.learn_row(SERVICE, Some(&full), Era(0), START);
     table.note_row(SERVICE, full, &both);
-    assert!(!table.is_row_due(SERVICE, &both, Era(0), START));
-    assert!(table.is_row_due(SERVICE, &both, Era(1), START));
+    assert!(!table.is_row_due(SERVICE, &both, Era(0), true, START));
+    assert!(table.is_row_due(SERVICE, &both, Era(1), true, START));
     let older = row(0, &["v1"]);
     table.learn_row(SERVICE, Some(&older), Era(1), START);
-    let written = table.row_to_write(SERVICE, Some(&older), Era(1), &both, START);
+    let written = table.row_to_write(SERVICE, Some(&older), Era(1), &both, true, START);
     assert_eq!(written, Some(row(1, &["v1", "v2"])));
     assert!(!table.is_listed(SERVICE, &both[1], Era(1)), "not before it is written");
     table.note_row(SERVICE, row(1, &["v1", "v2"]), &both);
@@ -123,9 +128,9 @@
     let (mut table, v1, both) = (Table::default(), builds(&["v1"]), builds(&["v1", "v2"]));
     table.note_row(SERVICE, row(0, &["v1", "v2"]), &both);
     assert!(table.is_listed(SERVICE, &both[1], Era(0)));
-    table.is_row_due(SERVICE, &v1, Era(0), START);
+    table.is_row_due(SERVICE, &v1, Era(0), true, START);
     assert!(!table.is_listed(SERVICE, &both[1], Era(0)));
-    assert!(table.is_row_due(SERVICE, &both, Era(0), START), "read again once it is back");
+    assert!(table.is_row_due(SERVICE, &both, Era(0), true, START), "read again once it is back");
 }
 
 /// Guards against services that count as having several builds forever, so that streams of unknown origin
@@ -139,9 +144,9 @@
     for (now, is_due) in
         [(START + LIFETIME - Duration::from_secs(1), false), (START + LIFETIME, true)]
     {
-        assert_eq!(table.is_row_due(SERVICE, &v2, Era(0), now), is_due);
+        assert_eq!(table.is_row_due(SERVICE, &v2, Era(0), true, now), is_due);
     }
-    let written = table.row_to_write(SERVICE, Some(&stored), Era(0), &v2, START + LIFETIME);
+    let written = table.row_to_write(SERVICE, Some(&stored), Era(0), &v2, true, START + LIFETIME);
     assert_eq!(written, Some(row(0, &["v2"])));
     // Another daemon that learned of it later must not write it back.
     let mut later = Table::default();
@@ -149,7 +154,10 @@
     later.note_row(SERVICE, stored, &v2);
     let shorter = row(0, &["v2"]);
     later.learn_row(SERVICE, Some(&shorter), Era(0), START + LIFETIME);
-    assert_eq!(later.row_to_write(SERVICE, Some(&shorter), Era(0), &v2, START + LIFETIME), None);
+    assert_eq!(
+        later.row_to_write(SERVICE, Some(&shorter), Era(0), &v2, true, START + LIFETIME),
+        None
+    );
 }
 
 fn begin(table: &mut Table, attempts: std::ops::Range<u64>) {
@@ -196,7 +204,7 @@
     let again = row(0, &["v1", "v2"]);
     assert!(table.learn_row(SERVICE, Some(&again), Era(0), later));
     assert_eq!(table.find(STREAM, SERVICE, &v1, true, later), None);
-    assert_eq!(table.row_to_write(SERVICE, Some(&again), Era(0), &v1, later), None);
+    assert_eq!(table.row_to_write(SERVICE, Some(&again), Era(0), &v1, true, later), None);
 }
 
 /// Guards against a build that is lost from the row: another daemon's write that takes it off is still on its
@@ -206,10 +214,10 @@
     let (mut table, v1, both) = (Table::default(), builds(&["v1"]), builds(&["v1", "v2"]));
     let stored = row(0, &["v1", "v2"]);
     table.note_row(SERVICE, stored.clone(), &v1);
-    let written = table.row_to_write(SERVICE, Some(&stored), Era(0), &both, START);
+    let written = table.row_to_write(SERVICE, Some(&stored), Era(0), &both, true, START);
     assert_eq!(written, Some(stored.clone()));
     table.note_row(SERVICE, stored.clone(), &both);
-    assert_eq!(table.row_to_write(SERVICE, Some(&stored), Era(0), &both, START), None);
+    assert_eq!(table.row_to_write(SERVICE, Some(&stored), Era(0), &both, true, START), None);
 }
 
 /// Guards against a build that is missing in the row after the store came back: a daemon that had not heard
@@ -221,7 +229,7 @@
     table.note_row(SERVICE, row(0, &["v1", "v2"]), &both);
     let completed = row(1, &["v1"]);
     table.learn_row(SERVICE, Some(&completed), Era(1), START);
-    let written = table.row_to_write(SERVICE, Some(&completed), Era(1), &v1, START);
+    let written = table.row_to_write(SERVICE, Some(&completed), Era(1), &v1, true, START);
     assert_eq!(written, Some(row(1, &["v1", "v2"])));
 }
 
--- a/tests/gateway/upgrade.rs
+++ b/tests/gateway/upgrade.rs
@@ -15,6 +15,7 @@
         exchange::{
             Exchange, ExchangeClient, ExchangeRequest, ExchangeResponse,
             fetch::{Part, Wanted},
+            origin::Lookup,
             wire::Codec,
         },
         message::Message,
@@ -63,6 +64,11 @@
     async fn fetch_rows(self, _: call::Context, _: Wanted) -> Option<Part> {
         None
     }
+
+    async fn look_up_origin(self, _: call::Context, attempt: u64) -> Lookup {
+        let incarnation = wire_samples::empty().incarnation;
+        Lookup { incarnation, build: Some(Build::from(&*attempt.to_string())) }
+    }
 }
 
 /// The transport of a client and of a server of production commit ce03f73.
--- a/tests/gateway/wire_samples.rs
+++ b/tests/gateway/wire_samples.rs
@@ -9,6 +9,7 @@
         exchange::{
             ExchangeRequest, ExchangeResponse,
             fetch::{Part, Wanted},
+            origin::Lookup,
             wire::value::Bytes,
         },
         gauge::Outcomes,
@@ -157,6 +158,25 @@
         },
         response: || ExchangeResponse::FetchRows(None),
     },
+    Sample {
+        name: "look-up-origin",
+        since: 4,
+        request: || ExchangeRequest::LookUpOrigin { attempt: 77 },
+        response: || {
+            ExchangeResponse::LookUpOrigin(Lookup {
+                incarnation: INCARNATION,
+                build: Some(Build::from("v2")),
+            })
+        },
+    },
+    Sample {
+        name: "look-up-origin-unknown",
+        since: 4,
+        request: || ExchangeRequest::LookUpOrigin { attempt: 78 },
+        response: || {
+            ExchangeResponse::LookUpOrigin(Lookup { incarnation: INCARNATION, build: None })
+        },
+    },
 ];
 
 const POSITION: Position = Position { era: Era(1), version: 41 };
