--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -266,17 +266,17 @@
 
 /// Removes rows of streams that other daemons have left behind.
 async fn sweep(context: &Context) {
-    let (mut seen, mut claims) = (Map::default(), Map::default());
+    let (mut seen_streams, mut seen_claims) = (Map::default(), Map::default());
     loop {
         time::sleep(SWEEP_INTERVAL).await;
         if context.plan.load().rank > 0 {
-            (seen, claims) = (Map::default(), Map::default());
+            (seen_streams, seen_claims) = (Map::default(), Map::default());
             continue;
         }
-        if let Err(failure) = sweep_once(context, &mut seen).await {
+        if let Err(failure) = sweep_once(context, &mut seen_streams).await {
             info!(%failure, "rows of streams not swept");
         }
-        if let Err(failure) = claim::sweep(context, &mut claims).await {
+        if let Err(failure) = claim::sweep(context, &mut seen_claims).await {
             info!(%failure, "claims of builds not swept");
         }
     }
