review: drop the case that case 2 shows already, and number the others anew

Change: it is removed, with its part of the stand-ins. The cases are now 11 (streams that are taken up), 12 (late crash), 14 (sound part) and 15 (all daemons killed).

--- a/review/standin-3/again.rs
+++ b/review/standin-3/again.rs
@@ -81,7 +81,6 @@
             log: scene.log().display().to_string(),
             is_engine: false,
             slots: 6,
-            is_unframed: false,
             events: 0,
             gap: Duration::ZERO,
             work: Duration::from_millis(15),
--- a/review/standin-3/alike.rs
+++ b/review/standin-3/alike.rs
@@ -162,7 +162,6 @@
             log: scene.log().display().to_string(),
             is_engine: true,
             slots: 64,
-            is_unframed: false,
             events: variant.events(),
             gap: Duration::from_millis(35),
             work: Duration::from_millis(15),
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -7,7 +7,6 @@
 mod http;
 mod json;
 mod late_crash;
-mod leaving;
 mod runner;
 mod scene;
 mod store;
@@ -37,7 +36,6 @@
                 "late-crash" => late_crash::play(record),
                 "again" => again::play(record),
                 "taken-up" => taken_up::play(record),
-                "leaving" => leaving::play(record),
                 _ => 2,
             };
             process::exit(code);
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -1,7 +1,6 @@
 //! A stand-in for a runner: PROTOCOL.md, "Runners", "Service discovery".
 //!
-//! It ends when its standard input does. `POST /standin/drain` begins its planned shutdown: it reports `draining`,
-//! says so in its answers, and goes on serving.
+//! It ends when its standard input does.
 
 use std::{
     fs::{File, OpenOptions},
@@ -10,7 +9,7 @@
     process,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -48,8 +47,6 @@
     pub log: String,
     pub is_engine: bool,
     pub slots: u32,
-    /// Whether its answers have neither a length nor chunks.
-    pub is_unframed: bool,
     /// Events of a stream, and the time between two of them.
     pub events: u64,
     pub gap: Duration,
@@ -69,7 +66,6 @@
             self.log.clone(),
             self.is_engine.to_string(),
             self.slots.to_string(),
-            self.is_unframed.to_string(),
             self.events.to_string(),
             self.gap.as_millis().to_string(),
             self.work.as_millis().to_string(),
@@ -77,21 +73,8 @@
     }
 
     pub fn parse(arguments: &[String]) -> Option<Settings> {
-        let [
-            id,
-            address,
-            store,
-            service,
-            zone,
-            build,
-            log,
-            engine,
-            slots,
-            unframed,
-            events,
-            gap,
-            work,
-        ] = arguments
+        let [id, address, store, service, zone, build, log, engine, slots, events, gap, work] =
+            arguments
         else {
             return None;
         };
@@ -105,7 +88,6 @@
             log: log.clone(),
             is_engine: engine.parse().ok()?,
             slots: slots.parse().ok()?,
-            is_unframed: unframed.parse().ok()?,
             events: events.parse().ok()?,
             gap: Duration::from_millis(gap.parse().ok()?),
             work: Duration::from_millis(work.parse().ok()?),
@@ -117,7 +99,6 @@
     settings: Settings,
     born: u128,
     log: Mutex<File>,
-    is_draining: AtomicBool,
     sequence: AtomicU64,
     running: AtomicU64,
 }
@@ -133,7 +114,6 @@
         settings,
         born: now_ms(),
         log: Mutex::new(log),
-        is_draining: AtomicBool::default(),
         sequence: AtomicU64::default(),
         running: AtomicU64::default(),
     });
@@ -168,13 +148,12 @@
 
     fn register(&self) {
         let Settings { id, address, store, service, zone, build, slots, .. } = &self.settings;
-        let state = if self.is_draining.load(Ordering::Relaxed) { "draining" } else { "ready" };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let models = if self.settings.is_engine { MODEL } else { "" };
         let born = self.born;
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"{build}\",\"slots\":{slots},\"state\":\"{state}\",\
+             \"version\":\"{build}\",\"slots\":{slots},\"state\":\"ready\",\
              \"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{born},\"models\":[{models}]}}"
         );
         let target = format!("/standin/put?table=servers&key={id}");
@@ -186,13 +165,6 @@
     fn answer(&self, connection: &mut Connection, request: &Request) -> io::Result<bool> {
         let Settings { id, .. } = &self.settings;
         match request.path() {
-            "/standin/drain" => {
-                self.is_draining.store(true, Ordering::Relaxed);
-                self.register();
-                self.note("drains");
-                connection.answer(200, &[], b"")?;
-                return Ok(true);
-            }
             "/tealturn/report" => {
                 let (born, running) = (self.born, self.running.load(Ordering::Relaxed));
                 let models = if self.settings.is_engine { MODEL } else { "" };
@@ -207,11 +179,7 @@
             _ => {}
         }
         let attempt = request.header("x-tealturn-request-attempt").unwrap_or("-").to_owned();
-        let is_draining = self.is_draining.load(Ordering::Relaxed);
         let mut headers = vec![("X-Tealturn-Request-Attempt", attempt.as_str())];
-        if is_draining {
-            headers.push(("Server-Leaving", "1"));
-        }
         if request.header("x-tealturn-expect-instance").is_some_and(|it| it != id) {
             headers.push(("X-Tealturn-Instance-Id", id));
             connection.answer(421, &headers, b"")?;
@@ -270,14 +238,9 @@
         last: u64,
         headers: &[(&str, &str)],
     ) -> io::Result<bool> {
-        let is_unframed = self.settings.is_unframed;
         let mut text = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
         text.push_str("X-Tealturn-Weight-Versions: 1\r\n");
-        text.push_str(if is_unframed {
-            "Connection: close\r\n"
-        } else {
-            "Transfer-Encoding: chunked\r\n"
-        });
+        text.push_str("Transfer-Encoding: chunked\r\n");
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -286,19 +249,14 @@
         for number in last + 1..=self.settings.events {
             thread::sleep(self.settings.gap);
             let event = format!("id: {number}\ndata: {} by {}\n\n", number, self.settings.build);
-            let bytes = match is_unframed {
-                true => event,
-                false => format!("{:x}\r\n{event}\r\n", event.len()),
-            };
+            let bytes = format!("{:x}\r\n{event}\r\n", event.len());
             if let Err(error) = connection.stream.write_all(bytes.as_bytes()) {
                 self.note(&format!("loses {attempt} before {number}"));
                 return Err(error);
             }
         }
         self.note(&format!("ends {attempt}"));
-        if !is_unframed {
-            connection.stream.write_all(b"0\r\n\r\n")?;
-        }
-        Ok(!is_unframed)
+        connection.stream.write_all(b"0\r\n\r\n")?;
+        Ok(true)
     }
 }
--- a/review/standin-3/scene.rs
+++ b/review/standin-3/scene.rs
@@ -187,12 +187,6 @@
         }
     }
 
-    pub fn drain_runner(&self, number: usize) -> bool {
-        let address = self.runners[number].settings.address;
-        let patience = Duration::from_secs(1);
-        http::call(address, "POST", "/standin/drain", &[], b"", patience).status == 200
-    }
-
     /// Starts daemons for the first time, and waits until they are ready.
     pub fn start_daemons(&mut self, count: u8) {
         for number in 0..count {
--- a/review/standin-3/taken_up.rs
+++ b/review/standin-3/taken_up.rs
@@ -145,7 +145,6 @@
             log: scene.log().display().to_string(),
             is_engine: true,
             slots: 64,
-            is_unframed: false,
             events: EVENTS,
             gap: EVENT_GAP,
             work: Duration::ZERO,
